Lay out the workspace and the fleet's vocabulary

Cause: nothing stands yet; every crate needs the same ids, units, terms, positions, session tokens and configuration types. Before: empty tree. Conclusion: the areas can be built side by side on model.

--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load generation and measurement.
--- /dev/null
+++ b/crates/load/src/main.rs
@@ -0,0 +1,3 @@
+//! Load generation and measurement.
+
+fn main() {}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,14 @@
+//! Vocabulary of the fleet: identifiers, units, log positions, session tokens
+//! and the fleet configuration with its checks.
+//!
+//! Nothing here performs input or output, and nothing here reads a clock.
+
+mod macros;
+
+pub mod config;
+pub mod id;
+pub mod place;
+pub mod position;
+pub mod settings;
+pub mod token;
+pub mod unit;
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages and transport between proxies.
--- /dev/null
+++ b/crates/pg/src/lib.rs
@@ -0,0 +1,1 @@
+//! PostgreSQL framing, authentication and statement classification.
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions of the fleet, free of sockets and clocks.
--- /dev/null
+++ b/crates/proxy/src/lib.rs
@@ -0,0 +1,1 @@
+//! The proxy process.
--- /dev/null
+++ b/crates/proxy/src/main.rs
@@ -0,0 +1,3 @@
+//! The proxy process.
+
+fn main() {}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and for database groups.
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,3 @@
+//! Stand-ins for the platform and for database groups.
+
+fn main() {}
