--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,1 +1,5 @@
-//! Load generation and measurement.
+//! Load generation and measurement against a fleet, real or embedded.
+
+pub mod cli;
+pub mod client;
+pub mod report;
