Add the store client: range, compare-and-swap, watch, lease, VM list

A compare-and-swap whose answer was lost is sent again: the first that takes effect defeats the others, and the failure branch reads back whose value holds. A time-out drops the connection pool, so that a silent connection is not reused.

--- /dev/null
+++ b/crates/store/src/calls.rs
@@ -0,0 +1,81 @@
+//! Counts of the calls made to the platform.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// The kinds of call that the platform counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A range read.
+    Read,
+    /// A put or a transaction.
+    Write,
+    /// A watch, counted when it is opened.
+    Watch,
+    /// A lease grant, renewal or revocation.
+    Lease,
+    /// A read of the VM list.
+    VmList,
+}
+
+impl Kind {
+    /// Every kind, in the order of [`Calls::snapshot`].
+    pub const ALL: [Self; 5] = [
+        Self::Read,
+        Self::Write,
+        Self::Watch,
+        Self::Lease,
+        Self::VmList,
+    ];
+
+    /// Stable name, used as a metric label.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Read => "read",
+            Self::Write => "write",
+            Self::Watch => "watch",
+            Self::Lease => "lease",
+            Self::VmList => "vm_list",
+        }
+    }
+}
+
+/// Counters that a client and its clones share; readable from any thread.
+#[derive(Clone, Debug, Default)]
+pub struct Calls(Arc<Counters>);
+
+#[derive(Debug, Default)]
+struct Counters {
+    calls: [AtomicU64; Kind::ALL.len()],
+    failures: AtomicU64,
+}
+
+impl Calls {
+    pub(crate) fn add(&self, kind: Kind) {
+        self.0.calls[kind as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn add_failure(&self) {
+        self.0.failures.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Calls of one kind, retries included.
+    pub fn get(&self, kind: Kind) -> u64 {
+        self.0.calls[kind as usize].load(Ordering::Relaxed)
+    }
+
+    /// Calls of every kind.
+    pub fn total(&self) -> u64 {
+        Kind::ALL.iter().map(|&kind| self.get(kind)).sum()
+    }
+
+    /// Calls that got no usable answer.
+    pub fn failures(&self) -> u64 {
+        self.0.failures.load(Ordering::Relaxed)
+    }
+
+    /// Calls by kind.
+    pub fn snapshot(&self) -> [(Kind, u64); Kind::ALL.len()] {
+        Kind::ALL.map(|kind| (kind, self.get(kind)))
+    }
+}
--- /dev/null
+++ b/crates/store/src/client.rs
@@ -0,0 +1,198 @@
+//! Transport: endpoints, time limits and connection hygiene.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::calls::{Calls, Kind};
+use crate::error::Error;
+
+/// Longest wait for one call's answer. The platform answers in milliseconds, and a
+/// promotion waits for its answers, so a longer wait would only prolong a write gap.
+pub const TIME_LIMIT: Duration = Duration::from_millis(500);
+
+/// A client of the platform's services, cheap to clone within its runtime.
+#[derive(Clone)]
+pub struct Client {
+    inner: Rc<Inner>,
+}
+
+struct Inner {
+    endpoints: Vec<String>,
+    /// Endpoint that answered last; tried first.
+    preferred: Cell<usize>,
+    http: RefCell<cyper::Client>,
+    calls: Calls,
+    time_limit: Duration,
+}
+
+impl Client {
+    /// A client of the service at `endpoints` (`http://IP:PORT`), any of which may answer.
+    pub fn new(endpoints: Vec<String>) -> Result<Self, Error> {
+        Self::with_time_limit(endpoints, TIME_LIMIT)
+    }
+
+    /// A client with another time limit per call.
+    pub fn with_time_limit(endpoints: Vec<String>, time_limit: Duration) -> Result<Self, Error> {
+        let endpoints = endpoints
+            .into_iter()
+            .map(|e| e.trim_end_matches('/').to_owned())
+            .collect();
+        let inner = Inner {
+            endpoints,
+            preferred: Cell::new(0),
+            http: RefCell::new(http_client()?),
+            calls: Calls::default(),
+            time_limit,
+        };
+        Ok(Self {
+            inner: Rc::new(inner),
+        })
+    }
+
+    /// The counters of this client's calls.
+    pub fn calls(&self) -> &Calls {
+        &self.inner.calls
+    }
+
+    /// Longest wait for one call's answer.
+    pub fn time_limit(&self) -> Duration {
+        self.inner.time_limit
+    }
+
+    /// Sends a request to one endpoint after another until one answers it.
+    ///
+    /// For calls that may be repeated without harm.
+    pub(crate) async fn post<Req, Res>(
+        &self,
+        kind: Kind,
+        path: &str,
+        body: &Req,
+    ) -> Result<Res, Error>
+    where
+        Req: serde::Serialize,
+        Res: serde::de::DeserializeOwned,
+    {
+        let body = serde_json::to_vec(body).map_err(Error::Decode)?;
+        let mut last = Error::NoEndpoint;
+        for at in self.order() {
+            match self.post_to(at, kind, path, body.clone()).await {
+                Ok(bytes) => {
+                    self.inner.preferred.set(at);
+                    return serde_json::from_slice(&bytes).map_err(Error::Decode);
+                }
+                // An endpoint that may have taken the request outweighs one that
+                // certainly did not: the caller must not read "no effect".
+                Err(e) if last.had_no_effect() => last = e,
+                Err(_) => {}
+            }
+        }
+        Err(last)
+    }
+
+    fn order(&self) -> impl Iterator<Item = usize> + use<> {
+        let (first, n) = (self.inner.preferred.get(), self.inner.endpoints.len());
+        (0..n).map(move |at| (first + at) % n)
+    }
+
+    async fn post_to(
+        &self,
+        at: usize,
+        kind: Kind,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<Vec<u8>, Error> {
+        let response = self.open(at, kind, path, body);
+        let exchange = async { read_all(response.await?).await };
+        self.within_limit(exchange).await
+    }
+
+    /// Reads a plain document, e.g. the VM list.
+    pub(crate) async fn fetch(&self, kind: Kind, url: &str) -> Result<Vec<u8>, Error> {
+        self.inner.calls.add(kind);
+        let request = self.http().get(url);
+        let request = request.map_err(|_| Error::Address(url.to_owned()))?;
+        let exchange = async {
+            let response = request.send().await.map_err(Error::from_http)?;
+            read_all(response).await
+        };
+        self.within_limit(exchange).await
+    }
+
+    /// Opens a stream on the preferred endpoint, or on the next if that fails.
+    pub(crate) async fn open_stream<Req: serde::Serialize>(
+        &self,
+        kind: Kind,
+        path: &str,
+        body: &Req,
+    ) -> Result<cyper::Response, Error> {
+        let body = serde_json::to_vec(body).map_err(Error::Decode)?;
+        let mut last = Error::NoEndpoint;
+        for at in self.order() {
+            let opening = self.open(at, kind, path, body.clone());
+            match self.within_limit(opening).await {
+                Ok(response) => return Ok(response),
+                Err(e) => last = e,
+            }
+        }
+        Err(last)
+    }
+
+    async fn open(
+        &self,
+        at: usize,
+        kind: Kind,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<cyper::Response, Error> {
+        self.inner.calls.add(kind);
+        let url = format!("{}{path}", self.inner.endpoints[at]);
+        let request = self.http().post(&url);
+        let request = request.map_err(|_| Error::Address(url.clone()))?;
+        let sent = request.body(body).send().await;
+        let response = sent.map_err(Error::from_http)?;
+        match response.status().as_u16() {
+            200 => Ok(response),
+            status => Err(Error::Status(status)),
+        }
+    }
+
+    async fn within_limit<T>(
+        &self,
+        exchange: impl Future<Output = Result<T, Error>>,
+    ) -> Result<T, Error> {
+        let limit = self.inner.time_limit;
+        let result = match compio::time::timeout(limit, exchange).await {
+            Ok(result) => result,
+            Err(_) => {
+                // An open connection can go silent for good while new ones work. It
+                // shows as a time-out, and would again on the next call if the pool
+                // handed it out: a new client has an empty pool.
+                *self.inner.http.borrow_mut() = http_client()?;
+                Err(Error::Timeout(limit))
+            }
+        };
+        if result.is_err() {
+            self.inner.calls.add_failure();
+        }
+        result
+    }
+
+    fn http(&self) -> cyper::Client {
+        self.inner.http.borrow().clone()
+    }
+}
+
+fn http_client() -> Result<cyper::Client, Error> {
+    let builder = cyper::Client::builder().no_proxy();
+    builder.build().map_err(Error::Connection)
+}
+
+async fn read_all(response: cyper::Response) -> Result<Vec<u8>, Error> {
+    let status = response.status().as_u16();
+    if status != 200 {
+        return Err(Error::Status(status));
+    }
+    let bytes = response.bytes().await.map_err(Error::Connection)?;
+    Ok(bytes.to_vec())
+}
--- /dev/null
+++ b/crates/store/src/kv.rs
@@ -0,0 +1,157 @@
+//! Reads, writes and compare-and-swap.
+
+use std::time::Duration;
+
+use model::position::Revision;
+
+use crate::calls::Kind;
+use crate::client::Client;
+use crate::error::Error;
+use crate::wire;
+
+/// Tries of one compare-and-swap whose answers were lost.
+const TRIES: u32 = 3;
+
+/// Wait before a lost answer is asked for again.
+const RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// A key's value with the revision that wrote it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: Vec<u8>,
+    /// The store's revision that wrote the value.
+    pub revision: Revision,
+}
+
+/// Records read at one moment.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Listing {
+    /// The records, by key.
+    pub records: Vec<Record>,
+    /// The store's revision at that moment.
+    pub revision: Revision,
+}
+
+/// What became of a compare-and-swap.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Our value took effect, at this revision.
+    Applied(Revision),
+    /// The key holds another writer's value, or none: ours is not in force.
+    Conflict(Option<Record>),
+    /// No answer came: our value may have taken effect, or may still do so.
+    Unknown,
+}
+
+impl Client {
+    /// Reads one key.
+    pub async fn get(&self, key: &str) -> Result<Option<Record>, Error> {
+        let req = wire::RangeRequest {
+            key: wire::Blob(key.into()),
+            range_end: None,
+        };
+        let listing = self.range(&req).await?;
+        Ok(listing.records.into_iter().next())
+    }
+
+    /// Reads every key with a prefix, at one moment.
+    pub async fn list(&self, prefix: &str) -> Result<Listing, Error> {
+        let req = wire::RangeRequest {
+            key: wire::Blob(prefix.into()),
+            range_end: Some(wire::prefix_end(prefix)),
+        };
+        self.range(&req).await
+    }
+
+    async fn range(&self, req: &wire::RangeRequest) -> Result<Listing, Error> {
+        let res: wire::RangeResponse = self.post(Kind::Read, "/v3/kv/range", req).await?;
+        Ok(Listing {
+            revision: Revision(res.header.revision.0),
+            records: res.kvs.into_iter().map(record).collect(),
+        })
+    }
+
+    /// Writes one key, whatever it holds.
+    pub async fn put(&self, key: &str, value: Vec<u8>) -> Result<Revision, Error> {
+        let req = wire::PutRequest {
+            key: wire::Blob(key.into()),
+            value: wire::Blob(value),
+            lease: None,
+        };
+        let res: wire::PutResponse = self.post(Kind::Write, "/v3/kv/put", &req).await?;
+        Ok(Revision(res.header.revision.0))
+    }
+
+    /// Writes `key` if its last change has revision `expected` (0: the key is absent).
+    ///
+    /// `value` must hold a nonce that no other write of this key has ever held. Answers
+    /// may be lost although the change took effect; then the same request is sent again.
+    /// That is safe, since the first one that takes effect changes the revision and so
+    /// defeats the others, and it settles the outcome: a repetition that fails its
+    /// comparison reads back either our own nonce or another writer's value.
+    pub async fn swap(
+        &self,
+        key: &str,
+        expected: Revision,
+        value: Vec<u8>,
+    ) -> Result<Outcome, Error> {
+        let req = wire::TxnRequest {
+            compare: vec![wire::Compare::unchanged(key, expected.0)],
+            success: vec![put(key, value.clone())],
+            failure: vec![wire::Operation::RequestRange(wire::RangeRequest {
+                key: wire::Blob(key.into()),
+                range_end: None,
+            })],
+        };
+        let mut perhaps_applied = false;
+        let mut last = Error::NoEndpoint;
+        for at in 0..TRIES {
+            if at > 0 {
+                compio::time::sleep(RETRY_AFTER).await;
+            }
+            match self.post(Kind::Write, "/v3/kv/txn", &req).await {
+                Ok(res) => return Ok(settle(res, &value)),
+                Err(e) => {
+                    perhaps_applied |= !e.had_no_effect();
+                    last = e;
+                }
+            }
+        }
+        if perhaps_applied {
+            Ok(Outcome::Unknown)
+        } else {
+            Err(last)
+        }
+    }
+}
+
+fn put(key: &str, value: Vec<u8>) -> wire::Operation {
+    wire::Operation::RequestPut(wire::PutRequest {
+        key: wire::Blob(key.into()),
+        value: wire::Blob(value),
+        lease: None,
+    })
+}
+
+fn settle(res: wire::TxnResponse, ours: &[u8]) -> Outcome {
+    if res.succeeded {
+        return Outcome::Applied(Revision(res.header.revision.0));
+    }
+    let ranges = res.responses.into_iter().filter_map(|r| r.response_range);
+    let current = ranges.flat_map(|r| r.kvs).map(record).next();
+    match current {
+        Some(record) if record.value == ours => Outcome::Applied(record.revision),
+        current => Outcome::Conflict(current),
+    }
+}
+
+pub(crate) fn record(kv: wire::KeyValue) -> Record {
+    Record {
+        key: String::from_utf8_lossy(&kv.key.0).into_owned(),
+        value: kv.value.0,
+        revision: Revision(kv.mod_revision.0),
+    }
+}
--- /dev/null
+++ b/crates/store/src/lease.rs
@@ -0,0 +1,43 @@
+//! Leases: promises of the store to forget keys whose owner went silent.
+
+use std::time::Duration;
+
+use crate::calls::Kind;
+use crate::client::Client;
+use crate::error::Error;
+use crate::wire;
+
+/// A lease's number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct LeaseId(pub u64);
+
+impl Client {
+    /// Asks for a lease that lapses after `ttl` (whole seconds, at least one) without renewal.
+    pub async fn grant(&self, ttl: Duration) -> Result<LeaseId, Error> {
+        let ttl = wire::Int(ttl.as_secs().max(1));
+        let req = wire::LeaseGrantRequest { ttl };
+        let res: wire::LeaseResponse = self.post(Kind::Lease, "/v3/lease/grant", &req).await?;
+        Ok(LeaseId(res.id.0))
+    }
+
+    /// Renews a lease; `None` when it has lapsed.
+    pub async fn keep_alive(&self, lease: LeaseId) -> Result<Option<Duration>, Error> {
+        let req = wire::LeaseRequest {
+            id: wire::Int(lease.0),
+        };
+        let path = "/v3/lease/keepalive";
+        let res: wire::KeepAliveMessage = self.post(Kind::Lease, path, &req).await?;
+        let ttl = res.result.ttl.0;
+        Ok((ttl > 0).then(|| Duration::from_secs(ttl)))
+    }
+
+    /// Gives a lease back; its keys go at once.
+    pub async fn revoke(&self, lease: LeaseId) -> Result<(), Error> {
+        let req = wire::LeaseRequest {
+            id: wire::Int(lease.0),
+        };
+        let path = "/v3/lease/revoke";
+        let _: serde_json::Value = self.post(Kind::Lease, path, &req).await?;
+        Ok(())
+    }
+}
