Agree on the routes of a group and the face of its task

A read names the newest point that its session knows, or none; with none it must see all that was acknowledged before it was routed. Confirmation takes the route as well as the point: a rebuilt server may name a point of a newer term that says nothing about the commit.

Not measured.

--- /dev/null
+++ b/crates/proxy/src/group.rs
@@ -0,0 +1,146 @@
+//! Routes and confirmations for one database group: the face of its group task.
+
+mod task;
+
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use model::config::Fleet;
+use model::id::{GroupId, InstanceId, ProxyId};
+use model::place::Place;
+use model::position::Point;
+use model::unit::Span;
+use policy::route::{Failure, ReadNeed, Refusal, Target, Unconfirmed};
+
+/// A message to a group task.
+enum Request {
+    Write {
+        point: Option<Point>,
+        deadline: Instant,
+        tx: flume::Sender<Result<Target, Refusal>>,
+    },
+    Read {
+        need: ReadNeed,
+        deadline: Instant,
+        tx: flume::Sender<Result<Target, Refusal>>,
+    },
+    Confirm {
+        point: Point,
+        deadline: Instant,
+        tx: flume::Sender<Result<(), Unconfirmed>>,
+    },
+    Finished(InstanceId, Span),
+    Failed(InstanceId, Failure),
+    Configure(Arc<Fleet>),
+}
+
+/// What a group task is started with.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// The group.
+    pub group: GroupId,
+    /// This proxy.
+    pub me: ProxyId,
+    /// Where this proxy runs.
+    pub place: Place,
+    /// Address that outgoing connections are bound to.
+    pub address: IpAddr,
+    /// The configuration in force.
+    pub fleet: Arc<Fleet>,
+}
+
+/// Starts the task of one group on the current runtime.
+pub fn spawn(setup: Setup) -> Handle {
+    let (tx, rx) = flume::unbounded();
+    let group = setup.group.clone();
+    compio::runtime::spawn(task::run(setup, rx)).detach();
+    Handle { group, tx }
+}
+
+/// Sends requests to the task of one group.
+#[derive(Clone)]
+pub struct Handle {
+    group: GroupId,
+    tx: flume::Sender<Request>,
+}
+
+impl Handle {
+    /// The group.
+    pub fn group(&self) -> &GroupId {
+        &self.group
+    }
+
+    /// The primary, once there is one that the session may write to.
+    ///
+    /// `point` is the session's newest point: a proxy that knows only an older term than
+    /// the point's asks for news first. A request that certainly did not run waits here
+    /// through a change of primary, until `deadline` at most.
+    pub async fn route_write(
+        &self,
+        point: Option<Point>,
+        deadline: Instant,
+    ) -> Result<Target, Refusal> {
+        let (tx, rx) = flume::bounded(1);
+        let req = Request::Write {
+            point,
+            deadline,
+            tx,
+        };
+        self.ask(req, &rx).await.unwrap_or(Err(Refusal::Stopping))
+    }
+
+    /// An instance that is fresh enough for the read.
+    pub async fn route_read(&self, need: ReadNeed, deadline: Instant) -> Result<Target, Refusal> {
+        let (tx, rx) = flume::bounded(1);
+        let req = Request::Read { need, deadline, tx };
+        self.ask(req, &rx).await.unwrap_or(Err(Refusal::Stopping))
+    }
+
+    /// Waits until a majority holds the write that ran on `target` up to `point`.
+    ///
+    /// Only `Ok` allows the write to be acknowledged; after any error its outcome is
+    /// unknown.
+    pub async fn confirm(
+        &self,
+        target: &Target,
+        point: Point,
+        deadline: Instant,
+    ) -> Result<(), Unconfirmed> {
+        // A primary that was fenced, made a replica and rebuilt between the commit and the
+        // question for its point names a point of the newer term, which says nothing
+        // about the commit.
+        if point.term != target.term {
+            return Err(Unconfirmed::OtherTerm);
+        }
+        let (tx, rx) = flume::bounded(1);
+        let req = Request::Confirm {
+            point,
+            deadline,
+            tx,
+        };
+        self.ask(req, &rx)
+            .await
+            .unwrap_or(Err(Unconfirmed::Stopping))
+    }
+
+    /// Reports how long a request took on an instance, for later choices.
+    pub fn finished(&self, instance: &InstanceId, took: Span) {
+        let _ = self.tx.send(Request::Finished(instance.clone(), took));
+    }
+
+    /// Reports that an instance failed a request.
+    pub fn failed(&self, instance: &InstanceId, failure: Failure) {
+        let _ = self.tx.send(Request::Failed(instance.clone(), failure));
+    }
+
+    /// Hands over a newer configuration.
+    pub fn configure(&self, fleet: Arc<Fleet>) {
+        let _ = self.tx.send(Request::Configure(fleet));
+    }
+
+    async fn ask<T>(&self, req: Request, rx: &flume::Receiver<T>) -> Option<T> {
+        self.tx.send_async(req).await.ok()?;
+        rx.recv_async().await.ok()
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,1 +1,3 @@
 //! The proxy process.
+
+pub mod group;
