Point at the place of a fault in a settings file

Cause: a fault in a file named no line once it came from a check after parsing. model::source reads JSON with comments, keeps the path of a serde error and finds its bytes in the syntax tree; miette prints file, line, column and the mend. Not measured.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod place;
 pub mod position;
 pub mod settings;
+pub mod source;
 pub mod token;
 pub mod unit;
--- /dev/null
+++ b/crates/model/src/source.rs
@@ -0,0 +1,185 @@
+//! Settings files: reading them, and pointing at what is wrong in them.
+
+use std::fmt;
+use std::sync::Arc;
+
+use jsonc_parser::ast;
+use jsonc_parser::common::Ranged as _;
+use jsonc_parser::errors::ParseError;
+use miette::{Diagnostic, LabeledSpan, NamedSource, SourceCode, SourceSpan};
+
+use crate::config::{Finding, Problem};
+
+/// A file of JSON with comments.
+#[derive(Clone, Debug)]
+pub struct Source {
+    name: String,
+    text: Arc<str>,
+}
+
+/// What is wrong at a place of a file.
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    /// The text is not JSON with comments.
+    #[error("{}", .0.kind())]
+    Syntax(ParseError),
+    /// A key is unknown or missing, or a value has the wrong form.
+    #[error("{0}")]
+    Shape(serde_json::Error),
+    /// The values contradict each other or the rules of the fleet.
+    #[error("{0}")]
+    Rule(Problem),
+}
+
+impl Fault {
+    /// What an operator can do about it.
+    pub fn mend(&self) -> &'static str {
+        match self {
+            Self::Syntax(_) => "correct the JSON at this place",
+            Self::Shape(e) if is_unknown_key(e) => "correct the name of the key, or remove it",
+            Self::Shape(e) if e.to_string().starts_with("missing field") => "add the missing key",
+            Self::Shape(_) => "write the value in the expected form",
+            Self::Rule(problem) => problem.mend(),
+        }
+    }
+}
+
+fn is_unknown_key(e: &serde_json::Error) -> bool {
+    e.to_string().starts_with("unknown field")
+}
+
+/// A fault with its place; `miette` prints file, line, column and the mend.
+#[derive(Debug)]
+pub struct Located {
+    /// What is wrong.
+    pub fault: Fault,
+    /// Line, counted from 1.
+    pub line: usize,
+    /// Column, counted from 1.
+    pub column: usize,
+    source: NamedSource<Arc<str>>,
+    span: SourceSpan,
+}
+
+impl fmt::Display for Located {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.fault)
+    }
+}
+
+impl std::error::Error for Located {}
+
+impl Diagnostic for Located {
+    fn help<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
+        Some(Box::new(self.fault.mend()))
+    }
+
+    fn labels(&self) -> Option<Box<dyn Iterator<Item = LabeledSpan> + '_>> {
+        let label = LabeledSpan::new_with_span(Some("here".into()), self.span);
+        Some(Box::new(std::iter::once(label)))
+    }
+
+    fn source_code(&self) -> Option<&dyn SourceCode> {
+        Some(&self.source)
+    }
+}
+
+impl Source {
+    /// The text of a file; `name` is shown in messages.
+    pub fn new(name: impl Into<String>, text: impl Into<Arc<str>>) -> Self {
+        Self {
+            name: name.into(),
+            text: text.into(),
+        }
+    }
+
+    /// The text.
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
+    /// Reads the text as a typed document.
+    pub fn parse<T: serde::de::DeserializeOwned>(&self) -> Result<T, Box<Located>> {
+        let options = jsonc_parser::ParseOptions::default();
+        let value: serde_json::Value = jsonc_parser::parse_to_serde_value(&self.text, &options)
+            .map_err(|e| self.at((e.range().start, e.range().end), Fault::Syntax(e)))?;
+        serde_path_to_error::deserialize(value).map_err(|e| {
+            let path: Vec<_> = e.path().iter().filter_map(segment).collect();
+            let cause = e.into_inner();
+            let name_only = is_unknown_key(&cause);
+            let span = self.find(&path, name_only);
+            Box::new(self.at(span, Fault::Shape(cause)))
+        })
+    }
+
+    /// Puts a finding at its place in the text.
+    pub fn locate(&self, finding: Finding) -> Located {
+        let span = self.find(&finding.path, false);
+        self.at(span, Fault::Rule(finding.problem))
+    }
+
+    fn at(&self, (start, end): (usize, usize), fault: Fault) -> Located {
+        let before = &self.text[..start.min(self.text.len())];
+        let line_start = before.rfind('\n').map_or(0, |at| at + 1);
+        Located {
+            fault,
+            line: before.matches('\n').count() + 1,
+            column: before[line_start..].chars().count() + 1,
+            source: NamedSource::new(&self.name, self.text.clone()),
+            span: SourceSpan::from((start, end.saturating_sub(start))),
+        }
+    }
+
+    /// The bytes of the value at `path`, or of the nearest enclosing one that exists.
+    ///
+    /// Objects and lists may cover pages, so of these only the key is given.
+    fn find(&self, path: &[String], name_only: bool) -> (usize, usize) {
+        let options = jsonc_parser::ParseOptions::default();
+        let parsed = jsonc_parser::parse_to_ast(&self.text, &Default::default(), &options);
+        let root = parsed.ok().and_then(|p| p.value);
+        let Some(mut value) = root.as_ref() else {
+            return (0, 0);
+        };
+        let mut span = (value.start(), value.start() + 1);
+        for part in path {
+            let Some((key, next)) = child(value, part) else {
+                break;
+            };
+            value = next;
+            let container = matches!(value, ast::Value::Object(_) | ast::Value::Array(_));
+            span = match key {
+                Some(key) if container || name_only => key,
+                _ if container => (value.start(), value.start() + 1),
+                _ => (value.start(), value.end()),
+            };
+        }
+        span
+    }
+}
+
+/// A value inside another, with the place of its key if it has one.
+type Child<'a, 'b> = (Option<(usize, usize)>, &'b ast::Value<'a>);
+
+fn child<'a, 'b>(value: &'b ast::Value<'a>, part: &str) -> Option<Child<'a, 'b>> {
+    match value {
+        ast::Value::Object(object) => {
+            let property = object.get(part)?;
+            let key = (property.name.start(), property.name.end());
+            Some((Some(key), &property.value))
+        }
+        ast::Value::Array(list) => {
+            let at: usize = part.parse().ok()?;
+            Some((None, list.elements.get(at)?))
+        }
+        _ => None,
+    }
+}
+
+fn segment(segment: &serde_path_to_error::Segment) -> Option<String> {
+    match segment {
+        serde_path_to_error::Segment::Seq { index } => Some(index.to_string()),
+        serde_path_to_error::Segment::Map { key } => Some(key.clone()),
+        serde_path_to_error::Segment::Enum { variant } => Some(variant.clone()),
+        serde_path_to_error::Segment::Unknown => None,
+    }
+}
