Store a large configuration as content-named parts behind one head

Cause: 33,000 databases do not fit a value of one megabyte, and one value would send the whole document to every proxy on each change. A change of one of 2,000 groups writes three values (test). Head, parts and index sizes are not measured yet.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -6,6 +6,7 @@
 mod macros;
 
 pub mod config;
+pub mod document;
 pub mod id;
 pub mod place;
 pub mod position;
--- /dev/null
+++ b/crates/model/tests/document.rs
@@ -0,0 +1,81 @@
+//! A stored configuration reads back as it was, whole or in parts.
+
+use std::collections::HashMap;
+
+use model::config::Fleet;
+use model::document::{self, DocumentError};
+
+fn fleet(groups: usize) -> Fleet {
+    let mut fleet = Fleet::default();
+    fleet
+        .data_centres
+        .insert("a".parse().unwrap(), "north".parse().unwrap());
+    for at in 0..groups {
+        let instances = (0..3).map(|i| {
+            let address = format!("10.{}.{}.{i}:5432", at / 250, at % 250);
+            let instance = serde_json::json!({ "address": address, "data_centre": "a" });
+            (format!("db-{at}-{i}"), instance)
+        });
+        let group = serde_json::json!({ "instances": instances.collect::<HashMap<_, _>>() });
+        let id = format!("db-{at}").parse().unwrap();
+        fleet
+            .groups
+            .insert(id, serde_json::from_value(group).unwrap());
+    }
+    fleet
+}
+
+fn stored(encoded: &document::Encoded) -> HashMap<String, Vec<u8>> {
+    let pairs = encoded
+        .parts
+        .iter()
+        .map(|p| (p.key.clone(), p.value.clone()));
+    pairs.collect()
+}
+
+#[test_case::test_case(9, 0; "one value")]
+#[test_case::test_case(2_000, 1; "in parts")]
+fn a_stored_fleet_reads_back(groups: usize, least: usize) {
+    let fleet = fleet(groups);
+    let encoded = document::encode(&fleet, "n1").unwrap();
+    assert!(encoded.parts.len() >= least && encoded.parts.is_empty() == (least == 0));
+    assert!(encoded.head.len() <= document::WHOLE_LIMIT);
+    let parts = stored(&encoded);
+    let part = |key: &str| parts.get(key).map(Vec::as_slice);
+    assert_eq!(document::decode(&encoded.head, part).unwrap(), fleet);
+    let keys = document::references(&encoded.head, part).unwrap();
+    assert_eq!(keys.len(), encoded.parts.len());
+}
+
+/// A proxy that got the head before its parts would otherwise serve a fleet without
+/// some of its groups, and tell their callers that they do not exist.
+#[test]
+fn a_missing_part_is_an_error() {
+    let encoded = document::encode(&fleet(2_000), "n1").unwrap();
+    let mut parts = stored(&encoded);
+    let lost = encoded.parts[7].key.clone();
+    parts.remove(&lost);
+    let result = document::decode(&encoded.head, |key| parts.get(key).map(Vec::as_slice));
+    assert!(matches!(result, Err(DocumentError::MissingPart(_))));
+}
+
+#[test]
+fn a_change_of_one_group_changes_three_values() {
+    let before = fleet(2_000);
+    let mut after = before.clone();
+    after.groups[5].database = "other".into();
+    let old = stored(&document::encode(&before, "n1").unwrap());
+    let new = stored(&document::encode(&after, "n2").unwrap());
+    let changed = new.keys().filter(|key| !old.contains_key(*key)).count();
+    assert_eq!(
+        changed, 2,
+        "one leaf and one index part; the head is the third"
+    );
+}
+
+#[test]
+fn a_bare_document_is_read_too() {
+    let fleet = fleet(3);
+    let bare = serde_json::to_vec(&fleet).unwrap();
+    assert_eq!(document::decode(&bare, |_| None).unwrap(), fleet);
+}
--- a/crates/store/src/kv.rs
+++ b/crates/store/src/kv.rs
@@ -15,6 +15,12 @@
 /// Wait before a lost answer is asked for again.
 const RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// Most writes of one transaction; the service accepts 128.
+const BATCH_WRITES: usize = 64;
+
+/// Most bytes of one transaction's values; the service accepts 1.5 MB in base64.
+const BATCH_BYTES: usize = 512 << 10;
+
 /// A key's value with the revision that wrote it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Record {
@@ -85,6 +91,48 @@
         Ok(Revision(res.header.revision.0))
     }
 
+    /// Writes many keys, a batch at a time; a failure may leave some of them written.
+    ///
+    /// For values that may be written twice without harm: lost answers are asked again.
+    pub async fn put_all(
+        &self,
+        writes: impl Iterator<Item = (String, Vec<u8>)>,
+    ) -> Result<(), Error> {
+        let (mut batch, mut bytes) = (Vec::new(), 0);
+        for (key, value) in writes {
+            bytes += value.len();
+            batch.push(put(&key, value));
+            if batch.len() >= BATCH_WRITES || bytes >= BATCH_BYTES {
+                self.put_batch(std::mem::take(&mut batch)).await?;
+                bytes = 0;
+            }
+        }
+        if !batch.is_empty() {
+            self.put_batch(batch).await?;
+        }
+        Ok(())
+    }
+
+    async fn put_batch(&self, writes: Vec<wire::Operation>) -> Result<(), Error> {
+        let req = wire::TxnRequest {
+            compare: Vec::new(),
+            success: writes,
+            failure: Vec::new(),
+        };
+        let mut last = Error::NoEndpoint;
+        for at in 0..TRIES {
+            if at > 0 {
+                compio::time::sleep(RETRY_AFTER).await;
+            }
+            let answer = self.post(Kind::Write, "/v3/kv/txn", &req).await;
+            match answer {
+                Ok(wire::TxnResponse { .. }) => return Ok(()),
+                Err(e) => last = e,
+            }
+        }
+        Err(last)
+    }
+
     /// Writes `key` if its last change has revision `expected` (0: the key is absent).
     ///
     /// `value` must hold a nonce that no other write of this key has ever held. Answers
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod calls;
 pub mod client;
+pub mod config;
 pub mod error;
 pub mod kv;
 pub mod lease;
