--- a/crates/store/src/config.rs
+++ b/crates/store/src/config.rs
@@ -1,6 +1,6 @@
 //! Reading and replacing the fleet configuration.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use model::config::Fleet;
 use model::document::{self, DocumentError};
@@ -28,14 +28,14 @@
     pub revision: Revision,
     /// The configuration.
     pub fleet: Fleet,
-    /// Its parts by key.
-    parts: HashMap<String, Vec<u8>>,
+    /// Keys of its parts.
+    parts: HashSet<String>,
 }
 
 impl Stored {
-    /// Whether a part with this key is stored already.
+    /// Whether this configuration refers to a part with this key.
     pub fn has_part(&self, key: &str) -> bool {
-        self.parts.contains_key(key)
+        self.parts.contains(key)
     }
 }
 
@@ -45,7 +45,7 @@
         let Some(head) = self.get(document::HEAD).await? else {
             return Ok(Stored::default());
         };
-        Ok(self.load_parts(head).await?)
+        self.load_parts(head).await
     }
 
     /// Completes a head by the parts that it names.
@@ -57,11 +57,11 @@
         }
         let part = |key: &str| parts.get(key).map(Vec::as_slice);
         let fleet = document::decode(&head.value, part)?;
-        let revision = head.revision;
+        let parts = document::references(&head.value, part)?;
         Ok(Stored {
-            revision,
+            revision: head.revision,
             fleet,
-            parts,
+            parts: parts.into_iter().collect(),
         })
     }
 
@@ -69,6 +69,9 @@
     ///
     /// Parts go first: they are named by their content and nobody reads them until the
     /// head names them, so a writer that dies in between leaves the old configuration.
+    /// Only parts that `base` refers to are skipped. One that an earlier configuration
+    /// left behind is written again, since proxies have dropped it and learn of changes
+    /// by their revision.
     pub async fn save_config(
         &self,
         base: &Stored,
