--- /dev/null
+++ b/crates/policy/src/queue.rs
@@ -0,0 +1,334 @@
+//! Fair queue of one backend server: start-time fair queueing over callers, and
+//! within a caller over classes, charged by expected service time.
+//!
+//! Urgent classes of a caller that stays near its share go before everything
+//! else; the caller's account is charged all the same, so that urgency moves
+//! work forward in time but never buys a larger share.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use indexmap::IndexMap;
+use model::id;
+use model::unit::{Span, Time};
+
+use crate::service;
+
+/// Class weight from which requests are urgent. Load: listings fill the queue
+/// while a payment arrives; harm: the payment waits a round of all callers.
+/// Four keeps weights 1 to 3 for shading among ordinary classes.
+pub const URGENT_WEIGHT: u32 = 4;
+
+/// How far ahead of its share a caller may be and still be served urgently, in
+/// microseconds of service at weight 1. Load: a burst of payments by one caller;
+/// harm if larger: a caller that marks everything as payment delays the others
+/// by this much once; harm if smaller: a tenant's few payments in a row lose
+/// their urgency. 100 ms is twenty short statements.
+const URGENT_LEAD: u64 = 100_000;
+
+/// Identifies a queued request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Key(pub u64);
+
+/// A request that asks for a slot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ticket {
+    /// Who asks.
+    pub caller: id::CallerId,
+    /// The caller's share against other callers; at least 1.
+    pub weight: u32,
+    /// Class of the request.
+    pub class: id::Class,
+    /// The class's share against other classes of the caller; at least 1.
+    pub class_weight: u32,
+    /// Shape of the statement, by which its service time is learned.
+    pub shape: service::Shape,
+    /// Moment after which the answer is useless to the caller.
+    pub deadline: Time,
+}
+
+/// A queued request with its expected cost.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// The request's key.
+    pub key: Key,
+    /// What was asked.
+    pub ticket: Ticket,
+    /// Expected service time.
+    pub cost: Span,
+    /// Whether it counts as long work.
+    pub length: service::Length,
+}
+
+impl Entry {
+    /// Moment after which the request could not finish within its deadline.
+    pub fn latest_start(&self) -> Time {
+        let deadline = self.ticket.deadline.as_micros();
+        Time::from_micros(deadline.saturating_sub(self.cost.as_micros()))
+    }
+
+    fn urgent(&self) -> bool {
+        self.ticket.class_weight >= URGENT_WEIGHT
+    }
+}
+
+/// Requests of one caller, class and length, first come first served.
+#[derive(Clone, Debug, Default)]
+struct Lane {
+    weight: u32,
+    /// Service received, divided by the weight.
+    finish: u64,
+    keys: VecDeque<Key>,
+}
+
+type LaneKey = (id::Class, service::Length);
+
+#[derive(Clone, Debug, Default)]
+struct Flow {
+    weight: u32,
+    /// Service received, divided by the weight, on the queue's virtual clock.
+    finish: u64,
+    /// Virtual clock of the lanes.
+    clock: u64,
+    /// Expected service time of what is queued.
+    backlog: u64,
+    lanes: IndexMap<LaneKey, Lane>,
+}
+
+impl Flow {
+    fn has(&self, lengths: Lengths, urgent_only: bool) -> bool {
+        let fits = |(key, lane): (&LaneKey, &Lane)| {
+            !lane.keys.is_empty()
+                && lengths.allow(key.1)
+                && (!urgent_only || lane.weight >= URGENT_WEIGHT)
+        };
+        self.lanes.iter().any(fits)
+    }
+
+    /// The lane whose turn it is: least service for its weight, the heavier first.
+    fn next_lane(&self, lengths: Lengths) -> Option<usize> {
+        let lanes = self.lanes.iter().enumerate();
+        lanes
+            .filter(|(_, (key, lane))| !lane.keys.is_empty() && lengths.allow(key.1))
+            .min_by_key(|(_, (_, lane))| {
+                (lane.finish.max(self.clock), std::cmp::Reverse(lane.weight))
+            })
+            .map(|(at, _)| at)
+    }
+
+    fn is_idle(&self) -> bool {
+        self.lanes.values().all(|lane| lane.keys.is_empty())
+    }
+}
+
+/// Which lengths of work may start now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lengths {
+    /// Short work only.
+    ShortOnly,
+    /// Any work.
+    Any,
+}
+
+impl Lengths {
+    fn allow(self, length: service::Length) -> bool {
+        self == Self::Any || length == service::Length::Short
+    }
+}
+
+/// Fair queue of one backend server.
+///
+/// Invariants: each entry is in exactly one lane and once in `by_start`;
+/// a flow's `backlog` is the sum of its entries' costs.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    entries: BTreeMap<Key, Entry>,
+    by_start: BTreeSet<(Time, Key)>,
+    flows: IndexMap<id::CallerId, Flow>,
+    clock: u64,
+    backlog: u64,
+}
+
+impl Queue {
+    /// Number of queued requests.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether nothing is queued.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Expected service time of everything queued.
+    pub fn backlog(&self) -> Span {
+        Span::from_micros(self.backlog)
+    }
+
+    /// Number of accounts kept; bounded by callers that are queued or ahead.
+    pub fn accounts(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Expected service time that goes before a new request of this kind: its
+    /// caller's backlog, and as much of each other caller's as is served meanwhile.
+    pub fn ahead_of(&self, ticket: &Ticket, cost: Span) -> Span {
+        let own = self.flows.get(&ticket.caller);
+        let urgent = ticket.class_weight >= URGENT_WEIGHT;
+        let finish = own.map_or(0, |f| f.finish);
+        if urgent && finish <= self.clock + URGENT_LEAD {
+            return Span::from_micros(self.urgent_backlog());
+        }
+        let weight = u64::from(ticket.weight.max(1));
+        let own = own.map_or(0, |f| f.backlog);
+        let others = self.flows.iter().filter(|(id, _)| **id != ticket.caller);
+        let turn = (own + cost.as_micros()) / weight;
+        let others: u64 = others
+            .map(|(_, f)| f.backlog.min(turn * u64::from(f.weight.max(1))))
+            .sum();
+        Span::from_micros(own + others)
+    }
+
+    fn urgent_backlog(&self) -> u64 {
+        let urgent = self.entries.values().filter(|e| e.urgent());
+        urgent.map(|e| e.cost.as_micros()).sum()
+    }
+
+    /// Queues a request.
+    pub fn push(&mut self, entry: Entry) {
+        let cost = entry.cost.as_micros();
+        let flow = self.flows.entry(entry.ticket.caller.clone()).or_default();
+        flow.weight = entry.ticket.weight.max(1);
+        if flow.is_idle() {
+            // An idle caller gains nothing for the time it asked for nothing;
+            // otherwise it could later shut out everyone for as long.
+            flow.finish = flow.finish.max(self.clock);
+        }
+        let lane = (entry.ticket.class.clone(), entry.length);
+        let lane = flow.lanes.entry(lane).or_default();
+        lane.weight = entry.ticket.class_weight.max(1);
+        lane.finish = lane.finish.max(flow.clock);
+        lane.keys.push_back(entry.key);
+        flow.backlog += cost;
+        self.backlog += cost;
+        self.by_start.insert((entry.latest_start(), entry.key));
+        self.entries.insert(entry.key, entry);
+    }
+
+    /// Takes the request whose turn it is.
+    pub fn pop(&mut self, lengths: Lengths) -> Option<Entry> {
+        self.advance_clock();
+        let at = self.next_flow(lengths)?;
+        let (_, flow) = self.flows.get_index_mut(at)?;
+        let lane_at = flow.next_lane(lengths)?;
+        let (_, lane) = flow.lanes.get_index_mut(lane_at)?;
+        let key = *lane.keys.front()?;
+        let cost = self.entries.get(&key)?.cost.as_micros();
+        let start = lane.finish.max(flow.clock);
+        lane.finish = start + cost / u64::from(lane.weight);
+        flow.clock = start;
+        flow.finish += cost / u64::from(flow.weight);
+        self.remove(key)
+    }
+
+    fn advance_clock(&mut self) {
+        let waiting = self.flows.values().filter(|f| !f.is_idle());
+        if let Some(least) = waiting.map(|f| f.finish).min() {
+            self.clock = self.clock.max(least);
+        }
+    }
+
+    fn next_flow(&self, lengths: Lengths) -> Option<usize> {
+        let lead = self.clock + URGENT_LEAD;
+        let urgent = self.least_served(|f| f.finish <= lead && f.has(lengths, true));
+        urgent.or_else(|| self.least_served(|f| f.has(lengths, false)))
+    }
+
+    fn least_served(&self, fits: impl Fn(&Flow) -> bool) -> Option<usize> {
+        let flows = self.flows.values().enumerate();
+        flows
+            .filter(|(_, f)| fits(f))
+            .min_by_key(|(_, f)| f.finish)
+            .map(|(at, _)| at)
+    }
+
+    /// Corrects a caller's account once the true service time is known.
+    ///
+    /// Without it a caller whose statements cost more than expected would get
+    /// more than its share.
+    pub fn settle(&mut self, ticket: &Ticket, expected: Span, took: Span) {
+        let Some(flow) = self.flows.get_mut(&ticket.caller) else {
+            return;
+        };
+        let weight = u64::from(flow.weight);
+        let expected = expected.as_micros() / weight;
+        let took = took.as_micros() / weight;
+        flow.finish = (flow.finish + took).saturating_sub(expected);
+    }
+
+    /// Removes a request, for instance because its caller went away.
+    pub fn remove(&mut self, key: Key) -> Option<Entry> {
+        let entry = self.entries.remove(&key)?;
+        self.by_start.remove(&(entry.latest_start(), key));
+        let cost = entry.cost.as_micros();
+        self.backlog -= cost;
+        let flow = self.flows.get_mut(&entry.ticket.caller)?;
+        flow.backlog -= cost;
+        let lane = (entry.ticket.class.clone(), entry.length);
+        let lane = flow.lanes.get_mut(&lane)?;
+        if let Ok(at) = lane.keys.binary_search(&key) {
+            lane.keys.remove(at);
+        }
+        self.forget(&entry.ticket.caller);
+        Some(entry)
+    }
+
+    /// Drops accounts that say nothing any more, which bounds memory by the
+    /// callers that are queued or ahead of their share. Once nothing waits,
+    /// nobody was kept from service, so all start level again.
+    fn forget(&mut self, caller: &id::CallerId) {
+        let clock = self.clock;
+        let done = |f: &Flow| f.is_idle() && f.finish <= clock;
+        if self.flows.get(caller).is_some_and(done) {
+            self.flows.swap_remove(caller);
+        }
+        if self.entries.is_empty() {
+            let last = self.flows.values().map(|f| f.finish).max();
+            self.clock = clock.max(last.unwrap_or(clock));
+            self.flows.clear();
+        }
+    }
+
+    /// Takes every request that can no longer finish within its deadline.
+    pub fn expire(&mut self, now: Time) -> Vec<Entry> {
+        let mut expired = Vec::new();
+        while let Some((start, key)) = self.by_start.first().copied() {
+            if start >= now {
+                break;
+            }
+            expired.extend(self.remove(key));
+        }
+        expired
+    }
+
+    /// When the next request must be given up, if none starts before.
+    pub fn next_expiry(&self) -> Option<Time> {
+        self.by_start.first().map(|(start, _)| *start)
+    }
+
+    /// Takes the newest request of the lightest class of the caller with the
+    /// largest backlog for its weight, unless that caller is `asking`.
+    ///
+    /// Load: one caller floods a full queue; harm: the others are refused for
+    /// want of space that they did not use.
+    pub fn push_out(&mut self, asking: &id::CallerId) -> Option<Entry> {
+        let load = |f: &Flow| f.backlog / u64::from(f.weight.max(1));
+        let (caller, flow) = self.flows.iter().max_by_key(|(_, f)| load(f))?;
+        if caller == asking {
+            return None;
+        }
+        let lanes = flow.lanes.values().filter(|lane| !lane.keys.is_empty());
+        let lane = lanes.min_by_key(|lane| lane.weight)?;
+        let key = *lane.keys.back()?;
+        self.remove(key)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/service.rs
@@ -0,0 +1,114 @@
+//! Service times of a backend server, learned per class and statement shape.
+
+use indexmap::IndexMap;
+use model::id;
+use model::unit::Span;
+
+/// Hash of a statement's text without its literals; equal shapes cost alike.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Shape(pub u64);
+
+/// Most shapes remembered. Load: an application that builds statement texts;
+/// harm: memory that grows with every text. A thousand shapes take about 100 KB
+/// and cover the statements of a handful of applications.
+const MAX_SHAPES: usize = 1_000;
+
+/// Assumed before anything is known: a short statement of a small database.
+const FIRST_GUESS: Span = Span::from_millis(5);
+
+/// Weight of a new sample, as a divisor. An eighth follows a slowing server
+/// within about ten answers, and one odd answer shifts an estimate by 12 %.
+const SAMPLE_DIVISOR: u64 = 8;
+
+/// Step of the running median, as a divisor: 2 % per sample settles within a
+/// hundred answers and is not moved by the size of outliers.
+const MEDIAN_DIVISOR: u64 = 50;
+
+/// Multiple of the median from which work counts as long. Load: a few reports
+/// among many lookups; harm: reports hold every slot while lookups wait. At 4
+/// times, jitter of short statements is not taken for long work.
+const LONG_FACTOR: u64 = 4;
+
+/// Whether work is short or long for its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Length {
+    /// At most a few times the median.
+    Short,
+    /// Far above the median.
+    Long,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    mean: Span,
+    least: Span,
+}
+
+/// Learned service times.
+#[derive(Clone, Debug)]
+pub struct Times {
+    known: IndexMap<(id::Class, Shape), Known>,
+    median: Span,
+}
+
+impl Default for Times {
+    fn default() -> Self {
+        Self {
+            known: IndexMap::new(),
+            median: FIRST_GUESS,
+        }
+    }
+}
+
+impl Times {
+    /// The expected service time; the median for a shape not seen yet.
+    pub fn expect(&self, class: &id::Class, shape: Shape) -> Span {
+        let key = (class.clone(), shape);
+        self.known.get(&key).map_or(self.median, |k| k.mean)
+    }
+
+    /// Whether a service time counts as long on this server.
+    pub fn length(&self, expected: Span) -> Length {
+        if expected > self.median.times(LONG_FACTOR) {
+            Length::Long
+        } else {
+            Length::Short
+        }
+    }
+
+    /// Median service time over all work.
+    pub fn median(&self) -> Span {
+        self.median
+    }
+
+    /// Records an answer; returns how much slower it was than the fastest of
+    /// its shape, 1.0 for the fastest.
+    pub fn record(&mut self, class: &id::Class, shape: Shape, took: Span) -> f64 {
+        self.move_median(took);
+        let key = (class.clone(), shape);
+        if !self.known.contains_key(&key) && self.known.len() >= MAX_SHAPES {
+            self.known.swap_remove_index(0);
+        }
+        let fresh = Known {
+            mean: took,
+            least: took,
+        };
+        let known = self.known.entry(key).or_insert(fresh);
+        let mean = known.mean.as_micros();
+        let mean = mean - mean / SAMPLE_DIVISOR + took.as_micros() / SAMPLE_DIVISOR;
+        known.mean = Span::from_micros(mean.max(1));
+        known.least = known.least.min(took);
+        took.as_micros() as f64 / known.least.as_micros().max(1) as f64
+    }
+
+    fn move_median(&mut self, took: Span) {
+        let median = self.median.as_micros();
+        let step = (median / MEDIAN_DIVISOR).max(1);
+        let moved = if took > self.median {
+            median + step
+        } else {
+            median.saturating_sub(step)
+        };
+        self.median = Span::from_micros(moved.max(1));
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/queue.rs
@@ -0,0 +1,159 @@
+//! Order, fairness and refusals of the queue in front of one backend server.
+
+use model::unit::{Span, Time};
+use policy::admit::{Action, Admission, End, Limits, Reason};
+use policy::queue::{Key, Ticket};
+use policy::{service, slots};
+use rand::SeedableRng as _;
+use rand::rngs::SmallRng;
+use test_case::test_case;
+
+const ONE_SLOT: Limits = Limits {
+    share: slots::Share {
+        slots: 1,
+        connections: 1,
+        held: 1,
+    },
+    queue: 100,
+};
+
+fn ticket(caller: &str, class_weight: u32, deadline: u64) -> Ticket {
+    Ticket {
+        caller: caller.parse().unwrap(),
+        weight: 1,
+        class: format!("class-{class_weight}").parse().unwrap(),
+        class_weight,
+        shape: service::Shape(0),
+        deadline: Time::from_millis(deadline),
+    }
+}
+
+fn started(actions: &[Action]) -> Vec<Key> {
+    let key = |a: &Action| match a {
+        Action::Start(key) => Some(*key),
+        Action::Refuse(..) => None,
+    };
+    actions.iter().filter_map(key).collect()
+}
+
+struct Bench {
+    admission: Admission,
+    rng: SmallRng,
+}
+
+impl Bench {
+    fn new(limits: Limits) -> Self {
+        Self {
+            admission: Admission::new(limits),
+            rng: SmallRng::seed_from_u64(7),
+        }
+    }
+
+    fn enter(&mut self, ticket: Ticket, ms: u64) -> (Key, Vec<Action>) {
+        let now = Time::from_millis(ms);
+        self.admission.enter(ticket, now, &mut self.rng)
+    }
+
+    /// Ends `key` and returns the one that starts in its place.
+    fn next(&mut self, key: Key, ms: u64) -> Option<Key> {
+        let now = Time::from_millis(ms);
+        let actions = self.admission.finished(key, End::Answered, now);
+        started(&actions).first().copied()
+    }
+}
+
+// A tenant's payment arrives behind fifty listings of its own and of others.
+// It is the next to start, because its class is urgent and its caller near its share.
+#[test]
+fn payment_passes_listings() {
+    let mut b = Bench::new(ONE_SLOT);
+    let (first, _) = b.enter(ticket("a", 1, 10_000), 0);
+    for n in 0..50 {
+        b.enter(ticket(if n % 2 == 0 { "a" } else { "b" }, 1, 10_000), 0);
+    }
+    let (payment, _) = b.enter(ticket("a", 8, 10_000), 0);
+    assert_eq!(b.next(first, 5), Some(payment));
+}
+
+// One caller floods the queue, then another asks once. The second does not wait
+// behind the flood, because callers take turns.
+#[test]
+fn callers_take_turns() {
+    let mut b = Bench::new(ONE_SLOT);
+    let (first, _) = b.enter(ticket("flood", 1, 10_000), 0);
+    for _ in 0..50 {
+        b.enter(ticket("flood", 1, 10_000), 0);
+    }
+    let (quiet, _) = b.enter(ticket("quiet", 1, 10_000), 0);
+    let second = b.next(first, 5).unwrap();
+    let third = b.next(second, 10).unwrap();
+    assert!(second == quiet || third == quiet);
+}
+
+// Two callers send nothing but payments, far above their shares, and one has a
+// listing waiting as well. The listing runs, after at most as many payments as
+// the weights allow.
+#[test]
+fn no_class_starves() {
+    let mut b = Bench::new(ONE_SLOT);
+    let (mut running, _) = b.enter(ticket("a", 8, 100_000), 0);
+    for _ in 0..45 {
+        b.enter(ticket("a", 8, 100_000), 0);
+        b.enter(ticket("b", 8, 100_000), 0);
+    }
+    let (listing, _) = b.enter(ticket("a", 1, 100_000), 0);
+    let mut turns = 0;
+    while running != listing {
+        turns += 1;
+        running = b.next(running, 5 * turns).unwrap();
+    }
+    assert!(turns <= 2 * 10, "the listing ran after {turns} requests");
+}
+
+// The backlog is 500 ms long and a caller waits 100 ms at most. It is refused on
+// arrival, and told to come back when the backlog will have gone.
+#[test]
+fn refuses_at_the_door() {
+    let mut b = Bench::new(ONE_SLOT);
+    for _ in 0..100 {
+        b.enter(ticket("a", 1, 10_000), 0);
+    }
+    let (key, actions) = b.enter(ticket("a", 1, 100), 0);
+    let [Action::Refuse(refused, why)] = actions.as_slice() else {
+        panic!("admitted: {actions:?}");
+    };
+    assert_eq!((*refused, why.reason), (key, Reason::Backlog));
+    assert!(why.retry_after >= Span::from_millis(300), "{why}");
+}
+
+// A statement holds the only slot for a second. The request behind it is given
+// up at the moment at which it could not finish any more, not at its deadline.
+#[test]
+fn gives_up_at_once() {
+    let mut b = Bench::new(ONE_SLOT);
+    b.enter(ticket("a", 1, 10_000), 0);
+    let (late, _) = b.enter(ticket("b", 1, 100), 0);
+    let at = b.admission.next_tick(Time::default()).unwrap();
+    assert!(at < Time::from_millis(100));
+    let actions = b.admission.tick(at, &mut b.rng);
+    assert!(matches!(actions[..], [Action::Refuse(key, why)]
+        if key == late && why.reason == Reason::Expired));
+    assert_eq!(b.admission.queued(), 0);
+}
+
+// The queue is full of one caller's requests when another caller arrives. The
+// newest of the flood is refused in its place; the flood itself gets no more room.
+#[test_case("quiet", true; "another caller")]
+#[test_case("flood", false; "the flooding caller")]
+fn full_queue(caller: &str, admitted: bool) {
+    let mut b = Bench::new(ONE_SLOT);
+    for _ in 0..=ONE_SLOT.queue {
+        b.enter(ticket("flood", 1, 100_000), 0);
+    }
+    let (key, actions) = b.enter(ticket(caller, 1, 100_000), 0);
+    let [Action::Refuse(out, why)] = actions[..] else {
+        panic!("nothing refused");
+    };
+    assert_eq!((why.reason, out != key), (Reason::Full, admitted));
+    assert_eq!(b.admission.queued(), ONE_SLOT.queue as usize);
+}
