--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,3 +1,4 @@
 //! The proxy process.
 
+pub mod admit;
 pub mod group;
