Add stand-ins for database groups and the platform

Cause: tests and the demo need something to stand for the backend servers, the key-value service, the VM list and the links between data centres.

--- /dev/null
+++ b/crates/standin/src/group/listener.rs
@@ -0,0 +1,72 @@
+//! Accepts connections to one instance.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use compio::net::{TcpListener, TcpStream};
+use futures_util::future;
+
+use super::server::Server;
+use super::session;
+use super::wire::Origin;
+
+/// The open listener of an instance; dropping it closes its connections too.
+pub(crate) struct Listener {
+    _task: compio::runtime::JoinHandle<()>,
+    _alive: flume::Sender<()>,
+}
+
+/// Binds an address; port 0 takes any.
+pub(crate) fn bind(address: SocketAddr) -> io::Result<std::net::TcpListener> {
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+impl Listener {
+    /// Serves `server` on a bound socket.
+    pub(crate) fn start(server: Rc<Server>, socket: std::net::TcpListener) -> io::Result<Self> {
+        let listener = TcpListener::from_std(socket)?;
+        let (alive, dead) = flume::bounded(0);
+        let task = compio::runtime::spawn(accept(server, listener, dead));
+        Ok(Self {
+            _task: task,
+            _alive: alive,
+        })
+    }
+}
+
+async fn accept(server: Rc<Server>, listener: TcpListener, dead: flume::Receiver<()>) {
+    let open = Rc::new(Cell::new(0));
+    loop {
+        let Ok((stream, peer)) = listener.accept().await else {
+            continue;
+        };
+        let number = server.next_connection();
+        let origin = Origin {
+            server: Rc::clone(&server),
+            number,
+            port: peer.port(),
+            viewer: server.net.site(peer.ip()),
+        };
+        let (open, dead) = (Rc::clone(&open), dead.clone());
+        compio::runtime::spawn(async move {
+            open.set(open.get() + 1);
+            let dead = std::pin::pin!(dead.recv_async());
+            let serve = std::pin::pin!(serve(origin, stream, open.get()));
+            future::select(serve, dead).await;
+            open.set(open.get() - 1);
+        })
+        .detach();
+    }
+}
+
+async fn serve(origin: Origin, stream: TcpStream, open: usize) {
+    // Small answers follow each other; without this they wait for acknowledgements.
+    let _ = stream.set_nodelay(true);
+    if let Err(e) = session::run(origin, stream, open).await {
+        tracing::debug!(error = %e, "connection ended");
+    }
+}
--- /dev/null
+++ b/crates/standin/src/group/session.rs
@@ -0,0 +1,364 @@
+//! One connection's PostgreSQL session.
+
+use std::io;
+use std::rc::Rc;
+
+use bytes::BytesMut;
+use compio::net::TcpStream;
+use indexmap::IndexMap;
+use pgwire::messages::extendedquery as ext;
+use pgwire::messages::response::{self, TransactionStatus};
+use pgwire::messages::startup::{self, SecretKey};
+use pgwire::messages::{DecodeContext, PgWireBackendMessage as Back};
+use pgwire::messages::{
+    PgWireFrontendMessage as Front, ProtocolVersion, SslNegotiationMetaMessage,
+};
+use pgwire::messages::{data, simplequery};
+use rusqlite::types::Value;
+
+use super::database::{Column, Output};
+use super::encode;
+use super::execute::{Executor, Prepared};
+use super::sql::{self, SqlError};
+use super::wire::{Origin, Wire};
+
+const FLUSH_AT: usize = 64 << 10;
+
+struct Portal {
+    prepared: Rc<Prepared>,
+    values: Vec<Value>,
+    formats: Vec<i16>,
+}
+
+struct Session {
+    executor: Executor,
+    prepared: IndexMap<String, Rc<Prepared>>,
+    portals: IndexMap<String, Portal>,
+    /// After an error in an extended query, until the next `Sync`.
+    skipping: bool,
+    out: BytesMut,
+    wire: Wire,
+}
+
+fn put(out: &mut BytesMut, message: &Back) {
+    message
+        .encode(out)
+        .expect("our own messages fit the protocol");
+}
+
+fn error(e: &SqlError) -> Back {
+    let fields = vec![
+        (b'S', "ERROR".to_owned()),
+        (b'V', "ERROR".to_owned()),
+        (b'C', e.code.to_owned()),
+        (b'M', e.message.clone()),
+    ];
+    Back::ErrorResponse(response::ErrorResponse::new(fields))
+}
+
+/// Serves a connection to its end; `open` counts it and those before it.
+pub(crate) async fn run(origin: Origin, stream: TcpStream, open: usize) -> io::Result<()> {
+    let server = Rc::clone(&origin.server);
+    let key = i32::try_from(origin.number).unwrap_or(i32::MAX);
+    let mut wire = Wire::new(origin, stream);
+    let mut buf = BytesMut::new();
+    let mut cx = DecodeContext::default();
+    let mut out = BytesMut::new();
+    loop {
+        let message = Front::decode(&mut buf, &cx).map_err(io::Error::other)?;
+        match message {
+            None => {
+                if !wire.read(&mut buf).await? {
+                    return Ok(());
+                }
+            }
+            Some(Front::SslNegotiation(SslNegotiationMetaMessage::None)) => {
+                cx.awaiting_frontend_ssl = false;
+            }
+            Some(Front::SslNegotiation(_)) => {
+                out.extend_from_slice(b"N");
+                wire.write(&mut out).await?;
+            }
+            Some(Front::CancelRequest(cancel)) => {
+                server.cancel(cancel.pid);
+                return Ok(());
+            }
+            Some(_) => break,
+        }
+    }
+    cx.awaiting_frontend_startup = false;
+    cx.protocol_version = ProtocolVersion::PROTOCOL3_0;
+    server.running().await;
+    let (connect, limit) = {
+        let knobs = server.knobs.borrow();
+        (knobs.connect, knobs.limit)
+    };
+    compio::time::sleep(connect).await;
+    if open > limit {
+        put(
+            &mut out,
+            &error(&SqlError::new("53300", "too many connections")),
+        );
+        return wire.write(&mut out).await;
+    }
+    greet(&mut out, key);
+    wire.write(&mut out).await?;
+    let mut session = Session {
+        executor: Executor::new(server, key),
+        prepared: IndexMap::new(),
+        portals: IndexMap::new(),
+        skipping: false,
+        out,
+        wire,
+    };
+    session.serve(&mut buf, &cx).await
+}
+
+fn greet(out: &mut BytesMut, key: i32) {
+    put(out, &Back::Authentication(startup::Authentication::Ok));
+    let parameters = [
+        ("server_version", "16.0"),
+        ("server_encoding", "UTF8"),
+        ("client_encoding", "UTF8"),
+        ("DateStyle", "ISO, MDY"),
+        ("integer_datetimes", "on"),
+        ("standard_conforming_strings", "on"),
+    ];
+    for (name, value) in parameters {
+        let status = startup::ParameterStatus::new(name.to_owned(), value.to_owned());
+        put(out, &Back::ParameterStatus(status));
+    }
+    let data = startup::BackendKeyData::new(key, SecretKey::I32(key));
+    put(out, &Back::BackendKeyData(data));
+    put(out, &ready(TransactionStatus::Idle));
+}
+
+fn ready(status: TransactionStatus) -> Back {
+    Back::ReadyForQuery(response::ReadyForQuery::new(status))
+}
+
+fn describe(columns: &[Column], formats: &[i16]) -> Back {
+    if columns.is_empty() {
+        return Back::NoData(data::NoData::new());
+    }
+    let fields = columns
+        .iter()
+        .enumerate()
+        .map(|(at, column)| {
+            let format = encode::format_at(formats, at);
+            data::FieldDescription::new(column.name.clone(), 0, 0, column.oid, -1, -1, format)
+        })
+        .collect();
+    Back::RowDescription(data::RowDescription::new(fields))
+}
+
+impl Session {
+    async fn serve(&mut self, buf: &mut BytesMut, cx: &DecodeContext) -> io::Result<()> {
+        loop {
+            let message = Front::decode(buf, cx).map_err(io::Error::other)?;
+            let Some(message) = message else {
+                if !self.out.is_empty() {
+                    self.wire.write(&mut self.out).await?;
+                }
+                if !self.wire.read(buf).await? {
+                    return Ok(());
+                }
+                continue;
+            };
+            if matches!(message, Front::Terminate(_)) {
+                return Ok(());
+            }
+            self.executor.server.running().await;
+            self.handle(message).await?;
+        }
+    }
+
+    fn put(&mut self, message: &Back) {
+        put(&mut self.out, message);
+    }
+
+    async fn handle(&mut self, message: Front) -> io::Result<()> {
+        match message {
+            Front::Query(query) => return self.query(&query).await,
+            Front::Sync(_) => {
+                self.skipping = false;
+                let status = self.executor.transaction_status();
+                self.put(&ready(status));
+            }
+            _ if self.skipping => {}
+            other => {
+                if let Err(e) = self.extended(other).await? {
+                    self.executor.fail();
+                    self.put(&error(&e));
+                    self.skipping = true;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    async fn query(&mut self, query: &simplequery::Query) -> io::Result<()> {
+        let statements = sql::split(&query.query);
+        if statements.is_empty() {
+            self.put(&Back::EmptyQueryResponse(
+                response::EmptyQueryResponse::new(),
+            ));
+        }
+        let implicit = statements.len() > 1 && self.executor.begin_implicit();
+        let mut failed = false;
+        for text in &statements {
+            if let Err(e) = self.simple(text).await? {
+                self.executor.fail();
+                self.put(&error(&e));
+                failed = true;
+                break;
+            }
+        }
+        if implicit && let Err(e) = self.executor.end_implicit(!failed) {
+            self.put(&error(&e));
+        }
+        let status = self.executor.transaction_status();
+        self.put(&ready(status));
+        Ok(())
+    }
+
+    async fn simple(&mut self, text: &str) -> io::Result<Result<(), SqlError>> {
+        let prepared = match self.executor.prepare(text, &[]) {
+            Ok(prepared) => prepared,
+            Err(e) => return Ok(Err(e)),
+        };
+        let output = match self.executor.run(&prepared, Vec::new()).await {
+            Ok(output) => output,
+            Err(e) => return Ok(Err(e)),
+        };
+        if !prepared.columns.is_empty() {
+            self.put(&describe(&prepared.columns, &[]));
+        }
+        self.rows(&prepared, &output, &[]).await?;
+        Ok(Ok(()))
+    }
+
+    async fn rows(
+        &mut self,
+        prepared: &Prepared,
+        output: &Output,
+        formats: &[i16],
+    ) -> io::Result<()> {
+        let oids: Vec<u32> = prepared.columns.iter().map(|c| c.oid).collect();
+        for row in &output.rows {
+            self.put(&Back::DataRow(encode::row(row, &oids, formats)));
+            if self.out.len() >= FLUSH_AT {
+                self.wire.write(&mut self.out).await?;
+            }
+        }
+        let tag = prepared.tag(output);
+        self.put(&Back::CommandComplete(response::CommandComplete::new(tag)));
+        Ok(())
+    }
+
+    async fn extended(&mut self, message: Front) -> io::Result<Result<(), SqlError>> {
+        let result = match message {
+            Front::Parse(parse) => self.parse(parse),
+            Front::Bind(bind) => self.bind(bind),
+            Front::Describe(d) => self.describe(&d),
+            Front::Execute(execute) => return self.execute(&execute).await,
+            Front::Close(close) => {
+                let name = close.name.unwrap_or_default();
+                if close.target_type == b'S' {
+                    self.prepared.shift_remove(&name);
+                } else {
+                    self.portals.shift_remove(&name);
+                }
+                self.put(&Back::CloseComplete(ext::CloseComplete::new()));
+                Ok(())
+            }
+            Front::Flush(_) => {
+                self.wire.write(&mut self.out).await?;
+                Ok(())
+            }
+            _ => Err(SqlError::new("08P01", "unexpected message")),
+        };
+        Ok(result)
+    }
+
+    fn parse(&mut self, parse: ext::Parse) -> Result<(), SqlError> {
+        let prepared = self.executor.prepare(&parse.query, &parse.type_oids)?;
+        self.prepared
+            .insert(parse.name.unwrap_or_default(), Rc::new(prepared));
+        self.put(&Back::ParseComplete(ext::ParseComplete::new()));
+        Ok(())
+    }
+
+    fn statement(&self, name: &str) -> Result<Rc<Prepared>, SqlError> {
+        let missing = || SqlError::new("26000", "prepared statement does not exist");
+        self.prepared.get(name).cloned().ok_or_else(missing)
+    }
+
+    fn portal(&self, name: &str) -> Result<&Portal, SqlError> {
+        let missing = || SqlError::new("34000", "portal does not exist");
+        self.portals.get(name).ok_or_else(missing)
+    }
+
+    fn bind(&mut self, bind: ext::Bind) -> Result<(), SqlError> {
+        let prepared = self.statement(bind.statement_name.as_deref().unwrap_or_default())?;
+        if bind.parameters.len() != prepared.parameters.len() {
+            return Err(SqlError::new("08P01", "wrong number of parameters"));
+        }
+        let mut values = Vec::with_capacity(bind.parameters.len());
+        for (at, raw) in bind.parameters.iter().enumerate() {
+            let format = encode::format_at(&bind.parameter_format_codes, at);
+            values.push(encode::decode(
+                raw.as_ref(),
+                prepared.parameters[at],
+                format,
+            )?);
+        }
+        let formats = bind.result_column_format_codes;
+        let portal = Portal {
+            prepared,
+            values,
+            formats,
+        };
+        self.portals
+            .insert(bind.portal_name.unwrap_or_default(), portal);
+        self.put(&Back::BindComplete(ext::BindComplete::new()));
+        Ok(())
+    }
+
+    fn describe(&mut self, d: &ext::Describe) -> Result<(), SqlError> {
+        let name = d.name.as_deref().unwrap_or_default();
+        if d.target_type == b'S' {
+            let prepared = self.statement(name)?;
+            let types = data::ParameterDescription::new(prepared.parameters.clone());
+            self.put(&Back::ParameterDescription(types));
+            self.put(&describe(&prepared.columns, &[]));
+        } else {
+            let portal = self.portal(name)?;
+            let message = describe(&portal.prepared.columns, &portal.formats);
+            self.put(&message);
+        }
+        Ok(())
+    }
+
+    async fn execute(&mut self, execute: &ext::Execute) -> io::Result<Result<(), SqlError>> {
+        let portal = match self.portal(execute.name.as_deref().unwrap_or_default()) {
+            Ok(portal) => portal,
+            Err(e) => return Ok(Err(e)),
+        };
+        let prepared = Rc::clone(&portal.prepared);
+        let (values, formats) = (portal.values.clone(), portal.formats.clone());
+        if prepared.kind == sql::Kind::Empty {
+            self.put(&Back::EmptyQueryResponse(
+                response::EmptyQueryResponse::new(),
+            ));
+            return Ok(Ok(()));
+        }
+        match self.executor.run(&prepared, values).await {
+            Ok(output) => {
+                self.rows(&prepared, &output, &formats).await?;
+                Ok(Ok(()))
+            }
+            Err(e) => Ok(Err(e)),
+        }
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,16 @@
-//! Stand-ins for the platform and for database groups.
+//! Small stand-ins for what surrounds the fleet: database groups, the platform's
+//! key-value service and VM list, and the links between data centres.
+//!
+//! Tests and the demo embed a [`Fleet`]; it runs on a thread of its own and is
+//! steered through a [`Control`].
+
+mod control;
+mod fleet;
+pub mod group;
+pub mod link;
+pub mod platform;
+pub mod spec;
+
+pub use control::{Control, ControlError};
+pub use fleet::{Addresses, Fleet, Placed, StartError};
+pub use spec::Spec;
