Authenticate requests between proxies by the fleet's secret

Each request proves method, path, time, nonce, trace and body by HMAC, each answer the request's nonce, status and body; a replay is refused within a window of 30 s. Ways weighed: mutual TLS would need a certificate for each of VMs that keep nothing and are replaced at any time; a secret is in their settings already. Not measured.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod settings;
 pub mod source;
 pub mod token;
+pub mod trace;
 pub mod unit;
--- /dev/null
+++ b/crates/peer/src/auth.rs
@@ -0,0 +1,185 @@
+//! Proof that a request or an answer comes from a holder of the fleet's secret.
+//!
+//! Each request carries its time, a nonce and a keyed hash over method, path, time,
+//! nonce, trace context and body; each answer a keyed hash over the request's nonce, the
+//! status and the body. A recorded request is refused when it is sent again: its nonce
+//! is remembered for as long as its time is accepted.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashSet};
+use std::fmt;
+
+use hmac::Mac as _;
+
+/// How far the clocks of two VMs may differ, in milliseconds. Longer would mean more
+/// nonces to remember, shorter refuses peers whose clock is off.
+pub const WINDOW_MS: u64 = 30_000;
+
+/// Nonces that are remembered: the requests of a window at 1,000 a second, ten times a
+/// busy proxy's share. A peer that sends more is refused rather than forgotten about.
+pub const MAX_NONCES: usize = 60_000;
+
+/// Bytes of a nonce.
+pub const NONCE_LEN: usize = 16;
+
+/// Bytes of a keyed hash.
+pub const TAG_LEN: usize = 32;
+
+type HmacSha256 = hmac::Hmac<sha2::Sha256>;
+
+/// Why a request or an answer is not trusted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum AuthError {
+    /// Header fields are missing or malformed.
+    #[error("the request carries no proof")]
+    Missing,
+    /// The keyed hash does not match: another secret, or an altered message.
+    #[error("the proof does not match")]
+    Mismatch,
+    /// The request's time is outside the accepted window.
+    #[error("the request's time is {0} ms off")]
+    Clock(u64),
+    /// The request was received before.
+    #[error("the request was received before")]
+    Replayed,
+    /// Too many requests arrived within one window.
+    #[error("too many requests")]
+    Overload,
+}
+
+/// A number that no other request of the fleet carries.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Nonce(pub [u8; NONCE_LEN]);
+
+/// What the proof of a request covers besides its body.
+#[derive(Clone, Copy)]
+pub struct Envelope<'a> {
+    /// HTTP method.
+    pub method: &'a str,
+    /// Path of the URL.
+    pub path: &'a str,
+    /// Sender's clock, in milliseconds since 1970.
+    pub time_ms: u64,
+    /// The request's nonce.
+    pub nonce: Nonce,
+    /// The trace context header, empty when there is none.
+    pub trace: &'a str,
+}
+
+/// The fleet's secret as a key for proofs.
+#[derive(Clone)]
+pub struct Key(HmacSha256);
+
+impl fmt::Debug for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Key(..)")
+    }
+}
+
+impl Key {
+    /// Makes a key from the fleet's secret.
+    pub fn new(secret: &[u8]) -> Self {
+        Self(HmacSha256::new_from_slice(secret).expect("HMAC takes a key of any length"))
+    }
+
+    fn request(&self, envelope: &Envelope<'_>, body: &[u8]) -> HmacSha256 {
+        let mut mac = self.0.clone();
+        mac.update(b"peer-request");
+        for field in [envelope.method, envelope.path, envelope.trace] {
+            update_field(&mut mac, field.as_bytes());
+        }
+        mac.update(&envelope.time_ms.to_be_bytes());
+        mac.update(&envelope.nonce.0);
+        mac.update(body);
+        mac
+    }
+
+    fn answer(&self, nonce: Nonce, status: u16, body: &[u8]) -> HmacSha256 {
+        let mut mac = self.0.clone();
+        mac.update(b"peer-answer");
+        mac.update(&nonce.0);
+        mac.update(&status.to_be_bytes());
+        mac.update(body);
+        mac
+    }
+
+    /// The proof of a request.
+    pub fn sign_request(&self, envelope: &Envelope<'_>, body: &[u8]) -> [u8; TAG_LEN] {
+        self.request(envelope, body).finalize().into_bytes().into()
+    }
+
+    /// Checks a request's proof, in constant time.
+    pub fn verify_request(
+        &self,
+        envelope: &Envelope<'_>,
+        body: &[u8],
+        tag: &[u8],
+    ) -> Result<(), AuthError> {
+        let mac = self.request(envelope, body);
+        mac.verify_slice(tag).map_err(|_| AuthError::Mismatch)
+    }
+
+    /// The proof of the answer to the request with this nonce.
+    pub fn sign_answer(&self, nonce: Nonce, status: u16, body: &[u8]) -> [u8; TAG_LEN] {
+        let mac = self.answer(nonce, status, body);
+        mac.finalize().into_bytes().into()
+    }
+
+    /// Checks an answer's proof, in constant time.
+    pub fn verify_answer(
+        &self,
+        nonce: Nonce,
+        status: u16,
+        body: &[u8],
+        tag: &[u8],
+    ) -> Result<(), AuthError> {
+        let mac = self.answer(nonce, status, body);
+        mac.verify_slice(tag).map_err(|_| AuthError::Mismatch)
+    }
+}
+
+/// Lengths go first, so that no two lists of fields give one input.
+fn update_field(mac: &mut HmacSha256, field: &[u8]) {
+    mac.update(&(field.len() as u64).to_be_bytes());
+    mac.update(field);
+}
+
+/// The nonces that arrived within the accepted window.
+///
+/// Invariant: `seen` and `order` hold the same nonces, at most [`MAX_NONCES`].
+#[derive(Debug, Default)]
+pub struct ReplayWindow {
+    seen: HashSet<[u8; NONCE_LEN]>,
+    /// Nonces with the time when they may be forgotten, soonest first.
+    order: BinaryHeap<Reverse<(u64, [u8; NONCE_LEN])>>,
+}
+
+impl ReplayWindow {
+    /// Admits a request whose proof has been checked, once.
+    pub fn admit(&mut self, now_ms: u64, envelope: &Envelope<'_>) -> Result<(), AuthError> {
+        let off = now_ms.abs_diff(envelope.time_ms);
+        if off > WINDOW_MS {
+            return Err(AuthError::Clock(off));
+        }
+        self.forget(now_ms);
+        if self.seen.len() >= MAX_NONCES {
+            return Err(AuthError::Overload);
+        }
+        if !self.seen.insert(envelope.nonce.0) {
+            return Err(AuthError::Replayed);
+        }
+        let until = envelope.time_ms.saturating_add(WINDOW_MS);
+        self.order.push(Reverse((until, envelope.nonce.0)));
+        Ok(())
+    }
+
+    fn forget(&mut self, now_ms: u64) {
+        while let Some(Reverse((until, nonce))) = self.order.peek() {
+            if *until >= now_ms {
+                break;
+            }
+            self.seen.remove(nonce);
+            self.order.pop();
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/src/client.rs
@@ -0,0 +1,164 @@
+//! Sending requests to peers.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD_NO_PAD;
+use http::Method;
+use model::trace;
+
+use crate::auth::{AuthError, Envelope, Key, NONCE_LEN, Nonce};
+use crate::codec::{self, CodecError};
+use crate::server;
+
+/// Header with sender's clock, nonce and proof, separated by dots.
+pub const PROOF: &str = "x-pomelo-proof";
+
+/// Why a peer gave no usable answer.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The peer refused the connection or could not be reached: it took no request.
+    #[error("the peer is unreachable: {0}")]
+    Unreachable(#[source] cyper::Error),
+    /// The connection failed after the request may have arrived.
+    #[error("the connection to the peer failed: {0}")]
+    Connection(#[source] cyper::Error),
+    /// No answer within the time limit.
+    #[error("the peer did not answer within {0:?}")]
+    Timeout(Duration),
+    /// The peer does not accept our proof.
+    #[error("the peer refused our proof")]
+    Refused,
+    /// Another status than 200.
+    #[error("the peer answered HTTP status {0}")]
+    Status(u16),
+    /// The answer does not come from a holder of the secret.
+    #[error("the peer's answer is not trusted: {0}")]
+    Auth(#[from] AuthError),
+    /// A message cannot be written or read.
+    #[error(transparent)]
+    Codec(#[from] CodecError),
+}
+
+/// Sends requests to peers, cheap to clone within its runtime.
+#[derive(Clone)]
+pub struct Client {
+    inner: Rc<Inner>,
+}
+
+struct Inner {
+    key: Key,
+    http: RefCell<cyper::Client>,
+    /// Bytes of bodies and headers sent and received, for the control budget.
+    traffic: server::Traffic,
+}
+
+impl Client {
+    /// A client that proves itself by `key`.
+    pub fn new(key: Key) -> Result<Self, Error> {
+        Self::with_traffic(key, server::Traffic::default())
+    }
+
+    /// A client that counts its bytes in `traffic`.
+    pub fn with_traffic(key: Key, traffic: server::Traffic) -> Result<Self, Error> {
+        let http = RefCell::new(http_client()?);
+        let inner = Rc::new(Inner { key, http, traffic });
+        Ok(Self { inner })
+    }
+
+    /// Sends a request and waits at most `limit` for the answer.
+    pub async fn call<Req, Res>(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        req: &Req,
+        limit: Duration,
+        cx: Option<trace::Context>,
+    ) -> Result<Res, Error>
+    where
+        Req: serde::Serialize,
+        Res: serde::de::DeserializeOwned,
+    {
+        let body = codec::encode(req)?;
+        let exchange = self.exchange(peer, path, body, cx);
+        match compio::time::timeout(limit, exchange).await {
+            Ok(answer) => Ok(codec::decode(&answer?)?),
+            Err(_) => {
+                // A silent connection would silence every later request that the pool
+                // puts on it; a new client has an empty pool.
+                *self.inner.http.borrow_mut() = http_client()?;
+                Err(Error::Timeout(limit))
+            }
+        }
+    }
+
+    async fn exchange(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        body: Vec<u8>,
+        cx: Option<trace::Context>,
+    ) -> Result<Vec<u8>, Error> {
+        let trace = cx.map(|cx| cx.to_string()).unwrap_or_default();
+        let envelope = Envelope {
+            method: Method::POST.as_str(),
+            path,
+            time_ms: server::unix_ms(),
+            nonce: Nonce(rand::random::<[u8; NONCE_LEN]>()),
+            trace: &trace,
+        };
+        let proof = self.proof(&envelope, &body);
+        self.inner
+            .traffic
+            .add_sent(body.len() + path.len() + proof.len() + trace.len());
+        let http = self.inner.http.borrow().clone();
+        let request = http.post(format!("http://{peer}{path}"));
+        let request = request.and_then(|r| r.header(PROOF, proof));
+        let mut request = request.map_err(Error::Connection)?;
+        if !trace.is_empty() {
+            let traced = request.header(trace::HEADER, &trace);
+            request = traced.map_err(Error::Connection)?;
+        }
+        let response = request.body(body).send().await.map_err(from_http)?;
+        self.read(envelope.nonce, response).await
+    }
+
+    fn proof(&self, envelope: &Envelope<'_>, body: &[u8]) -> String {
+        let tag = self.inner.key.sign_request(envelope, body);
+        let nonce = STANDARD_NO_PAD.encode(envelope.nonce.0);
+        let tag = STANDARD_NO_PAD.encode(tag);
+        format!("{}.{nonce}.{tag}", envelope.time_ms)
+    }
+
+    async fn read(&self, nonce: Nonce, response: cyper::Response) -> Result<Vec<u8>, Error> {
+        let status = response.status().as_u16();
+        if status == http::StatusCode::UNAUTHORIZED.as_u16() {
+            return Err(Error::Refused);
+        }
+        let tag = response.headers().get(PROOF).and_then(|v| v.to_str().ok());
+        let tag = tag.and_then(|tag| STANDARD_NO_PAD.decode(tag).ok());
+        let body = response.bytes().await.map_err(Error::Connection)?;
+        self.inner.traffic.add_received(body.len());
+        let tag = tag.ok_or(AuthError::Missing)?;
+        self.inner.key.verify_answer(nonce, status, &body, &tag)?;
+        match status {
+            200 => Ok(body.to_vec()),
+            status => Err(Error::Status(status)),
+        }
+    }
+}
+
+fn http_client() -> Result<cyper::Client, Error> {
+    let builder = cyper::Client::builder().no_proxy();
+    builder.build().map_err(Error::Connection)
+}
+
+fn from_http(e: cyper::Error) -> Error {
+    match &e {
+        cyper::Error::HyperClient(cause) if cause.is_connect() => Error::Unreachable(e),
+        _ => Error::Connection(e),
+    }
+}
--- /dev/null
+++ b/crates/peer/tests/auth.rs
@@ -0,0 +1,99 @@
+//! Proof of requests and answers.
+
+use peer::auth::{AuthError, Envelope, Key, MAX_NONCES, Nonce, ReplayWindow, WINDOW_MS};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const NOW: u64 = 1_700_000_000_000;
+
+fn envelope(n: u64) -> Envelope<'static> {
+    let mut nonce = [0; 16];
+    nonce[..8].copy_from_slice(&n.to_be_bytes());
+    Envelope {
+        method: "POST",
+        path: "/peer/heartbeat",
+        time_ms: NOW,
+        nonce: Nonce(nonce),
+        trace: "",
+    }
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn any_altered_byte_is_refused(body in prop::collection::vec(any::<u8>(), 1..64), at: prop::sample::Index, flip in 1_u8..) {
+        let key = Key::new(b"fleet");
+        let tag = key.sign_request(&envelope(1), &body);
+        prop_assert_eq!(key.verify_request(&envelope(1), &body, &tag), Ok(()));
+        let mut altered = body.clone();
+        altered[at.index(body.len())] ^= flip;
+        prop_assert_eq!(key.verify_request(&envelope(1), &altered, &tag), Err(AuthError::Mismatch));
+        let other = Key::new(b"another fleet");
+        prop_assert_eq!(other.verify_request(&envelope(1), &body, &tag), Err(AuthError::Mismatch));
+    }
+}
+
+/// A proof taken from one request would otherwise open another path.
+#[test]
+fn a_proof_covers_path_time_nonce_and_trace() {
+    let key = Key::new(b"fleet");
+    let tag = key.sign_request(&envelope(1), b"body");
+    let altered = [
+        Envelope {
+            path: "/peer/records",
+            ..envelope(1)
+        },
+        Envelope {
+            time_ms: NOW + 1,
+            ..envelope(1)
+        },
+        Envelope {
+            trace: "00-1",
+            ..envelope(1)
+        },
+        envelope(2),
+    ];
+    for envelope in altered {
+        let result = key.verify_request(&envelope, b"body", &tag);
+        assert_eq!(result, Err(AuthError::Mismatch));
+    }
+}
+
+/// Someone records a request on the wire and sends it again: a heartbeat would make a
+/// dead proxy look alive. The nonce is known, and once it is forgotten the time is old.
+#[test]
+fn a_request_is_accepted_once() {
+    let mut window = ReplayWindow::default();
+    assert_eq!(window.admit(NOW, &envelope(1)), Ok(()));
+    assert_eq!(window.admit(NOW, &envelope(1)), Err(AuthError::Replayed));
+    let late = NOW + WINDOW_MS;
+    assert_eq!(window.admit(late, &envelope(1)), Err(AuthError::Replayed));
+    let off = WINDOW_MS + 1;
+    let result = window.admit(NOW + off, &envelope(1));
+    assert_eq!(result, Err(AuthError::Clock(off)));
+}
+
+#[test]
+fn the_window_is_bounded_and_empties() {
+    let mut window = ReplayWindow::default();
+    for n in 0..MAX_NONCES as u64 {
+        assert_eq!(window.admit(NOW, &envelope(n)), Ok(()));
+    }
+    let next = envelope(MAX_NONCES as u64);
+    assert_eq!(window.admit(NOW, &next), Err(AuthError::Overload));
+    let later = NOW + WINDOW_MS + 1;
+    let fresh = Envelope {
+        time_ms: later,
+        ..next
+    };
+    assert_eq!(window.admit(later, &fresh), Ok(()));
+}
--- /dev/null
+++ b/crates/peer/tests/exchange.rs
@@ -0,0 +1,100 @@
+//! Requests over a socket.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use model::trace::Context;
+use peer::auth::Key;
+use peer::client::{Client, Error};
+use peer::server::{Call, Routes, Traffic};
+
+const LIMIT: Duration = Duration::from_secs(5);
+const PATH: &str = "/peer/echo";
+
+#[derive(Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+struct Old {
+    text: String,
+}
+
+#[derive(Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+struct New {
+    text: String,
+    #[serde(default)]
+    added: u32,
+}
+
+/// Serves one path and answers each request by its own text and trace.
+async fn serve(key: Key) -> SocketAddr {
+    let (tx, rx) = flume::bounded::<Call<Old, New>>(peer::server::QUEUE);
+    let routes = Routes::new(key, Traffic::default()).route(PATH, tx);
+    let listener = compio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    compio::runtime::spawn(async move { cyper_axum::serve(listener, routes.into_router()).await })
+        .detach();
+    compio::runtime::spawn(async move {
+        while let Ok(call) = rx.recv_async().await {
+            let trace = call.trace.map(|cx| cx.to_string()).unwrap_or_default();
+            let text = call.req.text + &trace;
+            let _ = call.reply.send(New { text, added: 1 });
+        }
+    })
+    .detach();
+    address
+}
+
+#[compio::test]
+async fn versions_that_differ_by_a_field_understand_each_other() {
+    let key = Key::new(b"fleet");
+    let address = serve(key.clone()).await;
+    let client = Client::new(key).unwrap();
+    let req = New {
+        text: "hello".into(),
+        added: 7,
+    };
+    let answer: Old = client.call(address, PATH, &req, LIMIT, None).await.unwrap();
+    assert_eq!(answer.text, "hello");
+}
+
+#[compio::test]
+async fn the_trace_context_travels() {
+    let key = Key::new(b"fleet");
+    let address = serve(key.clone()).await;
+    let client = Client::new(key).unwrap();
+    let cx = Context::new(5, 6, true);
+    let req = Old::default();
+    let answer = client.call(address, PATH, &req, LIMIT, Some(cx)).await;
+    let answer: New = answer.unwrap();
+    assert_eq!(answer.text, cx.to_string());
+}
+
+/// A process without the secret asks a proxy for its configuration, which holds the
+/// backend servers' passwords: it gets 401 and an empty body.
+#[compio::test]
+async fn a_peer_without_the_secret_gets_nothing() {
+    let address = serve(Key::new(b"fleet")).await;
+    let client = Client::new(Key::new(b"guess")).unwrap();
+    let req = Old::default();
+    let answer = client.call::<_, New>(address, PATH, &req, LIMIT, None);
+    assert!(matches!(answer.await, Err(Error::Refused)));
+
+    let bare = cyper::Client::new().unwrap();
+    let response = bare.post(format!("http://{address}{PATH}")).unwrap();
+    let response = response.body("x").send().await.unwrap();
+    assert_eq!(response.status().as_u16(), 401);
+    assert!(response.bytes().await.unwrap().is_empty());
+}
+
+/// A process at a recycled address answers in a peer's place. Without the secret it
+/// cannot prove the answer, and the answer is not used.
+#[compio::test]
+async fn an_answer_without_proof_is_not_used() {
+    let handler = || async { peer::codec::encode(&Old::default()).unwrap() };
+    let router = axum::Router::new().route(PATH, axum::routing::post(handler));
+    let listener = compio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    compio::runtime::spawn(async move { cyper_axum::serve(listener, router).await }).detach();
+    let client = Client::new(Key::new(b"fleet")).unwrap();
+    let req = Old::default();
+    let answer = client.call::<_, New>(address, PATH, &req, LIMIT, None);
+    assert!(matches!(answer.await, Err(Error::Auth(_))));
+}
