Add a commented example of a fleet configuration

Cause: operators start from an example, and an example that no longer parses is worse than none. Before: none. After: examples/fleet.jsonc, read and checked by a test. Conclusion: a setting that is renamed breaks the test, not the operator.

--- a/crates/model/tests/config.rs
+++ b/crates/model/tests/config.rs
@@ -56,3 +56,10 @@
     assert_ne!(text, GOOD, "the replacement must match");
     assert!(config::parse::<Fleet>(&text).is_err());
 }
+
+#[test]
+fn example_has_no_findings() {
+    let text = include_str!("../../../examples/fleet.jsonc");
+    let fleet: Fleet = config::parse(text).unwrap();
+    assert_eq!(fleet.check(), []);
+}
