Split the stand-in instance and let cuts act one way

Conclusion: a one-way cut holds back only that direction; a pause can be ended early; a portal answers a limited number of rows; COMMIT of a failed transaction says ROLLBACK.

--- a/crates/standin/src/group/database.rs
+++ b/crates/standin/src/group/database.rs
@@ -16,9 +16,10 @@
 /// Rows, or the number of rows changed.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct Output {
-    pub(crate) columns: Vec<Column>,
     pub(crate) rows: Vec<Vec<Value>>,
     pub(crate) changed: usize,
+    /// Set by the end of a transaction that kept nothing.
+    pub(crate) rolled_back: bool,
 }
 
 /// What the database says of a statement before it runs.
--- a/crates/standin/src/group/execute.rs
+++ b/crates/standin/src/group/execute.rs
@@ -32,6 +32,7 @@
             Kind::Data { .. } if !self.writes => format!("SELECT {}", output.rows.len()),
             Kind::Data { .. } => self.write_tag(&verb, output.changed),
             Kind::Sleep(_) | Kind::Profile(_) => "SELECT 1".to_owned(),
+            Kind::Commit if output.rolled_back => "ROLLBACK".to_owned(),
             _ => verb,
         }
     }
@@ -207,7 +208,9 @@
             }
             Kind::Commit => self.end(true),
             Kind::Rollback => self.end(false),
-            Kind::Show => Ok(one_row(vec![Value::Text("on".to_owned())])),
+            Kind::Show => Ok(one_row(vec![Value::Text(
+                self.setting(&prepared.text).to_owned(),
+            )])),
             Kind::Profile(call) => self.call(call).await,
             Kind::Sleep(seconds) => self.sleep(*seconds, &values).await,
             Kind::Data { .. } => {
@@ -224,6 +227,15 @@
         }
     }
 
+    fn setting(&self, text: &str) -> &'static str {
+        let read_only = text.contains("transaction_read_only");
+        if read_only && self.server.writable().is_ok() {
+            "off"
+        } else {
+            "on"
+        }
+    }
+
     /// Waits for `f` unless the statement is cancelled first.
     async fn cancellable<T>(&self, f: impl Future<Output = T>) -> Result<T, SqlError> {
         let f = std::pin::pin!(f);
@@ -282,16 +294,19 @@
         let Some(transaction) = self.transaction.take() else {
             return Ok(Output::default());
         };
-        let Some(writer) = &transaction.writer else {
-            return Ok(Output::default());
-        };
-        if commit && !transaction.failed {
-            self.server
-                .commit(writer.generation, transaction.statements)?;
-        } else {
-            self.server.rollback();
+        let commits = commit && !transaction.failed;
+        match &transaction.writer {
+            Some(writer) if commits => {
+                self.server
+                    .commit(writer.generation, transaction.statements)?;
+            }
+            Some(_) => self.server.rollback(),
+            None => {}
         }
-        Ok(Output::default())
+        Ok(Output {
+            rolled_back: !commits,
+            ..Output::default()
+        })
     }
 
     async fn sleep(&self, seconds: Option<f64>, values: &[Value]) -> Result<Output, SqlError> {
--- a/crates/standin/src/group/mod.rs
+++ b/crates/standin/src/group/mod.rs
@@ -3,7 +3,9 @@
 
 mod database;
 mod encode;
+mod exchange;
 mod execute;
+mod knobs;
 mod listener;
 mod profile;
 pub mod record;
@@ -12,10 +14,12 @@
 mod session;
 mod slot;
 mod sql;
+mod state;
 mod wire;
 
+pub(crate) use knobs::Knobs;
 pub(crate) use listener::{Listener, bind};
 pub use record::{Record, Statement};
 pub use replicate::Role;
 pub use server::Status;
-pub(crate) use server::{Knobs, Peers, Server};
+pub(crate) use server::{Peers, Server};
--- a/crates/standin/src/group/server.rs
+++ b/crates/standin/src/group/server.rs
@@ -8,90 +8,29 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use model::id::InstanceId;
 use model::position::{History, Point, Position, Term};
 use model::unit::Span;
 
-use super::database::{Database, Output, Shape};
+use super::database::{Output, Shape};
+use super::knobs::Knobs;
 use super::record::{Record, Statement};
-use super::replicate::{self, Message, Role};
+use super::replicate::{self, Role};
 use super::slot::Permits;
-use super::sql::{self, SqlError};
+use super::sql::SqlError;
+use super::state::State;
 use crate::link::Net;
-use crate::spec::Spec;
-
-/// How often a replica asks its primary for records.
-const PULL: Duration = Duration::from_millis(50);
 
 /// Shapes of statements that an instance remembers.
 const SHAPES: usize = 1_000;
 
+/// How often a paused instance looks whether the pause is over.
+const PAUSE_POLL: Duration = Duration::from_millis(2);
+
 /// Every instance of a fleet by its address.
 pub(crate) type Peers = Rc<RefCell<IndexMap<SocketAddr, Rc<Server>>>>;
 
-/// What a primary knows of a replica that pulls from it.
-struct Follower {
-    address: SocketAddr,
-    sent: Position,
-    pulled: Position,
-}
-
-/// Settings and faults that change while the instance runs.
-pub(crate) struct Knobs {
-    /// Time from receiving to applying a record.
-    pub(crate) lag: Duration,
-    /// Time that every statement takes besides its own work.
-    pub(crate) service: Duration,
-    /// Factor on `service`.
-    pub(crate) slow: f64,
-    pub(crate) paused_until: Option<Instant>,
-    pub(crate) alive: bool,
-    /// Connections with a smaller number are silent.
-    pub(crate) silent_before: u64,
-    /// Connections from these ports of their peer are silent.
-    pub(crate) silent_ports: IndexSet<u16>,
-    pub(crate) connect: Duration,
-    pub(crate) limit: usize,
-}
-
-impl Knobs {
-    pub(crate) fn new(spec: &Spec) -> Self {
-        Self {
-            lag: spec.lag.as_duration(),
-            service: spec.service.as_duration(),
-            slow: 1.0,
-            paused_until: None,
-            alive: true,
-            silent_before: 0,
-            silent_ports: IndexSet::new(),
-            connect: spec.connect.as_duration(),
-            limit: spec.connections,
-        }
-    }
-}
-
-struct State {
-    role: Role,
-    term: Term,
-    fenced: Term,
-    history: History,
-    log: Vec<Record>,
-    applied: usize,
-    due: Vec<Instant>,
-    heard: Instant,
-    followers: IndexMap<InstanceId, Follower>,
-    waiters: Vec<(Position, flume::Sender<()>)>,
-    db: Database,
-    scratch: Database,
-    scratch_applied: usize,
-    /// Counts rebuilds; a transaction of an older one cannot commit.
-    generation: u64,
-    shapes: IndexMap<String, Shape>,
-    lost: Vec<Record>,
-    executed: IndexMap<String, u64>,
-}
-
 /// One instance of a database group.
 pub(crate) struct Server {
     pub(crate) id: InstanceId,
@@ -102,8 +41,8 @@
     pub(crate) writers: Permits,
     pub(crate) knobs: RefCell<Knobs>,
     pub(crate) cancels: RefCell<IndexMap<i32, flume::Sender<()>>>,
-    state: RefCell<State>,
-    peers: Peers,
+    pub(super) state: RefCell<State>,
+    pub(super) peers: Peers,
     connections: std::cell::Cell<u64>,
 }
 
@@ -133,26 +72,6 @@
         net: Net,
         peers: Peers,
     ) -> Rc<Self> {
-        let history = History::new(vec![Point::new(1, 0)]).unwrap_or_default();
-        let state = State {
-            role,
-            term: Term(1),
-            fenced: Term(1),
-            history,
-            log: Vec::new(),
-            applied: 0,
-            due: Vec::new(),
-            heard: Instant::now(),
-            followers: IndexMap::new(),
-            waiters: Vec::new(),
-            db: Database::new(),
-            scratch: Database::new(),
-            scratch_applied: 0,
-            generation: 0,
-            shapes: IndexMap::new(),
-            lost: Vec::new(),
-            executed: IndexMap::new(),
-        };
         Rc::new(Self {
             id,
             address,
@@ -162,7 +81,7 @@
             writers: Permits::new(1),
             knobs: RefCell::new(knobs),
             cancels: RefCell::default(),
-            state: RefCell::new(state),
+            state: RefCell::new(State::new(role)),
             peers,
             connections: std::cell::Cell::new(1),
         })
@@ -181,14 +100,16 @@
         }
     }
 
-    /// Waits while the instance is paused.
+    /// Waits while the instance is paused; a pause may be ended early.
     pub(crate) async fn running(&self) {
-        loop {
-            let until = self.knobs.borrow().paused_until;
-            match until {
-                Some(until) if until > Instant::now() => compio::time::sleep_until(until).await,
-                _ => return,
-            }
+        let paused = || {
+            self.knobs
+                .borrow()
+                .paused_until
+                .is_some_and(|u| u > Instant::now())
+        };
+        while paused() {
+            compio::time::sleep(PAUSE_POLL).await;
         }
     }
 
@@ -368,141 +289,6 @@
         Ok(())
     }
 
-    /// Sends every replica the records that it has not been sent.
-    fn push(self: &Rc<Self>) {
-        let mut out = Vec::new();
-        {
-            let mut state = self.state.borrow_mut();
-            let end = state.received();
-            let (log, history, term) = (&state.log, state.history.clone(), state.term);
-            let sent: Vec<_> = state
-                .followers
-                .values()
-                .filter(|f| f.sent < end)
-                .map(|f| (f.address, f.sent))
-                .collect();
-            for (address, after) in sent {
-                let records = log[after.0 as usize..].to_vec();
-                let history = history.clone();
-                out.push((
-                    address,
-                    Message::Records {
-                        term,
-                        history,
-                        after,
-                        records,
-                    },
-                ));
-            }
-            for follower in state.followers.values_mut() {
-                follower.sent = end;
-            }
-        }
-        for (address, message) in out {
-            self.send(address, message);
-        }
-    }
-
-    /// Asks the primary for records, if this is a replica.
-    fn pull(self: &Rc<Self>) {
-        let state = self.state.borrow();
-        let Role::Replica(primary) = state.role else {
-            return;
-        };
-        let message = Message::Pull {
-            from: self.id.clone(),
-            address: self.address,
-            term: state.term,
-            history: state.history.clone(),
-            received: state.received(),
-        };
-        drop(state);
-        self.send(primary, message);
-    }
-
-    /// Pulls for as long as the fleet runs.
-    pub(crate) async fn pull_forever(self: Rc<Self>) {
-        loop {
-            compio::time::sleep(PULL).await;
-            self.running().await;
-            if self.knobs.borrow().alive {
-                self.pull();
-            }
-        }
-    }
-
-    fn send(self: &Rc<Self>, to: SocketAddr, message: Message) {
-        let Some(peer) = self.peers.borrow().get(&to).cloned() else {
-            return;
-        };
-        let (here, there) = (Some(self.home), Some(peer.home));
-        let cut = || {
-            self.net.isolated(&self.id)
-                || self.net.isolated(&peer.id)
-                || !self.net.open(here, there)
-        };
-        if cut() {
-            return;
-        }
-        let due = self.net.arrival(here, there, message.size());
-        compio::runtime::spawn(async move {
-            if due > Instant::now() {
-                compio::time::sleep_until(due).await;
-            }
-            peer.running().await;
-            if peer.knobs.borrow().alive {
-                peer.receive(message);
-            }
-        })
-        .detach();
-    }
-
-    fn receive(self: &Rc<Self>, message: Message) {
-        match message {
-            Message::Pull {
-                from,
-                address,
-                term,
-                history,
-                received,
-            } => {
-                let reply = self
-                    .state
-                    .borrow_mut()
-                    .pulled(from, address, term, &history, received);
-                if let Some(reply) = reply {
-                    self.send(address, reply);
-                }
-            }
-            Message::Records {
-                term,
-                history,
-                after,
-                records,
-            } => {
-                let lag = self.knobs.borrow().lag;
-                let mut state = self.state.borrow_mut();
-                if !state.take(term, &history, after, records, lag) {
-                    return;
-                }
-                state.wake();
-                if lag.is_zero() {
-                    state.apply_until(None);
-                    return;
-                }
-                drop(state);
-                let server = Rc::clone(self);
-                compio::runtime::spawn(async move {
-                    compio::time::sleep(lag).await;
-                    server.running().await;
-                    let now = Instant::now();
-                    server.state.borrow_mut().apply_until(Some(now));
-                })
-                .detach();
-            }
-        }
-    }
-
     /// The log, for checks.
     pub(crate) fn log(&self) -> Vec<Record> {
         self.state.borrow().log.clone()
@@ -522,150 +308,3 @@
 fn refused(fenced: Term) -> SqlError {
     SqlError::new("55000", format!("fenced at term {fenced}"))
 }
-
-fn changes_schema(statements: &[Statement]) -> bool {
-    statements
-        .iter()
-        .any(|s| matches!(sql::verb(&s.text).as_str(), "CREATE" | "DROP" | "ALTER"))
-}
-
-impl State {
-    fn received(&self) -> Position {
-        Position(self.log.len() as u64)
-    }
-
-    fn count(&mut self, text: &str) {
-        *self.executed.entry(text.to_owned()).or_default() += 1;
-    }
-
-    fn append(&mut self, statements: Vec<Statement>) {
-        if changes_schema(&statements) {
-            self.shapes.clear();
-        }
-        self.log.push(Record {
-            term: self.term,
-            statements,
-        });
-        self.due.push(Instant::now());
-        self.applied = self.log.len();
-        self.wake();
-    }
-
-    fn wake(&mut self) {
-        let end = self.received();
-        self.waiters.retain(|(position, tx)| {
-            let waits = *position > end;
-            if !waits {
-                // A waiter that has timed out no longer listens.
-                let _ = tx.try_send(());
-            }
-            waits
-        });
-    }
-
-    /// Applies received records that are due at `now`, or all of them.
-    fn apply_until(&mut self, now: Option<Instant>) {
-        while self.applied < self.log.len() && now.is_none_or(|now| self.due[self.applied] <= now) {
-            let record = &self.log[self.applied];
-            self.db.replay(record);
-            if changes_schema(&record.statements) {
-                self.shapes.clear();
-            }
-            self.applied += 1;
-        }
-    }
-
-    /// Answers a replica's pull.
-    fn pulled(
-        &mut self,
-        from: InstanceId,
-        address: SocketAddr,
-        term: Term,
-        history: &History,
-        received: Position,
-    ) -> Option<Message> {
-        if self.role != Role::Primary || term != self.term {
-            return None;
-        }
-        let end = self.received();
-        let after = replicate::common(&self.history, end, history, received);
-        let known = self.followers.get(&from);
-        let stuck = known.is_none_or(|f| f.pulled == received && f.sent > received);
-        let sent = known.map_or(after, |f| f.sent);
-        let after = if stuck || after < received {
-            after
-        } else {
-            sent.max(after)
-        };
-        let records = self.log[after.0 as usize..].to_vec();
-        let follower = Follower {
-            address,
-            sent: end,
-            pulled: received,
-        };
-        self.followers.insert(from, follower);
-        let history = self.history.clone();
-        Some(Message::Records {
-            term,
-            history,
-            after,
-            records,
-        })
-    }
-
-    /// Takes a primary's records; false when they are refused.
-    fn take(
-        &mut self,
-        term: Term,
-        history: &History,
-        after: Position,
-        records: Vec<Record>,
-        lag: Duration,
-    ) -> bool {
-        if self.role == Role::Primary || term != self.term {
-            return false;
-        }
-        self.heard = Instant::now();
-        if term < self.fenced {
-            return false;
-        }
-        let end = self.received();
-        let agreed = replicate::common(&self.history, end, history, Position(u64::MAX));
-        if agreed < end {
-            self.truncate(agreed, history);
-        }
-        let end = self.received();
-        if after > end {
-            // A message before this one is still on its way or lost; the next pull tells.
-            return false;
-        }
-        let due = Instant::now() + lag;
-        for record in records.into_iter().skip((end.0 - after.0) as usize) {
-            self.log.push(record);
-            self.due.push(due);
-        }
-        self.history = replicate::reached(history, self.received());
-        true
-    }
-
-    /// Drops a divergent tail and rebuilds the data without it.
-    fn truncate(&mut self, end: Position, history: &History) {
-        let at = end.0 as usize;
-        self.lost.extend(self.log.split_off(at));
-        self.due.truncate(at);
-        self.history = replicate::reached(history, end);
-        if self.applied > at {
-            self.db = Database::new();
-            self.scratch = Database::new();
-            self.scratch_applied = 0;
-            self.generation += 1;
-            self.applied = 0;
-            while self.applied < at {
-                self.db.replay(&self.log[self.applied]);
-                self.applied += 1;
-            }
-            self.shapes.clear();
-        }
-        tracing::info!(end = %end, lost = self.lost.len(), "divergent tail dropped");
-    }
-}
--- a/crates/standin/src/group/session.rs
+++ b/crates/standin/src/group/session.rs
@@ -28,6 +28,8 @@
     prepared: Rc<Prepared>,
     values: Vec<Value>,
     formats: Vec<i16>,
+    /// Rows still to be fetched, once it has run.
+    output: Option<Output>,
 }
 
 struct Session {
@@ -238,19 +240,29 @@
         Ok(Ok(()))
     }
 
-    async fn rows(
+    async fn data(
         &mut self,
         prepared: &Prepared,
-        output: &Output,
+        rows: &[Vec<Value>],
         formats: &[i16],
     ) -> io::Result<()> {
         let oids: Vec<u32> = prepared.columns.iter().map(|c| c.oid).collect();
-        for row in &output.rows {
+        for row in rows {
             self.put(&Back::DataRow(encode::row(row, &oids, formats)));
             if self.out.len() >= FLUSH_AT {
                 self.wire.write(&mut self.out).await?;
             }
         }
+        Ok(())
+    }
+
+    async fn rows(
+        &mut self,
+        prepared: &Prepared,
+        output: &Output,
+        formats: &[i16],
+    ) -> io::Result<()> {
+        self.data(prepared, &output.rows, formats).await?;
         let tag = prepared.tag(output);
         self.put(&Back::CommandComplete(response::CommandComplete::new(tag)));
         Ok(())
@@ -318,6 +330,7 @@
             prepared,
             values,
             formats,
+            output: None,
         };
         self.portals
             .insert(bind.portal_name.unwrap_or_default(), portal);
@@ -341,24 +354,40 @@
     }
 
     async fn execute(&mut self, execute: &ext::Execute) -> io::Result<Result<(), SqlError>> {
-        let portal = match self.portal(execute.name.as_deref().unwrap_or_default()) {
+        let name = execute.name.clone().unwrap_or_default();
+        let portal = match self.portal(&name) {
             Ok(portal) => portal,
             Err(e) => return Ok(Err(e)),
         };
-        let prepared = Rc::clone(&portal.prepared);
-        let (values, formats) = (portal.values.clone(), portal.formats.clone());
+        let (prepared, formats) = (Rc::clone(&portal.prepared), portal.formats.clone());
         if prepared.kind == sql::Kind::Empty {
             self.put(&Back::EmptyQueryResponse(
                 response::EmptyQueryResponse::new(),
             ));
             return Ok(Ok(()));
         }
-        match self.executor.run(&prepared, values).await {
-            Ok(output) => {
-                self.rows(&prepared, &output, &formats).await?;
-                Ok(Ok(()))
-            }
-            Err(e) => Ok(Err(e)),
+        let output = match &portal.output {
+            Some(output) => output.clone(),
+            None => match self.executor.run(&prepared, portal.values.clone()).await {
+                Ok(output) => output,
+                Err(e) => return Ok(Err(e)),
+            },
+        };
+        let limit = usize::try_from(execute.max_rows).unwrap_or(0);
+        if limit == 0 || output.rows.len() <= limit {
+            self.rows(&prepared, &output, &formats).await?;
+            return Ok(Ok(()));
         }
+        let mut rest = output;
+        let later = rest.rows.split_off(limit);
+        self.data(&prepared, &rest.rows, &formats).await?;
+        self.put(&Back::PortalSuspended(ext::PortalSuspended::new()));
+        if let Some(portal) = self.portals.get_mut(&name) {
+            portal.output = Some(Output {
+                rows: later,
+                ..rest
+            });
+        }
+        Ok(Ok(()))
     }
 }
--- a/crates/standin/src/group/wire.rs
+++ b/crates/standin/src/group/wire.rs
@@ -9,7 +9,7 @@
 use compio::net::TcpStream;
 
 use super::server::Server;
-use crate::link::Site;
+use crate::link::{Direction, Site};
 
 const READ: usize = 16 << 10;
 
@@ -29,14 +29,14 @@
     }
 
     /// Waits while no bytes pass; a silent connection waits for good.
-    async fn passes(&self) {
+    async fn passes(&self, direction: Direction) {
         if self.silent() {
             std::future::pending::<()>().await;
         }
         let server = &self.server;
         server
             .net
-            .wait_reach(self.viewer, server.home, &server.id)
+            .wait_reach(self.viewer, server.home, &server.id, direction)
             .await;
     }
 }
@@ -97,7 +97,7 @@
                 chunk
             }
         };
-        self.origin.passes().await;
+        self.origin.passes(Direction::In).await;
         buf.extend_from_slice(&chunk);
         Ok(!chunk.is_empty())
     }
@@ -113,7 +113,7 @@
     /// Sends `buf` and empties it.
     pub(crate) async fn write(&mut self, buf: &mut BytesMut) -> io::Result<()> {
         let chunk = buf.split().to_vec();
-        self.origin.passes().await;
+        self.origin.passes(Direction::Out).await;
         let origin = &self.origin;
         let due = origin
             .server
@@ -150,7 +150,7 @@
 async fn write_behind(origin: Origin, stream: TcpStream, rx: flume::Receiver<Chunk>) {
     while let Ok((due, chunk)) = rx.recv_async().await {
         compio::time::sleep_until(due).await;
-        origin.passes().await;
+        origin.passes(Direction::Out).await;
         if (&stream).write_all(chunk).await.0.is_err() {
             return;
         }
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -28,6 +28,15 @@
     SameDataCentre,
 }
 
+/// Direction of bytes, as seen from an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    /// From the viewer to the instance.
+    In,
+    /// From the instance to the viewer.
+    Out,
+}
+
 struct State {
     spec: Spec,
     cuts: IndexSet<(usize, usize)>,
@@ -105,14 +114,12 @@
         }
     }
 
-    /// Whether a viewer and an instance at `home` exchange bytes now.
-    pub fn reaches(&self, viewer: Site, home: usize, instance: &id::InstanceId) -> bool {
-        let same = viewer.is_none_or(|v| v == home);
-        let isolated = self.0.borrow().isolated.get(instance).copied();
-        match isolated {
+    /// Whether isolation lets bytes pass between a viewer and an instance at `home`.
+    fn admits(&self, viewer: Site, home: usize, instance: &id::InstanceId) -> bool {
+        match self.0.borrow().isolated.get(instance) {
             Some(Reach::Nobody) => false,
-            Some(Reach::SameDataCentre) => same,
-            None => self.open(viewer, Some(home)) && self.open(Some(home), viewer),
+            Some(Reach::SameDataCentre) => viewer.is_none_or(|v| v == home),
+            None => true,
         }
     }
 
@@ -128,9 +135,20 @@
         }
     }
 
-    /// Waits until a viewer reaches an instance.
-    pub async fn wait_reach(&self, viewer: Site, home: usize, instance: &id::InstanceId) {
-        while !self.reaches(viewer, home, instance) {
+    /// Waits until bytes pass from a viewer to an instance, or back.
+    pub async fn wait_reach(
+        &self,
+        viewer: Site,
+        home: usize,
+        instance: &id::InstanceId,
+        direction: Direction,
+    ) {
+        let home_site = Some(home);
+        let (from, to) = match direction {
+            Direction::In => (viewer, home_site),
+            Direction::Out => (home_site, viewer),
+        };
+        while !(self.admits(viewer, home, instance) && self.open(from, to)) {
             compio::time::sleep(CUT_POLL).await;
         }
     }
