Relay between processes, and steer the stand-ins over HTTP

Cause: links between proxies need delays and cuts too, and stand-ins that run as a process of their own could not be given faults.

--- a/crates/standin/src/control.rs
+++ b/crates/standin/src/control.rs
@@ -1,5 +1,6 @@
 //! Faults and observations from outside the fleet's thread.
 
+use std::net::SocketAddr;
 use std::ops::ControlFlow;
 use std::time::{Duration, Instant};
 
@@ -10,6 +11,7 @@
 use crate::group::{self, Record, Server, Status};
 use crate::link::Reach;
 use crate::platform::{Counts, Fault, Vm};
+use crate::relay;
 
 /// Something to do on the fleet's thread; `Break` stops the fleet.
 pub(crate) type Command = Box<dyn FnOnce(&World) -> ControlFlow<()> + Send>;
@@ -157,6 +159,14 @@
         self.call(|world| world.net.heal())
     }
 
+    /// Opens a relay to a process, for links between processes of the fleet: a
+    /// connection through it is delayed and cut as its two data centres are.
+    pub fn relay(&self, target: SocketAddr) -> Done<SocketAddr> {
+        self.call(move |world| {
+            relay::open(&world.net, target).map_err(|e| ControlError::Listen(e.to_string()))
+        })?
+    }
+
     /// Sets what is wrong with the key-value service.
     pub fn store(&self, fault: Fault) -> Done<()> {
         self.call(move |world| world.platform.set_fault(fault))
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,11 +4,13 @@
 //! Tests and the demo embed a [`Fleet`]; it runs on a thread of its own and is
 //! steered through a [`Control`].
 
+pub mod admin;
 mod control;
 mod fleet;
 pub mod group;
 pub mod link;
 pub mod platform;
+mod relay;
 pub mod spec;
 
 pub use control::{Control, ControlError};
