Lend a backend server's connections under a majority's votes

Cause: 20 connections of a server must serve 6 to 9 proxies without ever being exceeded. Choosing the lender by rendezvous hash alone lets two proxies with different views lend the same pool; a key in the store would stop lending whenever the store is out. A lender therefore lends only while a majority of all possible proxies is bound to it, and after a change confirms loans at once but lends nothing new until older loans have lapsed. Floors need no lender. The new setting proxies bounds how many there can be.

--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -310,7 +310,11 @@
 
 fn check_settings(settings: &Settings, at: &[&str], findings: &mut Findings) {
     let mut add = |key, problem| findings.add(&[at, &[key]].concat(), problem);
-    for (key, value) in [("slots", settings.slots), ("queue", settings.queue)] {
+    for (key, value) in [
+        ("slots", settings.slots),
+        ("queue", settings.queue),
+        ("proxies", settings.proxies),
+    ] {
         if value == 0 {
             add(key, Problem::Zero);
         }
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -104,6 +104,9 @@
     slots: u32 = 3,
     /// Connections that a backend server accepts from the whole fleet.
     connections: u32 = 20,
+    /// Most proxies that are ever alive at once, replacements included. Each one's
+    /// guaranteed connections, and the majority that lends the rest, follow from it.
+    proxies: u32 = 9,
     /// When a write is acknowledged.
     acknowledge: Acknowledge = Acknowledge::Majority,
     /// Longest time a request may take when the caller states no deadline.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod queue;
 pub mod route;
 pub mod service;
+pub mod share;
 pub mod slots;
 pub mod status;
--- /dev/null
+++ b/crates/policy/src/share.rs
@@ -0,0 +1,162 @@
+//! Shares of a backend server's connections among the proxies.
+//!
+//! Each proxy may always hold a floor. The rest forms a pool, which one proxy,
+//! the lender, lends on demand for a limited time. Proxies may disagree on who
+//! the lender is, so being chosen is not enough: a lender lends only while a
+//! majority of all possible proxies has voted for it, and a proxy's vote is bound
+//! to one lender at a time.
+//!
+//! Clocks of different processes are never compared. Every promise is counted by
+//! its maker from a later moment than by its receiver:
+//!
+//! - a vote binds the voter from when it sent the vote; the lender counts it from
+//!   the stamp that the vote echoes, which the lender made before;
+//! - a loan counts at the lender from when it answered, and at the borrower from
+//!   when it sent the request.
+//!
+//! A lender that begins its reign confirms loans that borrowers hold already and
+//! lends nothing new until every loan of an earlier reign has lapsed.
+
+mod borrower;
+mod lender;
+
+pub use borrower::{Borrower, Demand};
+pub use lender::Lender;
+
+use model::id::{InstanceId, ProxyId};
+use model::unit::{Span, Time};
+
+/// Part of the loan's span that a borrower does not use, as a divisor. Failure:
+/// clocks run at slightly different speeds, or a process is paused between the
+/// check and the opening of a connection; it shows as one connection too many.
+/// A tenth of a 3 s loan covers drift by far and pauses of up to 300 ms.
+const MARGIN_DIVISOR: u64 = 10;
+
+/// Part of the loan's span for which a vote binds, as a divisor. With half of it,
+/// borrowers of a lost lender reach the next one before their loans lapse.
+const BOUND_DIVISOR: u64 = 2;
+
+/// Part of the loan's span between two requests, as a divisor. Two lost messages
+/// in a row cost neither vote nor loan.
+const INTERVAL_DIVISOR: u64 = 6;
+
+/// What all proxies know about one backend server's connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// Connections that the server accepts from the whole fleet.
+    pub connections: u32,
+    /// Most proxies that are ever alive at once.
+    pub proxies: u32,
+    /// How long a loan lasts.
+    pub loan: Span,
+}
+
+impl Terms {
+    /// Connections that each proxy may hold without asking.
+    ///
+    /// Half of the connections serve as floors: enough that the slots stay full
+    /// without a lender, and as much again can follow demand.
+    pub fn floor(&self) -> u32 {
+        let proxies = self.proxies.max(1);
+        let half = self.connections / 2 / proxies;
+        half.max(u32::from(self.connections >= proxies))
+    }
+
+    /// Connections that are lent.
+    pub fn pool(&self) -> u32 {
+        self.connections - self.floor() * self.proxies.max(1)
+    }
+
+    /// Votes that a lender needs.
+    pub fn quorum(&self) -> usize {
+        self.proxies as usize / 2 + 1
+    }
+
+    /// For how long a vote binds the voter.
+    pub fn bound(&self) -> Span {
+        Span::from_micros(self.loan.as_micros() / BOUND_DIVISOR)
+    }
+
+    /// Time between two requests of a borrower.
+    pub fn interval(&self) -> Span {
+        Span::from_micros(self.loan.as_micros() / INTERVAL_DIVISOR)
+    }
+}
+
+/// A moment on the lender's clock; only the lender can read it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Stamp(Time);
+
+/// Request of a borrower to the lender.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Ask {
+    /// The backend server.
+    pub instance: InstanceId,
+    /// Who asks; a restarted proxy is another one.
+    pub from: ProxyId,
+    /// Ascends with each request of one proxy.
+    pub seq: u64,
+    /// Newest stamp that the proxy got from this lender.
+    pub stamp: Option<Stamp>,
+    /// A vote: the proxy names no other lender for this long from when it sent this.
+    pub vote: Option<Span>,
+    /// Lent connections that the proxy would use.
+    pub want: u32,
+    /// Lent connections that it holds and will not exceed until answered.
+    pub keep: u32,
+    /// Lent connections that it cannot close now, being in use; at most `keep`.
+    pub busy: u32,
+    /// How long, from when this was sent, the loan behind `keep` is valid at least.
+    pub remaining: Span,
+}
+
+/// Answer of a lender.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Answer {
+    /// The backend server.
+    pub instance: InstanceId,
+    /// The request that is answered.
+    pub seq: u64,
+    /// To be echoed in the next vote.
+    pub stamp: Stamp,
+    /// The new loan; `None` while the lender has no majority, which changes nothing.
+    pub loan: Option<Loan>,
+}
+
+/// A loan, in place of the one before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Loan {
+    /// Lent connections that the borrower may hold.
+    pub amount: u32,
+    /// How long, from when the request was sent.
+    pub lasts: Span,
+    /// Whether proxies ask for more than the pool holds.
+    pub pressed: bool,
+}
+
+/// The lender that a proxy should ask: highest random weight over the live ones.
+pub fn choose<'a>(
+    instance: &InstanceId,
+    live: impl IntoIterator<Item = &'a ProxyId>,
+) -> Option<&'a ProxyId> {
+    let weight = |proxy: &&ProxyId| {
+        let both = [
+            instance.as_str().as_bytes(),
+            b"/",
+            proxy.as_str().as_bytes(),
+        ];
+        (fnv(&both.concat()), (*proxy).clone())
+    };
+    live.into_iter().max_by_key(weight)
+}
+
+/// FNV-1a with a final mix: equal in every build, unlike the standard hasher.
+fn fnv(bytes: &[u8]) -> u64 {
+    const BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0100_0000_01b3;
+    const MIX: u64 = 0xff51_afd7_ed55_8ccd;
+    let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(PRIME);
+    let hash = bytes.iter().fold(BASIS, step);
+    let hash = (hash ^ (hash >> 33)).wrapping_mul(MIX);
+    hash ^ (hash >> 33)
+}
--- /dev/null
+++ b/crates/policy/src/share/borrower.rs
@@ -0,0 +1,167 @@
+//! The side that asks: what this proxy may hold at one backend server.
+
+use model::id::{InstanceId, ProxyId};
+use model::unit::{Span, Time};
+
+use super::{Answer, Ask, MARGIN_DIVISOR, Stamp, Terms};
+
+/// What a proxy has and wants at one backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Demand {
+    /// Connections that it would use, floor included.
+    pub want: u32,
+    /// Connections that are open.
+    pub open: u32,
+    /// Connections that are in use.
+    pub busy: u32,
+}
+
+/// A vote that was sent.
+#[derive(Clone, Debug)]
+struct Bound {
+    lender: ProxyId,
+    until: Time,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Held {
+    amount: u32,
+    until: Time,
+}
+
+/// What this proxy may hold at one backend server.
+///
+/// Invariant: `held` never exceeds what some lender has recorded for this proxy.
+#[derive(Clone, Debug)]
+pub struct Borrower {
+    instance: InstanceId,
+    me: ProxyId,
+    terms: Terms,
+    started: Time,
+    seq: u64,
+    sent: Time,
+    asked: Option<ProxyId>,
+    stamp: Option<(ProxyId, Stamp)>,
+    bound: Option<Bound>,
+    held: Held,
+    pressed: bool,
+}
+
+impl Borrower {
+    /// A proxy that has just started and holds nothing.
+    pub fn new(instance: InstanceId, me: ProxyId, terms: Terms, now: Time) -> Self {
+        Self {
+            instance,
+            me,
+            terms,
+            started: now,
+            seq: 0,
+            sent: now,
+            asked: None,
+            stamp: None,
+            bound: None,
+            held: Held::default(),
+            pressed: false,
+        }
+    }
+
+    /// Connections that may be open at `now`.
+    pub fn allowed(&self, now: Time) -> u32 {
+        self.terms.floor() + self.lent(now)
+    }
+
+    fn lent(&self, now: Time) -> u32 {
+        if now < self.held.until {
+            self.held.amount
+        } else {
+            0
+        }
+    }
+
+    /// When what may be open falls by itself, unless a loan is renewed before.
+    pub fn lapses(&self) -> Time {
+        self.held.until
+    }
+
+    /// Whether others want more than there is, so that idle connections are
+    /// better lent on than kept warm.
+    pub fn pressed(&self) -> bool {
+        self.pressed
+    }
+
+    /// Takes over changed terms.
+    pub fn set_terms(&mut self, terms: Terms) {
+        self.terms = terms;
+    }
+
+    /// The next request, to be sent to `lender` now.
+    pub fn ask(&mut self, lender: &ProxyId, demand: Demand, now: Time) -> Ask {
+        let floor = self.terms.floor();
+        let want = demand.want.saturating_sub(floor);
+        let open = demand.open.saturating_sub(floor);
+        let lent = self.lent(now);
+        // The promise in `keep` holds from this moment on, so the loan shrinks now.
+        let keep = want.max(open).min(lent);
+        self.held.amount = keep;
+        self.seq += 1;
+        self.sent = now;
+        self.asked = Some(lender.clone());
+        Ask {
+            instance: self.instance.clone(),
+            from: self.me.clone(),
+            seq: self.seq,
+            stamp: self.stamp_of(lender),
+            vote: self.vote(lender, now),
+            want,
+            keep,
+            busy: demand.busy.saturating_sub(floor).min(keep),
+            remaining: self.held.until.since(now),
+        }
+    }
+
+    /// The vote for `lender`, unless one is still bound elsewhere.
+    ///
+    /// Failure: a proxy restarts and has forgotten its vote; it would then help two
+    /// lenders to a majority at once. It does not vote until a vote of the process
+    /// before it must have lapsed.
+    fn vote(&mut self, lender: &ProxyId, now: Time) -> Option<Span> {
+        let bound = self.terms.bound();
+        if now < self.started + bound {
+            return None;
+        }
+        let elsewhere = |b: &Bound| b.lender != *lender && now < b.until;
+        if self.bound.as_ref().is_some_and(elsewhere) {
+            return None;
+        }
+        let until = now + bound;
+        let until = self.bound.as_ref().map_or(until, |b| b.until.max(until));
+        self.bound = Some(Bound {
+            lender: lender.clone(),
+            until,
+        });
+        Some(bound)
+    }
+
+    fn stamp_of(&self, lender: &ProxyId) -> Option<Stamp> {
+        let (from, stamp) = self.stamp.as_ref()?;
+        (from == lender).then_some(*stamp)
+    }
+
+    /// Takes an answer of `from`; older answers than to the last request are void,
+    /// because the promise in that request replaced them.
+    pub fn answered(&mut self, from: &ProxyId, answer: &Answer) {
+        if answer.seq != self.seq || self.asked.as_ref() != Some(from) {
+            return;
+        }
+        self.stamp = Some((from.clone(), answer.stamp));
+        if let Some(loan) = answer.loan {
+            let margin = loan.lasts.as_micros() / MARGIN_DIVISOR;
+            let usable = Span::from_micros(loan.lasts.as_micros() - margin);
+            self.held = Held {
+                amount: loan.amount,
+                until: self.sent + usable,
+            };
+            self.pressed = loan.pressed;
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/share/lender.rs
@@ -0,0 +1,170 @@
+//! The side that lends the pool of one backend server.
+
+use indexmap::IndexMap;
+use model::id::{InstanceId, ProxyId};
+use model::unit::{Span, Time};
+
+use super::{Answer, Ask, Loan, Stamp, Terms};
+
+/// What one borrower may hold at most, as far as this reign knows.
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    seq: u64,
+    amount: u32,
+    want: u32,
+    until: Time,
+}
+
+/// Lends the pool of one backend server while a majority votes for it.
+///
+/// Invariant: during a reign the unexpired records add up to the pool at most.
+#[derive(Clone, Debug)]
+pub struct Lender {
+    instance: InstanceId,
+    terms: Terms,
+    /// The longest loan that any lender may still have outstanding.
+    longest: Span,
+    votes: IndexMap<ProxyId, Time>,
+    /// Since when the majority has held without a gap.
+    reign: Option<Time>,
+    records: IndexMap<ProxyId, Record>,
+}
+
+impl Lender {
+    /// A lender without votes.
+    pub fn new(instance: InstanceId, terms: Terms) -> Self {
+        Self {
+            instance,
+            terms,
+            longest: terms.loan,
+            votes: IndexMap::new(),
+            reign: None,
+            records: IndexMap::new(),
+        }
+    }
+
+    /// Takes over changed terms.
+    pub fn set_terms(&mut self, terms: Terms) {
+        self.longest = self.longest.max(terms.loan);
+        self.terms = terms;
+    }
+
+    /// Whether a majority votes for this lender.
+    pub fn reigns(&self, now: Time) -> bool {
+        let valid = self.votes.values().filter(|until| now < **until);
+        valid.count() >= self.terms.quorum()
+    }
+
+    /// Answers a request; `None` for one that came late or twice.
+    pub fn ask(&mut self, ask: &Ask, now: Time) -> Option<Answer> {
+        let known = self.records.get(&ask.from);
+        if known.is_some_and(|r| ask.seq <= r.seq) {
+            return None;
+        }
+        self.count(ask, now);
+        let loan = self.reign.and_then(|since| self.lend(ask, since, now));
+        Some(Answer {
+            instance: self.instance.clone(),
+            seq: ask.seq,
+            stamp: Stamp(now),
+            loan,
+        })
+    }
+
+    /// Counts a vote and notices the end or the beginning of a reign.
+    ///
+    /// Failure: this lender lost its majority, another one lent the same pool, and
+    /// the majority came back. What was recorded before the gap says nothing about
+    /// the loans of the other, so a new reign starts without records.
+    fn count(&mut self, ask: &Ask, now: Time) {
+        if !self.reigns(now) {
+            self.reign = None;
+            self.records.clear();
+        }
+        self.votes.retain(|_, until| now < *until);
+        if let (Some(Stamp(stamped)), Some(bound)) = (ask.stamp, ask.vote) {
+            let until = stamped + bound;
+            if now < until {
+                self.votes.insert(ask.from.clone(), until);
+            }
+        }
+        if self.reign.is_none() && self.reigns(now) {
+            self.reign = Some(now);
+        }
+    }
+
+    fn lend(&mut self, ask: &Ask, since: Time, now: Time) -> Option<Loan> {
+        self.records.retain(|_, r| now < r.until);
+        let settled = now >= since + self.longest;
+        let kept = self.kept(ask, settled, now);
+        if !settled && kept == 0 {
+            return None;
+        }
+        let amount = if settled {
+            self.amount(ask, kept)
+        } else {
+            kept
+        };
+        let record = Record {
+            seq: ask.seq,
+            amount: amount.max(kept),
+            want: ask.want,
+            until: now + self.terms.loan,
+        };
+        self.records.insert(ask.from.clone(), record);
+        let wanted: u32 = self.records.values().map(|r| r.want).sum();
+        Some(Loan {
+            amount,
+            lasts: self.terms.loan,
+            pressed: wanted > self.terms.pool(),
+        })
+    }
+
+    fn amount(&self, ask: &Ask, kept: u32) -> u32 {
+        let others: u32 = self.others(&ask.from).map(|r| r.amount).sum();
+        let free = self.terms.pool().saturating_sub(others);
+        let part = ask.want.min(self.fair_part(ask));
+        part.max(ask.busy.min(kept)).min(free)
+    }
+
+    /// What the borrower holds for certain with right.
+    ///
+    /// Failure: a request is delayed until the loan that it speaks of has lapsed
+    /// and was given to another. Counted from the echoed stamp, which was made
+    /// before the request was sent, the loan must still be valid now.
+    fn kept(&self, ask: &Ask, settled: bool, now: Time) -> u32 {
+        if let Some(record) = self.records.get(&ask.from) {
+            return record.amount.min(ask.keep);
+        }
+        let valid = |Stamp(stamped)| now < stamped + ask.remaining;
+        if !settled && ask.stamp.is_some_and(valid) {
+            ask.keep
+        } else {
+            0
+        }
+    }
+
+    fn others<'a>(&'a self, asking: &'a ProxyId) -> impl Iterator<Item = &'a Record> {
+        let others = self.records.iter().filter(move |(id, _)| *id != asking);
+        others.map(|(_, r)| r)
+    }
+
+    /// The asking proxy's part of the pool: equal parts, where those that want
+    /// less than theirs leave the rest to the others.
+    fn fair_part(&self, ask: &Ask) -> u32 {
+        let mut wants: Vec<u32> = self.others(&ask.from).map(|r| r.want).collect();
+        wants.push(ask.want);
+        wants.sort_unstable();
+        let mut left = self.terms.pool();
+        let mut part = left;
+        for (at, want) in wants.iter().enumerate() {
+            let sharing = (wants.len() - at) as u32;
+            part = left.div_ceil(sharing);
+            if *want >= part {
+                return part;
+            }
+            left -= want;
+        }
+        part.max(ask.want)
+    }
+}
