--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -2,4 +2,6 @@
 
 pub mod cli;
 pub mod client;
+pub mod ledger;
 pub mod report;
+pub mod workload;
