Decide changes of primary, confirmations and reads of a group

Nothing but proxies orders a promotion, so each proxy holds a controller per group that takes one event at a time and gives out actions. Writes are confirmed once a majority holds them under one term. Reads go to instances that are proven fresh: by the token's point, by age, or by a majority seen since the read arrived.

--- /dev/null
+++ b/crates/policy/src/confirm.rs
@@ -0,0 +1,127 @@
+//! Confirmation of writes: a write counts once a majority holds it under one term.
+
+use indexmap::IndexMap;
+use model::id::InstanceId;
+use model::position::{Point, Position, Term};
+use model::unit::Time;
+
+use crate::message::Ticket;
+use crate::route::Unconfirmed;
+use crate::status::Status;
+
+/// A write that waits for its majority.
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    ticket: Ticket,
+    position: Position,
+    deadline: Time,
+}
+
+/// Outcome of a confirmation.
+pub type Outcome = (Ticket, Result<(), Unconfirmed>);
+
+/// Confirmations of one group under its newest term.
+///
+/// Invariant: `held` only has positions of `term`, each proven by a status that showed no
+/// later promise. A proof never expires: a fence that comes later finds the record.
+#[derive(Clone, Debug, Default)]
+pub struct Confirm {
+    term: Term,
+    held: IndexMap<InstanceId, Position>,
+    pending: Vec<Pending>,
+}
+
+impl Confirm {
+    /// Moves to a newer term; writes of the older one are given up as unknown.
+    ///
+    /// They may have survived the promotion, but they ran on a primary that is replaced,
+    /// and such a one must never get a write acknowledged.
+    pub fn begin(&mut self, term: Term) -> Vec<Outcome> {
+        if term <= self.term {
+            return Vec::new();
+        }
+        self.term = term;
+        self.held.clear();
+        let replaced = std::mem::take(&mut self.pending);
+        replaced
+            .into_iter()
+            .map(|p| (p.ticket, Err(Unconfirmed::Replaced)))
+            .collect()
+    }
+
+    /// Takes in a write that ran on `primary`; its commit proves that the primary holds it.
+    pub fn add(
+        &mut self,
+        ticket: Ticket,
+        point: Point,
+        primary: &InstanceId,
+        deadline: Time,
+    ) -> Result<(), Unconfirmed> {
+        if point.term < self.term {
+            return Err(Unconfirmed::Replaced);
+        }
+        if point.term > self.term {
+            return Err(Unconfirmed::OtherTerm);
+        }
+        self.raise(primary, point.position);
+        self.pending.push(Pending {
+            ticket,
+            position: point.position,
+            deadline,
+        });
+        Ok(())
+    }
+
+    /// Takes in a status of an instance.
+    pub fn observe(&mut self, instance: &InstanceId, status: &Status) {
+        let end = status.end();
+        if end.term == self.term && status.holds(end) {
+            self.raise(instance, end.position);
+        }
+    }
+
+    fn raise(&mut self, instance: &InstanceId, position: Position) {
+        let held = self.held.entry(instance.clone()).or_default();
+        *held = (*held).max(position);
+    }
+
+    /// Answers the writes that `majority` instances hold, and those whose time is up.
+    pub fn settle(&mut self, now: Time, majority: usize) -> Vec<Outcome> {
+        let safe = self.safe(majority);
+        let mut out = Vec::new();
+        self.pending.retain(|p| {
+            let result = if safe.is_some_and(|s| p.position <= s) {
+                Ok(())
+            } else if now >= p.deadline {
+                Err(Unconfirmed::Deadline)
+            } else {
+                return true;
+            };
+            out.push((p.ticket, result));
+            false
+        });
+        out
+    }
+
+    /// Last position of the term that a majority holds.
+    pub fn safe(&self, majority: usize) -> Option<Position> {
+        let mut held: Vec<_> = self.held.values().copied().collect();
+        held.sort_unstable_by(|a, b| b.cmp(a));
+        held.get(majority.checked_sub(1)?).copied()
+    }
+
+    /// The lowest pending position that `instance` is not known to hold beyond `after`.
+    ///
+    /// One waiting question serves every commit up to the position that it returns.
+    pub fn wanted(&self, instance: &InstanceId, after: Position) -> Option<Position> {
+        let held = self.held.get(instance).copied().unwrap_or_default();
+        let floor = held.max(after);
+        let wanted = self.pending.iter().map(|p| p.position);
+        wanted.filter(|p| *p > floor).min()
+    }
+
+    /// When the next pending write's time is up.
+    pub fn next_deadline(&self) -> Option<Time> {
+        self.pending.iter().map(|p| p.deadline).min()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/node.rs
@@ -0,0 +1,122 @@
+//! The whole decision side of one proxy: a controller for each group, driven by one call.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use model::config::Fleet;
+use model::id::GroupId;
+use model::unit::Time;
+
+use crate::group::Group;
+use crate::message::{Action, Event, Peer};
+use crate::spec::{Me, Spec};
+
+/// An input of the node.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// Time passed.
+    Tick,
+    /// The configuration in force.
+    Configure(Arc<Fleet>),
+    /// The live proxies.
+    Peers(Vec<Peer>),
+    /// Something that concerns one group.
+    Group(GroupId, Event),
+}
+
+/// An output of the node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Output {
+    /// The group that it concerns.
+    pub group: GroupId,
+    /// What is to be done.
+    pub action: Action,
+}
+
+/// Every controller of one proxy.
+#[derive(Debug)]
+pub struct Node {
+    me: Me,
+    seed: u64,
+    groups: IndexMap<GroupId, Group>,
+    live: Vec<Peer>,
+}
+
+impl Node {
+    /// A node without groups; `seed` is the only source of randomness.
+    pub fn new(me: Me, seed: u64) -> Self {
+        Self {
+            me,
+            seed,
+            groups: IndexMap::new(),
+            live: Vec::new(),
+        }
+    }
+
+    /// Takes in one input and gives out what follows from it.
+    pub fn step(&mut self, now: Time, input: Input) -> Vec<Output> {
+        match input {
+            Input::Tick => self.each(now, &Event::Tick),
+            Input::Configure(fleet) => self.configure(now, &fleet),
+            Input::Peers(live) => {
+                self.live.clone_from(&live);
+                self.each(now, &Event::Peers(live))
+            }
+            Input::Group(group, event) => match self.groups.get_mut(&group) {
+                Some(controller) => outputs(&group, controller.step(now, event)),
+                None => Vec::new(),
+            },
+        }
+    }
+
+    /// The controller of a group.
+    pub fn group(&self, group: &GroupId) -> Option<&Group> {
+        self.groups.get(group)
+    }
+
+    fn each(&mut self, now: Time, event: &Event) -> Vec<Output> {
+        let mut out = Vec::new();
+        for (id, group) in &mut self.groups {
+            out.extend(outputs(id, group.step(now, event.clone())));
+        }
+        out
+    }
+
+    fn configure(&mut self, now: Time, fleet: &Fleet) -> Vec<Output> {
+        self.groups.retain(|id, _| fleet.groups.contains_key(id));
+        let mut out = Vec::new();
+        for id in fleet.groups.keys() {
+            let Some(spec) = Spec::new(fleet, id) else {
+                continue;
+            };
+            match self.groups.get_mut(id) {
+                Some(group) => {
+                    let event = Event::Configure(Box::new(spec));
+                    out.extend(outputs(id, group.step(now, event)));
+                }
+                None => out.extend(self.begin(now, spec)),
+            }
+        }
+        out
+    }
+
+    fn begin(&mut self, now: Time, spec: Spec) -> Vec<Output> {
+        let id = spec.group.clone();
+        self.seed = self
+            .seed
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        let mut group = Group::new(now, self.me.clone(), spec, self.seed);
+        let out = outputs(&id, group.step(now, Event::Peers(self.live.clone())));
+        self.groups.insert(id, group);
+        out
+    }
+}
+
+fn outputs(group: &GroupId, actions: Vec<Action>) -> Vec<Output> {
+    let output = |action| Output {
+        group: group.clone(),
+        action,
+    };
+    actions.into_iter().map(output).collect()
+}
--- /dev/null
+++ b/crates/policy/src/read.rs
@@ -0,0 +1,216 @@
+//! Choice of the instance that serves a read.
+//!
+//! Load: nine reads of ten are lookups, a primary has three slots which writes need, and
+//! bytes between regions are paid for and share a narrow link. So a replica that is
+//! proven fresh goes first, the nearest and least loaded one of them, and the primary
+//! serves what no replica may answer yet.
+
+use indexmap::IndexMap;
+use model::id::InstanceId;
+use model::place::{Distance, Place};
+use model::position::{Coverage, Point, Term};
+use model::unit::{Span, Time};
+
+use crate::fresh::Freshness;
+use crate::route::ReadNeed;
+use crate::spec::{Member, Spec};
+use crate::status::{Observed, Role};
+
+/// Weight of the newest latency in the moving average, as a divisor.
+const SMOOTHING: u64 = 8;
+
+/// Cost added to the primary, in microseconds: one write's time in its slots (some 5 ms),
+/// which a read there delays, so that replicas queue up to that much before it is used.
+const PRIMARY_COST: u64 = 5_000;
+
+/// Cost added to a far region, in microseconds. One answer of 1 KB takes 0.3 ms of the
+/// 30 Mbit/s link that all traffic shares, and is paid for; 50 ms keep reads within the
+/// region until its instances are more than ten statements behind.
+const FAR_COST: u64 = 50_000;
+
+/// How an instance serves this proxy's requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Load {
+    /// Requests routed to it that have not ended.
+    pub outstanding: u32,
+    /// Moving average of a request's time, in microseconds.
+    latency: Option<u64>,
+}
+
+impl Load {
+    /// Takes in a request that ended.
+    pub fn finish(&mut self, took: Span) {
+        self.outstanding = self.outstanding.saturating_sub(1);
+        let us = took.as_micros();
+        let old = self.latency.unwrap_or(us);
+        self.latency = Some((old * (SMOOTHING - 1) + us) / SMOOTHING);
+    }
+
+    /// Takes in a request that failed.
+    pub fn fail(&mut self) {
+        self.outstanding = self.outstanding.saturating_sub(1);
+    }
+}
+
+/// Choice for one read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Pick {
+    /// Run it here; the answer covers the point.
+    Go(InstanceId, Point),
+    /// No instance is fresh enough yet.
+    Wait,
+    /// A promotion discarded the session's point.
+    Forked(Point),
+}
+
+/// What a choice rests on.
+pub struct Choice<'a> {
+    /// The present.
+    pub now: Time,
+    /// When the read arrived.
+    pub arrived: Time,
+    /// What it must see.
+    pub need: ReadNeed,
+    /// Where this proxy runs.
+    pub here: &'a Place,
+    /// The group.
+    pub spec: &'a Spec,
+    /// Newest term with a known primary.
+    pub term: Term,
+    /// The primary, unless it is in doubt.
+    pub primary: Option<&'a InstanceId>,
+    /// Newest observation of each instance that answers.
+    pub seen: &'a IndexMap<InstanceId, Observed>,
+    /// Loads of the instances.
+    pub loads: &'a IndexMap<InstanceId, Load>,
+    /// Proofs of freshness.
+    pub fresh: &'a Freshness,
+}
+
+impl Choice<'_> {
+    /// Chooses.
+    pub fn pick(&self) -> Pick {
+        if let Some(point) = self.forked() {
+            return Pick::Forked(point);
+        }
+        let mut best: Option<(u64, &InstanceId, Point)> = None;
+        let mut primary = None;
+        for (id, member) in &self.spec.members {
+            let Some(point) = self.covered(id, member) else {
+                continue;
+            };
+            let cost = self.cost(id, member);
+            if self.primary == Some(id) {
+                primary = Some((id, point));
+            }
+            if best.is_none_or(|(c, ..)| cost < c) {
+                best = Some((cost, id, point));
+            }
+        }
+        match (best, primary) {
+            (Some((_, id, _)), Some((p, _))) if id == p && self.worth_waiting() => Pick::Wait,
+            (Some((_, id, point)), _) => Pick::Go(id.clone(), point),
+            (None, _) => Pick::Wait,
+        }
+    }
+
+    /// Only the newest primary's log tells that a point is gone: an older log may merely
+    /// not have the record yet, or still hold what was discarded.
+    fn forked(&self) -> Option<Point> {
+        let point = self.need.point?;
+        let newest = |o: &&Observed| o.status.term() == self.term && o.status.fenced <= self.term;
+        let mut newest = self.seen.values().filter(newest);
+        let gone = newest.any(|o| o.status.shows(point) == Coverage::Forked);
+        gone.then_some(point)
+    }
+
+    /// The point that an answer of the instance is certain to cover, if it will do.
+    fn covered(&self, id: &InstanceId, member: &Member) -> Option<Point> {
+        let leads = self.primary == Some(id);
+        let seen = self.seen.get(id)?;
+        // An instance that believes to lead but does not may hold records that were never
+        // acknowledged and will be discarded.
+        let usurper = seen.status.role == Role::Primary && !leads;
+        if usurper || (member.leaving && !leads) {
+            return None;
+        }
+        let known = self.need.point.unwrap_or_default();
+        if !self.shows(id, seen, known) {
+            return None;
+        }
+        match (self.need.max_age, self.need.point) {
+            (None, Some(point)) => Some(point),
+            (Some(age), _) if self.young(seen, age) => Some(known),
+            _ => self.barrier(seen).map(|b| b.max(known)),
+        }
+    }
+
+    /// The primary always shows its own term's commits, also those after its last status.
+    fn shows(&self, id: &InstanceId, seen: &Observed, point: Point) -> bool {
+        let own = self.primary == Some(id) && point.term == self.term;
+        own || seen.status.shows(point) == Coverage::Held
+    }
+
+    fn young(&self, seen: &Observed, age: Span) -> bool {
+        let shown = self.fresh.age(self.now, &seen.status);
+        shown.is_some_and(|a| a <= age)
+    }
+
+    /// Without a point the read must see all that was acknowledged before it arrived: a
+    /// majority must have been seen since then without a later promise.
+    fn barrier(&self, seen: &Observed) -> Option<Point> {
+        let newest = self.fresh.newest()?;
+        let proven = newest.since >= self.arrived;
+        let shown = seen.status.shows(newest.point) == Coverage::Held;
+        (proven && shown).then_some(newest.point)
+    }
+
+    /// Expected time until the answer, in microseconds, with the prices of the primary's
+    /// slots and of the link between regions.
+    fn cost(&self, id: &InstanceId, member: &Member) -> u64 {
+        let load = self.loads.get(id).copied().unwrap_or_default();
+        let (assumed, price) = match self.here.distance(&member.place) {
+            Distance::SameDataCentre => (1_000, 0),
+            Distance::SameRegion => (3_000, 0),
+            Distance::FarRegion => (42_000, FAR_COST),
+        };
+        let latency = load.latency.unwrap_or(assumed);
+        let slots = u64::from(self.spec.settings.slots.max(1));
+        let queued = latency * u64::from(load.outstanding) / slots;
+        let primary = if self.primary == Some(id) {
+            PRIMARY_COST
+        } else {
+            0
+        };
+        latency + queued + price + primary
+    }
+
+    /// Whether to wait for a replica although the primary could answer: a near replica is
+    /// expected to catch up within the setting, sooner than the primary would answer.
+    fn worth_waiting(&self) -> bool {
+        let limit = self.spec.settings.read_wait;
+        if self.now.since(self.arrived) >= limit {
+            return false;
+        }
+        let Some((id, member)) = self
+            .primary
+            .and_then(|p| self.spec.members.get_key_value(p))
+        else {
+            return true;
+        };
+        let cost = Span::from_micros(self.cost(id, member));
+        let near = |m: &Member| self.here.distance(&m.place) != Distance::FarRegion;
+        let mut lags = self
+            .spec
+            .members
+            .iter()
+            .filter(|(other, m)| *other != id && near(m) && !m.leaving);
+        lags.any(|(other, _)| {
+            let lag = self
+                .seen
+                .get(other)
+                .and_then(|o| self.fresh.age(self.now, &o.status));
+            lag.is_some_and(|l| l <= limit.min(cost))
+        })
+    }
+}
--- a/crates/policy/src/status.rs
+++ b/crates/policy/src/status.rs
@@ -47,7 +47,7 @@
 
     /// Whether the instance leads its own term and has promised no later one.
     pub fn leads(&self) -> bool {
-        self.role == Role::Primary && self.fenced == self.term()
+        self.role == Role::Primary && self.fenced <= self.term()
     }
 
     /// Whether this counts towards the acknowledgement of `point`.
