Prove the group controllers by stories and a state machine

Four proxies' controllers run against small fakes of the instances, the store and the network, with at most two faults at once (loss, doubling, delay, reordering, freezes, kills, cuts, store outage, lost answers). The oracle knows only what callers were told.

--- /dev/null
+++ b/crates/policy/tests/failover/fake/fault.rs
@@ -0,0 +1,98 @@
+//! Faults that begin and end.
+
+use super::{SITES, World};
+
+/// A fault as it is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// The process of an instance is gone; its log is kept.
+    Down(usize),
+    /// An instance does nothing, and goes on later where it stopped.
+    Freeze(usize),
+    /// A data centre reaches no other.
+    Isolate(usize),
+    /// Two data centres do not reach each other.
+    Cut(usize, usize),
+    /// The same for whichever instance leads when the fault begins.
+    DownLeader,
+    FreezeLeader,
+    IsolateLeader,
+    /// A proxy does nothing, and then takes in at once all that came meanwhile.
+    Pause(usize),
+    /// A proxy is gone, and a new one takes its place in the end.
+    Kill(usize),
+    /// The store takes no request.
+    StoreDown,
+    /// Percent of the store's answers that are lost after taking effect.
+    LoseAnswers(u32),
+    /// Percent of messages that are lost, and doubled.
+    Loss(u32),
+    /// Milliseconds by which messages are delayed and reordered.
+    Jitter(u64),
+    /// Records that a replica takes in a tick, at most.
+    Copy(u64),
+}
+
+impl World {
+    /// Begins a fault. One that meets the leader stays with that instance.
+    pub(crate) fn begin(&mut self, fault: Fault) {
+        let leader = self.leader();
+        let fault = match fault {
+            Fault::DownLeader => Fault::Down(leader),
+            Fault::FreezeLeader => Fault::Freeze(leader),
+            Fault::IsolateLeader => Fault::Isolate(leader),
+            fault => fault,
+        };
+        self.faults.push(fault);
+        self.put_in_force();
+        if let Fault::Kill(at) = fault {
+            self.kill_proxy(at);
+        }
+    }
+
+    pub(crate) fn end_oldest(&mut self) {
+        if !self.faults.is_empty() {
+            self.faults.remove(0);
+            self.put_in_force();
+        }
+    }
+
+    pub(crate) fn end_all(&mut self) {
+        self.faults.clear();
+        self.put_in_force();
+    }
+
+    /// Makes the world as faulty as the list of faults says.
+    fn put_in_force(&mut self) {
+        let has = |fault| self.faults.contains(&fault);
+        let up: Vec<_> = (0..SITES).map(|at| !has(Fault::Down(at))).collect();
+        let frozen: Vec<_> = (0..SITES).map(|at| has(Fault::Freeze(at))).collect();
+        for (at, instance) in self.instances.iter_mut().enumerate() {
+            (instance.up, instance.frozen) = (up[at], frozen[at]);
+        }
+        self.store.down = self.faults.contains(&Fault::StoreDown);
+        (self.store.lose, self.loss, self.jitter, self.copy) = (0, 0, 2, 8);
+        self.cuts.clear();
+        for fault in self.faults.clone() {
+            match fault {
+                Fault::Isolate(site) => self.isolate(site),
+                Fault::Cut(a, b) => self.cut(a, b),
+                Fault::LoseAnswers(percent) => self.store.lose = percent,
+                Fault::Loss(percent) => self.loss = percent,
+                Fault::Jitter(ms) => self.jitter = ms,
+                Fault::Copy(most) => self.copy = most,
+                _ => {}
+            }
+        }
+        for at in 0..self.proxies.len() {
+            let paused = self.faults.contains(&Fault::Pause(at));
+            if self.proxies[at].paused && !paused {
+                self.resume_proxy(at);
+            }
+            self.proxies[at].paused = paused;
+            if !self.proxies[at].alive && !self.faults.contains(&Fault::Kill(at)) {
+                self.start_proxy(at);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/failover/fake/mod.rs
@@ -0,0 +1,292 @@
+//! Small fakes of a database group, the store and the network, around real controllers.
+//!
+//! One step of [`World`] moves time by [`TICK`], delivers what is due and ticks every
+//! proxy. Everything random comes from one seed.
+
+pub(crate) mod caller;
+pub(crate) mod fault;
+pub(crate) mod instance;
+pub(crate) mod oracle;
+pub(crate) mod proxy;
+pub(crate) mod store;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use model::config::{Fleet, Group, Instance as Declared};
+use model::id::{GroupId, InstanceId};
+use model::settings::{Acknowledge, Settings};
+use model::unit::{Span, Time};
+use policy::message::{Ask, PeerView, Query, StoreAnswer, StoreAsk};
+use policy::route::Failure;
+use policy::status::{Role, Status};
+use rand::rngs::SmallRng;
+use rand::{Rng as _, SeedableRng as _};
+
+use caller::{Exec, Executed, Marks};
+use fault::Fault;
+use instance::Instance;
+use oracle::Oracle;
+use proxy::Proxy;
+use store::Store;
+
+/// Time of one step of the world.
+pub(crate) const TICK: Span = Span::from_millis(2);
+
+/// Interval at which a proxy's controllers are stepped without an event.
+const PROXY_TICK: Span = Span::from_millis(10);
+
+/// Data centre of the store; the first primary is in another.
+pub(crate) const STORE_SITE: usize = 1;
+
+/// Data centres; the first two share a region.
+pub(crate) const SITES: usize = 3;
+
+/// Who a proxy process is: its place in the list and which start of it.
+pub(crate) type Who = (usize, u64);
+
+/// A message on its way.
+#[derive(Clone, Debug)]
+pub(crate) enum Message {
+    Ask(Who, Query, usize, Ask),
+    Answer(Who, Query, Result<Status, Failure>),
+    StoreAsk(Who, Query, StoreAsk),
+    StoreAnswer(Who, Query, StoreAnswer),
+    View(usize, PeerView),
+    Exec(Exec),
+    Executed(Executed),
+}
+
+#[derive(Clone, Debug)]
+struct Flight {
+    due: Time,
+    from: usize,
+    to: usize,
+    message: Message,
+}
+
+/// The whole of it.
+pub(crate) struct World {
+    pub(crate) now: Time,
+    pub(crate) rng: SmallRng,
+    pub(crate) group: GroupId,
+    pub(crate) fleet: Arc<Fleet>,
+    pub(crate) instances: Vec<Instance>,
+    pub(crate) proxies: Vec<Proxy>,
+    pub(crate) store: Store,
+    pub(crate) oracle: Oracle,
+    pub(crate) faults: Vec<Fault>,
+    /// Pairs of sites that do not reach each other.
+    pub(crate) cuts: BTreeSet<(usize, usize)>,
+    /// Percent of messages that are lost, and as many that are doubled.
+    pub(crate) loss: u32,
+    /// Most extra delay of a message, in milliseconds; it reorders them.
+    pub(crate) jitter: u64,
+    /// Records that a replica takes in one tick, at most; 0 stops replication.
+    pub(crate) copy: u64,
+    flights: Vec<Flight>,
+}
+
+pub(crate) fn instance_id(at: usize) -> InstanceId {
+    format!("i{at}").parse().unwrap()
+}
+
+fn fleet(acknowledge: Acknowledge) -> Fleet {
+    let centres = [("d0", "near"), ("d1", "near"), ("d2", "far")];
+    let centres = centres.map(|(d, r)| (d.parse().unwrap(), r.parse().unwrap()));
+    let declared = |at: usize| {
+        let instance = Declared {
+            address: format!("127.0.{at}.1:5432").parse().unwrap(),
+            data_centre: format!("d{at}").parse().unwrap(),
+            leaving: false,
+        };
+        (instance_id(at), instance)
+    };
+    let group = Group {
+        instances: (0..SITES).map(declared).collect(),
+        database: "g".into(),
+        user: "g".into(),
+        password: None,
+    };
+    Fleet {
+        data_centres: centres.into_iter().collect(),
+        groups: [("g".parse().unwrap(), group)].into_iter().collect(),
+        defaults: Settings {
+            acknowledge,
+            ..Settings::default()
+        },
+        ..Fleet::default()
+    }
+}
+
+impl World {
+    /// A healthy fleet of `proxies` proxies, after it has settled.
+    pub(crate) fn new(seed: u64, proxies: usize, acknowledge: Acknowledge) -> Self {
+        let mut world = Self {
+            now: Time::from_millis(1),
+            rng: SmallRng::seed_from_u64(seed),
+            group: "g".parse().unwrap(),
+            fleet: Arc::new(fleet(acknowledge)),
+            instances: (0..SITES).map(Instance::new).collect(),
+            proxies: Vec::new(),
+            store: Store::default(),
+            oracle: Oracle::default(),
+            faults: Vec::new(),
+            cuts: BTreeSet::new(),
+            loss: 0,
+            jitter: 2,
+            copy: 8,
+            flights: Vec::new(),
+        };
+        for at in 0..proxies {
+            world.start_proxy(at);
+        }
+        world.run(300);
+        world
+    }
+
+    /// Lets `ms` milliseconds pass.
+    pub(crate) fn run(&mut self, ms: u64) {
+        let end = self.now + Span::from_millis(ms);
+        while self.now < end {
+            self.now = self.now + TICK;
+            self.deliver();
+            self.replicate();
+            if self.now.as_micros() % PROXY_TICK.as_micros() < TICK.as_micros() {
+                self.tick_proxies();
+            }
+        }
+    }
+
+    /// Lets `ms` milliseconds pass while callers write and read through every proxy.
+    pub(crate) fn traffic(&mut self, ms: u64) {
+        let end = self.now + Span::from_millis(ms);
+        while self.now < end {
+            let proxy = self.rng.random_range(0..self.proxies.len());
+            let session = self.rng.random_range(0..3);
+            match self.rng.random_range(0..5) {
+                0 | 1 => {
+                    self.write(proxy, session);
+                }
+                2 => self.read(proxy, session, Marks::Token),
+                3 => self.read(proxy, session, Marks::Nothing),
+                _ => self.read(proxy, session, Marks::Age(500)),
+            }
+            self.run(20);
+        }
+    }
+
+    pub(crate) fn cut(&mut self, a: usize, b: usize) {
+        self.cuts.insert((a.min(b), a.max(b)));
+    }
+
+    /// Cuts a data centre off from all others.
+    pub(crate) fn isolate(&mut self, site: usize) {
+        for other in (0..SITES).filter(|s| *s != site) {
+            self.cut(site, other);
+        }
+    }
+
+    /// The primary of the newest term.
+    pub(crate) fn leader(&self) -> usize {
+        let all = self.instances.iter().enumerate();
+        let primaries = all.filter(|(_, i)| i.role == Role::Primary);
+        primaries
+            .max_by_key(|(_, i)| i.term)
+            .map_or(0, |(at, _)| at)
+    }
+
+    pub(crate) fn open(&self, a: usize, b: usize) -> bool {
+        !self.cuts.contains(&(a.min(b), a.max(b)))
+    }
+
+    pub(crate) fn send(&mut self, from: usize, to: usize, message: Message) {
+        if self.loss > 0 && self.rng.random_range(0..100) < self.loss {
+            return;
+        }
+        if self.loss > 0 && self.rng.random_range(0..100) < self.loss {
+            self.launch(from, to, message.clone());
+        }
+        self.launch(from, to, message);
+    }
+
+    fn launch(&mut self, from: usize, to: usize, message: Message) {
+        let far = (from == 2) != (to == 2);
+        let base = if far { 20_000 } else { 1_000 };
+        let extra = self.rng.random_range(0..=self.jitter * 1_000);
+        self.flights.push(Flight {
+            due: self.now + Span::from_micros(base + extra),
+            from,
+            to,
+            message,
+        });
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (mut due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.flights)
+            .into_iter()
+            .partition(|f| f.due <= now);
+        self.flights = later;
+        due.sort_by_key(|f| f.due);
+        for flight in due {
+            if self.open(flight.from, flight.to) {
+                self.receive(flight);
+            }
+        }
+    }
+
+    fn receive(&mut self, flight: Flight) {
+        let held = match &flight.message {
+            Message::Ask(_, _, at, _) => self.instances[*at].frozen,
+            Message::Exec(exec) => self.instances[exec.instance].frozen,
+            _ => false,
+        };
+        if held {
+            // A frozen process answers once it goes on.
+            self.flights.push(flight);
+            return;
+        }
+        match flight.message {
+            Message::Ask(who, query, at, ask) => self.answer(who, query, at, &ask),
+            Message::Answer(who, query, result) => self.answered(who, query, result),
+            Message::StoreAsk(who, query, ask) => self.answer_store(who, query, ask),
+            Message::StoreAnswer(who, query, answer) => self.store_answered(who, query, answer),
+            Message::View(at, view) => self.viewed(at, view),
+            Message::Exec(exec) => self.execute(exec),
+            Message::Executed(done) => self.executed(done),
+        }
+    }
+
+    fn answer(&mut self, who: Who, query: Query, at: usize, ask: &Ask) {
+        let now = self.now;
+        let home = self.proxies[who.0].site;
+        if !self.instances[at].up {
+            return self.send(at, home, Message::Answer(who, query, Err(Failure::Refused)));
+        }
+        let result = self.instances[at].take(now, ask);
+        self.send(at, home, Message::Answer(who, query, result));
+    }
+
+    fn answer_store(&mut self, who: Who, query: Query, ask: StoreAsk) {
+        let home = self.proxies[who.0].site;
+        if let Some(answer) = self.store.take(ask, &mut self.rng) {
+            self.send(STORE_SITE, home, Message::StoreAnswer(who, query, answer));
+        }
+    }
+
+    fn replicate(&mut self) {
+        for at in 0..SITES {
+            let Some(primary) = self.instances[at].follows else {
+                continue;
+            };
+            let both = [at, primary].iter().all(|i| self.instances[*i].runs());
+            let most = self.rng.random_range(0..=self.copy) as usize;
+            if both && self.open(at, primary) {
+                let source = self.instances[primary].clone();
+                self.instances[at].copy(self.now, &source, most);
+            }
+            self.instances[at].apply(self.rng.random_range(0..=self.copy) as usize);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/failover/fake/oracle.rs
@@ -0,0 +1,124 @@
+//! What callers were told, and whether it fits together.
+
+use std::collections::BTreeMap;
+
+use model::position::{Point, Term};
+
+use super::World;
+
+/// A promise that was broken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Violation {
+    /// An acknowledged write is not in the final log.
+    Lost(u64),
+    /// A write appears twice in the final log.
+    Doubled(u64),
+    /// A write began after a later term had acknowledged one, and an older term took it.
+    Replaced {
+        write: u64,
+        term: Term,
+        newest: Term,
+    },
+    /// Two instances acknowledged under one term.
+    TwoPrimaries(Term),
+    /// A read did not show a write that it had to show.
+    Stale { missing: u64 },
+    /// A session was told that its acknowledged writes are gone.
+    Forked(Point),
+    /// The fleet did not serve again after every fault had ended.
+    Stuck,
+}
+
+/// What one request must be able to rely on, noted when it began.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Begun {
+    /// Newest term that had acknowledged a write.
+    pub(crate) newest: Term,
+    /// Writes that a read must show.
+    pub(crate) shows: Vec<u64>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Oracle {
+    /// Acknowledged writes with the time of the acknowledgement in microseconds.
+    pub(crate) acked: Vec<(u64, u64)>,
+    newest: Term,
+    primaries: BTreeMap<Term, usize>,
+    pub(crate) violations: Vec<Violation>,
+    pub(crate) callers: super::caller::Callers,
+    pub(crate) reads: usize,
+    pub(crate) replica_reads: usize,
+}
+
+impl Oracle {
+    pub(crate) fn begin(&self) -> Begun {
+        Begun {
+            newest: self.newest,
+            shows: Vec::new(),
+        }
+    }
+
+    /// Writes acknowledged up to a moment.
+    pub(crate) fn acked_until(&self, at: u64) -> Vec<u64> {
+        let early = self.acked.iter().filter(|(_, t)| *t <= at);
+        early.map(|(write, _)| *write).collect()
+    }
+
+    pub(crate) fn ack(&mut self, write: u64, point: Point, by: usize, begun: &Begun, at: u64) {
+        let term = point.term;
+        self.acked.push((write, at));
+        if term < begun.newest {
+            let newest = begun.newest;
+            self.violations.push(Violation::Replaced {
+                write,
+                term,
+                newest,
+            });
+        }
+        if *self.primaries.entry(term).or_insert(by) != by {
+            self.violations.push(Violation::TwoPrimaries(term));
+        }
+        self.newest = self.newest.max(term);
+    }
+
+    pub(crate) fn read(&mut self, shown: &[u64], begun: &Begun) {
+        self.reads += 1;
+        let missing = begun.shows.iter().find(|w| !shown.contains(w));
+        if let Some(missing) = missing {
+            let missing = *missing;
+            self.violations.push(Violation::Stale { missing });
+        }
+    }
+
+    pub(crate) fn finish(&mut self, log: &[u64]) {
+        let mut counts = BTreeMap::<u64, usize>::new();
+        for write in log {
+            *counts.entry(*write).or_default() += 1;
+        }
+        let doubled = counts.iter().filter(|(_, n)| **n > 1);
+        let doubled = doubled.map(|(w, _)| Violation::Doubled(*w));
+        let lost = self.acked.iter().filter(|(w, _)| !counts.contains_key(w));
+        let lost = lost.map(|(w, _)| Violation::Lost(*w));
+        let found: Vec<_> = doubled.chain(lost).collect();
+        self.violations.extend(found);
+    }
+}
+
+impl World {
+    /// Ends every fault, lets the fleet settle, and judges the final state.
+    pub(crate) fn settle(&mut self) {
+        self.end_all();
+        self.run(6_000);
+        let before = self.oracle.acked.len();
+        for proxy in 0..self.proxies.len() {
+            self.write(proxy, 0);
+        }
+        self.run(3_000);
+        if self.oracle.acked.len() < before + self.proxies.len() {
+            self.oracle.violations.push(Violation::Stuck);
+        }
+        let newest = self.instances.iter().max_by_key(|i| i.term).unwrap();
+        let log: Vec<_> = newest.log.iter().map(|(_, w)| *w).collect();
+        self.oracle.finish(&log);
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/failover/fake/proxy.rs
@@ -0,0 +1,166 @@
+//! A proxy process around the real decisions.
+
+use model::id::ProxyId;
+use model::place::Place;
+use policy::message::{Action, Audience, Event, Peer, PeerView, Query, StoreAnswer};
+use policy::node::{Input, Node};
+use policy::route::Failure;
+use policy::spec::Me;
+use policy::status::Status;
+use rand::Rng as _;
+
+use super::{Message, SITES, STORE_SITE, Who, World};
+
+pub(crate) struct Proxy {
+    pub(crate) site: usize,
+    pub(crate) start: u64,
+    pub(crate) id: ProxyId,
+    pub(crate) alive: bool,
+    pub(crate) paused: bool,
+    pub(crate) node: Node,
+    pub(crate) decisions: Vec<policy::decision::Decision>,
+    inbox: Vec<Input>,
+}
+
+impl World {
+    /// Starts a proxy anew, with a new id and an empty memory.
+    pub(crate) fn start_proxy(&mut self, at: usize) {
+        let site = at % SITES;
+        let start = self.proxies.get(at).map_or(0, |p| p.start + 1);
+        let id: ProxyId = format!("p{at}-{start}").parse().unwrap();
+        let me = Me {
+            id: id.clone(),
+            place: self.place(site),
+        };
+        let proxy = Proxy {
+            site,
+            start,
+            id,
+            alive: true,
+            paused: false,
+            node: Node::new(me, self.rng.random()),
+            decisions: Vec::new(),
+            inbox: Vec::new(),
+        };
+        if at < self.proxies.len() {
+            self.proxies[at] = proxy;
+        } else {
+            self.proxies.push(proxy);
+        }
+        self.input(at, Input::Configure(self.fleet.clone()));
+        self.membership();
+    }
+
+    pub(crate) fn kill_proxy(&mut self, at: usize) {
+        self.proxies[at].alive = false;
+        self.membership();
+    }
+
+    pub(crate) fn resume_proxy(&mut self, at: usize) {
+        self.proxies[at].paused = false;
+        for input in std::mem::take(&mut self.proxies[at].inbox) {
+            self.input(at, input);
+        }
+    }
+
+    fn place(&self, site: usize) -> Place {
+        let centre = format!("d{site}").parse().unwrap();
+        self.fleet.place(&centre).unwrap()
+    }
+
+    fn membership(&mut self) {
+        let live = self.proxies.iter().filter(|p| p.alive);
+        let live: Vec<_> = live
+            .map(|p| Peer {
+                id: p.id.clone(),
+                place: self.place(p.site),
+            })
+            .collect();
+        for at in 0..self.proxies.len() {
+            self.input(at, Input::Peers(live.clone()));
+        }
+    }
+
+    pub(crate) fn event(&mut self, at: usize, event: Event) {
+        let group = self.group.clone();
+        self.input(at, Input::Group(group, event));
+    }
+
+    fn input(&mut self, at: usize, input: Input) {
+        let proxy = &mut self.proxies[at];
+        if !proxy.alive {
+            return;
+        }
+        if proxy.paused {
+            proxy.inbox.push(input);
+            return;
+        }
+        for output in proxy.node.step(self.now, input) {
+            self.act(at, output.action);
+        }
+    }
+
+    pub(crate) fn tick_proxies(&mut self) {
+        for at in 0..self.proxies.len() {
+            if !self.proxies[at].paused {
+                self.input(at, Input::Tick);
+            }
+        }
+    }
+
+    fn act(&mut self, at: usize, action: Action) {
+        let site = self.proxies[at].site;
+        let who = (at, self.proxies[at].start);
+        match action {
+            Action::Ask {
+                query,
+                instance,
+                ask,
+                ..
+            } => {
+                let to = instance.as_str()[1..].parse().unwrap();
+                self.send(site, to, Message::Ask(who, query, to, ask));
+            }
+            Action::Store { query, ask } => {
+                self.send(site, STORE_SITE, Message::StoreAsk(who, query, ask));
+            }
+            Action::Tell { to, view } => self.tell(at, &to, &view),
+            Action::Routed { ticket, result } => self.routed(who, ticket, result),
+            Action::Confirmed { ticket, result } => self.confirmed(who, ticket, result),
+            Action::Decided(decision) => self.proxies[at].decisions.push(decision),
+        }
+    }
+
+    fn tell(&mut self, from: usize, to: &Audience, view: &PeerView) {
+        for at in 0..self.proxies.len() {
+            let meant = match to {
+                Audience::All => at != from,
+                Audience::One(id) => self.proxies[at].id == *id,
+            };
+            if meant {
+                let (a, b) = (self.proxies[from].site, self.proxies[at].site);
+                self.send(a, b, Message::View(at, view.clone()));
+            }
+        }
+    }
+
+    pub(crate) fn viewed(&mut self, at: usize, view: PeerView) {
+        self.event(at, Event::Peer(view));
+    }
+
+    fn current(&self, who: Who) -> bool {
+        self.proxies[who.0].start == who.1
+    }
+
+    pub(crate) fn answered(&mut self, who: Who, query: Query, result: Result<Status, Failure>) {
+        if self.current(who) {
+            self.event(who.0, Event::Answer { query, result });
+        }
+    }
+
+    pub(crate) fn store_answered(&mut self, who: Who, query: Query, answer: StoreAnswer) {
+        if self.current(who) {
+            self.event(who.0, Event::Store { query, answer });
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/failover/fake/store.rs
@@ -0,0 +1,39 @@
+//! The platform's store, reduced to one record with its revision.
+
+use model::position::Revision;
+use policy::message::{StoreAnswer, StoreAsk, Versioned};
+use rand::Rng as _;
+use rand::rngs::SmallRng;
+
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Store {
+    pub(crate) held: Versioned,
+    /// No request takes effect, and none is answered.
+    pub(crate) down: bool,
+    /// Percent of requests that take effect and whose answer is lost.
+    pub(crate) lose: u32,
+    /// Claims that succeeded; a term may appear once.
+    pub(crate) claims: Vec<u64>,
+}
+
+impl Store {
+    pub(crate) fn take(&mut self, ask: StoreAsk, rng: &mut SmallRng) -> Option<StoreAnswer> {
+        if self.down {
+            return None;
+        }
+        let answer = match ask {
+            StoreAsk::Swap { expected, record } if expected == self.held.revision => {
+                if record.primary.is_none() {
+                    self.claims.push(record.term.0);
+                }
+                let revision = Revision(self.held.revision.0 + 1);
+                let record = Some(record);
+                self.held = Versioned { revision, record };
+                StoreAnswer::Swapped(revision)
+            }
+            StoreAsk::Read | StoreAsk::Swap { .. } => StoreAnswer::Found(self.held.clone()),
+        };
+        let lost = rng.random_range(0..100) < self.lose;
+        Some(if lost { StoreAnswer::Unknown } else { answer })
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/failover/model.rs
@@ -0,0 +1,175 @@
+//! Random faults against the controllers of three proxies, judged by what callers were
+//! told: no acknowledged write is lost, no replaced primary acknowledges, one primary
+//! acknowledges in each term, every session reads its own writes, and the fleet serves
+//! again once the faults end.
+
+use model::settings::Acknowledge;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+
+use crate::fake::caller::Marks;
+use crate::fake::fault::Fault;
+use crate::fake::{self, World};
+
+const CASES: u32 = 48;
+const PROXIES: usize = 4;
+
+/// Faults that are there at once, at most.
+const AT_ONCE: usize = 2;
+
+/// One transition.
+#[derive(Clone, Debug)]
+enum Op {
+    /// Time passes while callers write and read.
+    Traffic(u64),
+    /// One request by itself.
+    Write(usize, usize),
+    Read(usize, usize, Marks),
+    /// A fault begins.
+    Begin(Fault),
+    /// The oldest fault ends.
+    End,
+}
+
+fn marks() -> impl Strategy<Value = Marks> {
+    prop_oneof![
+        Just(Marks::Token),
+        Just(Marks::Nothing),
+        prop_oneof![Just(50), Just(500), Just(3_000)].prop_map(Marks::Age),
+    ]
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    let site = 0..fake::SITES;
+    prop_oneof![
+        3 => prop_oneof![
+            Just(Fault::DownLeader),
+            Just(Fault::FreezeLeader),
+            Just(Fault::IsolateLeader),
+        ],
+        2 => prop_oneof![
+            site.clone().prop_map(Fault::Down),
+            site.clone().prop_map(Fault::Freeze),
+            site.clone().prop_map(Fault::Isolate),
+            (0..2_usize, 1..3_usize).prop_map(|(a, d)| Fault::Cut(a, (a + d).min(2))),
+        ],
+        2 => prop_oneof![
+            (0..PROXIES).prop_map(Fault::Pause),
+            (0..PROXIES).prop_map(Fault::Kill),
+        ],
+        2 => prop_oneof![
+            Just(Fault::StoreDown),
+            (10..100_u32).prop_map(Fault::LoseAnswers),
+        ],
+        2 => prop_oneof![
+            (5..30_u32).prop_map(Fault::Loss),
+            (10..150_u64).prop_map(Fault::Jitter),
+            (0..2_u64).prop_map(Fault::Copy),
+        ],
+    ]
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let proxy = 0..PROXIES;
+    let session = 0..3_usize;
+    prop_oneof![
+        4 => prop_oneof![2..60_u64, 100..700_u64, 700..2_000_u64].prop_map(Op::Traffic),
+        2 => (proxy.clone(), session.clone()).prop_map(|(p, s)| Op::Write(p, s)),
+        2 => (proxy, session, marks()).prop_map(|(p, s, m)| Op::Read(p, s, m)),
+        3 => fault().prop_map(Op::Begin),
+        2 => Just(Op::End),
+    ]
+}
+
+/// Seed of the world and the number of faults that are there.
+#[derive(Clone, Copy, Debug)]
+struct Model {
+    seed: u64,
+    faults: usize,
+}
+
+impl ReferenceStateMachine for Model {
+    type State = Self;
+    type Transition = Op;
+
+    fn init_state() -> BoxedStrategy<Self> {
+        let seed = any::<u64>();
+        seed.prop_map(|seed| Self { seed, faults: 0 }).boxed()
+    }
+
+    fn transitions(_: &Self) -> BoxedStrategy<Op> {
+        op().boxed()
+    }
+
+    fn apply(mut state: Self, op: &Op) -> Self {
+        match op {
+            Op::Begin(_) => state.faults += 1,
+            Op::End => state.faults = state.faults.saturating_sub(1),
+            Op::Traffic(_) | Op::Write(..) | Op::Read(..) => {}
+        }
+        state
+    }
+
+    fn preconditions(state: &Self, op: &Op) -> bool {
+        match op {
+            Op::Begin(_) => state.faults < AT_ONCE,
+            Op::End => state.faults > 0,
+            Op::Traffic(_) | Op::Write(..) | Op::Read(..) => true,
+        }
+    }
+}
+
+struct Controllers;
+
+impl StateMachineTest for Controllers {
+    type SystemUnderTest = World;
+    type Reference = Model;
+
+    fn init_test(model: &Model) -> World {
+        World::new(model.seed, PROXIES, Acknowledge::Majority)
+    }
+
+    fn apply(mut world: World, _: &Model, op: Op) -> World {
+        match op {
+            Op::Traffic(ms) => world.traffic(ms),
+            Op::Write(proxy, session) => {
+                world.write(proxy, session);
+            }
+            Op::Read(proxy, session, marks) => world.read(proxy, session, marks),
+            Op::Begin(fault) => world.begin(fault),
+            Op::End => world.end_oldest(),
+        }
+        world
+    }
+
+    fn check_invariants(world: &World, _: &Model) {
+        assert_eq!(world.oracle.violations, []);
+        let claims = &world.store.claims;
+        assert!(claims.windows(2).all(|w| w[0] < w[1]), "terms {claims:?}");
+    }
+
+    fn teardown(mut world: World, _: Model) {
+        world.settle();
+        assert_eq!(world.oracle.violations, []);
+    }
+}
+
+fn config() -> Config {
+    let cases = std::env::var("POMELO_FUZZ_CASES").ok();
+    let seed = std::env::var("POMELO_FUZZ_SEED").ok();
+    Config {
+        cases: cases.and_then(|c| c.parse().ok()).unwrap_or(CASES),
+        rng_seed: RngSeed::Fixed(seed.and_then(|s| s.parse().ok()).unwrap_or(4)),
+        failure_persistence: None,
+        max_shrink_iters: 2_000,
+        ..Config::default()
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn callers_are_told_the_truth(sequential 1..60 => Controllers);
+}
