Commit pipelined statements together in the stand-in

Cause: a server commits the statements before one Sync together; the stand-in committed each by itself, so a proxy that asks for the point before the Sync would have passed. Conclusion: an implicit transaction opens when no Sync follows an Execute at once.

--- a/crates/standin/src/group/mod.rs
+++ b/crates/standin/src/group/mod.rs
@@ -14,6 +14,7 @@
 mod session;
 mod slot;
 mod sql;
+mod start;
 mod state;
 mod wire;
 
--- a/crates/standin/src/group/session.rs
+++ b/crates/standin/src/group/session.rs
@@ -6,13 +6,10 @@
 use bytes::BytesMut;
 use compio::net::TcpStream;
 use indexmap::IndexMap;
+use pgwire::messages::PgWireFrontendMessage as Front;
 use pgwire::messages::extendedquery as ext;
 use pgwire::messages::response::{self, TransactionStatus};
-use pgwire::messages::startup::{self, SecretKey};
 use pgwire::messages::{DecodeContext, PgWireBackendMessage as Back};
-use pgwire::messages::{
-    PgWireFrontendMessage as Front, ProtocolVersion, SslNegotiationMetaMessage,
-};
 use pgwire::messages::{data, simplequery};
 use rusqlite::types::Value;
 
@@ -20,10 +17,14 @@
 use super::encode;
 use super::execute::{Executor, Prepared};
 use super::sql::{self, SqlError};
+use super::start;
 use super::wire::{Origin, Wire};
 
 const FLUSH_AT: usize = 64 << 10;
 
+/// First byte of a `Sync` message.
+const SYNC: u8 = b'S';
+
 struct Portal {
     prepared: Rc<Prepared>,
     values: Vec<Value>,
@@ -42,13 +43,13 @@
     wire: Wire,
 }
 
-fn put(out: &mut BytesMut, message: &Back) {
+pub(super) fn put(out: &mut BytesMut, message: &Back) {
     message
         .encode(out)
         .expect("our own messages fit the protocol");
 }
 
-fn error(e: &SqlError) -> Back {
+pub(super) fn error(e: &SqlError) -> Back {
     let fields = vec![
         (b'S', "ERROR".to_owned()),
         (b'V', "ERROR".to_owned()),
@@ -63,79 +64,22 @@
     let server = Rc::clone(&origin.server);
     let key = i32::try_from(origin.number).unwrap_or(i32::MAX);
     let mut wire = Wire::new(origin, stream);
-    let mut buf = BytesMut::new();
-    let mut cx = DecodeContext::default();
-    let mut out = BytesMut::new();
-    loop {
-        let message = Front::decode(&mut buf, &cx).map_err(io::Error::other)?;
-        match message {
-            None => {
-                if !wire.read(&mut buf).await? {
-                    return Ok(());
-                }
-            }
-            Some(Front::SslNegotiation(SslNegotiationMetaMessage::None)) => {
-                cx.awaiting_frontend_ssl = false;
-            }
-            Some(Front::SslNegotiation(_)) => {
-                out.extend_from_slice(b"N");
-                wire.write(&mut out).await?;
-            }
-            Some(Front::CancelRequest(cancel)) => {
-                server.cancel(cancel.pid);
-                return Ok(());
-            }
-            Some(_) => break,
-        }
-    }
-    cx.awaiting_frontend_startup = false;
-    cx.protocol_version = ProtocolVersion::PROTOCOL3_0;
-    server.running().await;
-    let (connect, limit) = {
-        let knobs = server.knobs.borrow();
-        (knobs.connect, knobs.limit)
+    let Some(opened) = start::open(&mut wire, &server, key, open).await? else {
+        return Ok(());
     };
-    compio::time::sleep(connect).await;
-    if open > limit {
-        put(
-            &mut out,
-            &error(&SqlError::new("53300", "too many connections")),
-        );
-        return wire.write(&mut out).await;
-    }
-    greet(&mut out, key);
-    wire.write(&mut out).await?;
     let mut session = Session {
         executor: Executor::new(server, key),
         prepared: IndexMap::new(),
         portals: IndexMap::new(),
         skipping: false,
-        out,
+        out: BytesMut::new(),
         wire,
     };
-    session.serve(&mut buf, &cx).await
+    let mut buf = opened.buf;
+    session.serve(&mut buf, &opened.cx).await
 }
 
-fn greet(out: &mut BytesMut, key: i32) {
-    put(out, &Back::Authentication(startup::Authentication::Ok));
-    let parameters = [
-        ("server_version", "16.0"),
-        ("server_encoding", "UTF8"),
-        ("client_encoding", "UTF8"),
-        ("DateStyle", "ISO, MDY"),
-        ("integer_datetimes", "on"),
-        ("standard_conforming_strings", "on"),
-    ];
-    for (name, value) in parameters {
-        let status = startup::ParameterStatus::new(name.to_owned(), value.to_owned());
-        put(out, &Back::ParameterStatus(status));
-    }
-    let data = startup::BackendKeyData::new(key, SecretKey::I32(key));
-    put(out, &Back::BackendKeyData(data));
-    put(out, &ready(TransactionStatus::Idle));
-}
-
-fn ready(status: TransactionStatus) -> Back {
+pub(super) fn ready(status: TransactionStatus) -> Back {
     Back::ReadyForQuery(response::ReadyForQuery::new(status))
 }
 
@@ -171,7 +115,8 @@
                 return Ok(());
             }
             self.executor.server.running().await;
-            self.handle(message).await?;
+            let last = buf.first() == Some(&SYNC);
+            self.handle(message, last).await?;
         }
     }
 
@@ -179,16 +124,25 @@
         put(&mut self.out, message);
     }
 
-    async fn handle(&mut self, message: Front) -> io::Result<()> {
+    /// Handles one message; `last` tells that a `Sync` follows it at once.
+    async fn handle(&mut self, message: Front, last: bool) -> io::Result<()> {
         match message {
             Front::Query(query) => return self.query(&query).await,
             Front::Sync(_) => {
+                if let Err(e) = self.executor.end_implicit(!self.skipping) {
+                    self.put(&error(&e));
+                }
                 self.skipping = false;
                 let status = self.executor.transaction_status();
                 self.put(&ready(status));
             }
             _ if self.skipping => {}
             other => {
+                // Statements up to a `Sync` commit together, as PostgreSQL has it;
+                // a single one commits by itself, which is cheaper here.
+                if matches!(other, Front::Execute(_)) && !last {
+                    self.executor.begin_implicit();
+                }
                 if let Err(e) = self.extended(other).await? {
                     self.executor.fail();
                     self.put(&error(&e));
--- a/crates/standin/tests/group.rs
+++ b/crates/standin/tests/group.rs
@@ -162,3 +162,69 @@
     );
     assert_eq!(fleet.control().lost(&names[0]).unwrap().len(), 1);
 }
+
+/// Two inserts before one `Sync`, then the same with a failing second one.
+#[test]
+fn pipelined_statements_commit_together() {
+    let fleet = Fleet::start(Spec::small()).unwrap();
+    let mut client = connect(&fleet, 0);
+    client.batch_execute(TABLE).unwrap();
+    let address = fleet.addresses().instances[0].address;
+    let (text, _) = pipeline(address, &["INSERT INTO record VALUES (1, 'a', false)"; 2]);
+    assert!(text.contains("23505"));
+    assert_eq!(one(&mut client, "SELECT count(*) FROM record"), ["0"]);
+    let insert = "INSERT INTO record VALUES (1, 'a', false)";
+    let (text, status) = pipeline(address, &[insert, "SELECT replication_point()"]);
+    assert!(
+        text.contains("1:1"),
+        "the insert is not committed before the Sync: {text}"
+    );
+    assert_eq!(status, b'I');
+    assert_eq!(one(&mut client, "SELECT replication_point()"), ["1:2"]);
+}
+
+/// Sends statements with one `Sync` behind them; gives all bytes that follow
+/// the start-up and the transaction status at the end.
+fn pipeline(address: std::net::SocketAddr, statements: &[&str]) -> (String, u8) {
+    use bytes::{BufMut as _, BytesMut};
+    use pgwire::messages::{Message as _, extendedquery as ext, startup};
+    use std::io::{Read as _, Write as _};
+
+    const READY: [u8; 5] = [b'Z', 0, 0, 0, 5];
+    let mut out = BytesMut::new();
+    let mut start = startup::Startup::new();
+    start.protocol_number_major = 3;
+    start.protocol_number_minor = 0;
+    start
+        .parameters
+        .insert("user".to_owned(), "pomelo".to_owned());
+    start.encode(&mut out).expect("it fits");
+    for text in statements {
+        ext::Parse::new(None, (*text).to_owned(), Vec::new())
+            .encode(&mut out)
+            .expect("it fits");
+        let bind = ext::Bind::new(None, None, Vec::new(), Vec::new(), Vec::new());
+        bind.encode(&mut out).expect("it fits");
+        ext::Execute::new(None, 0)
+            .encode(&mut out)
+            .expect("it fits");
+    }
+    out.put_slice(&[b'S', 0, 0, 0, 4]);
+    let mut stream = std::net::TcpStream::connect(address).expect("it listens");
+    stream.write_all(&out).expect("it is sent");
+    let mut all = Vec::new();
+    let mut buf = [0; 4096];
+    loop {
+        let ready = |all: &[u8]| all.windows(5).filter(|w| *w == READY).count();
+        if ready(&all) == 2 && all.len() >= 6 && all[all.len() - 6..all.len() - 1] == READY {
+            break;
+        }
+        let len = stream.read(&mut buf).expect("answers come");
+        assert!(len > 0, "the connection ended early");
+        all.extend_from_slice(&buf[..len]);
+    }
+    (
+        String::from_utf8_lossy(&all).into_owned(),
+        all[all.len() - 1],
+    )
+}
