--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod lead;
 pub mod message;
 pub mod node;
+pub mod outcome;
 pub mod poll;
 pub mod promote;
 pub mod queue;
