Serve callers end to end: login, routing, pooled connections, confirmed writes

Cause: the data path was missing. Conclusion: an ordinary client library works unchanged (6 tests: simple and prepared statements, transactions, a failed statement, shared prepared statements, 5 MB results, the proxy's own settings). Latency and memory: not measured yet.

--- a/crates/pg/src/classify.rs
+++ b/crates/pg/src/classify.rs
@@ -13,6 +13,9 @@
 /// Prefix of the settings that the proxy keeps itself.
 pub const PREFIX: &str = "pomelo.";
 
+/// Name that stands for every setting, in `RESET ALL`.
+pub const ALL: &str = "all";
+
 /// Settings that are sent again to every connection that serves the session.
 ///
 /// Others are refused: one that changes how strings are quoted would undo the
@@ -51,7 +54,8 @@
         /// Whether the transaction is declared read-only.
         read_only: bool,
     },
-    /// It may end the transaction: `COMMIT`, `ROLLBACK`, or several statements at once.
+    /// It may end the transaction: `COMMIT` and `ROLLBACK`, which alone count as reads,
+    /// or several statements at once.
     End,
     /// It sets a setting of the session; `None` resets it.
     Set {
@@ -186,7 +190,7 @@
         S::StartTransaction {
             modes, statements, ..
         } if statements.is_empty() => Statement::new(
-            Effect::Write,
+            Effect::Read,
             Control::Begin {
                 read_only: read_only(modes),
             },
@@ -194,7 +198,7 @@
         S::Commit { .. }
         | S::Rollback {
             savepoint: None, ..
-        } => Statement::new(Effect::Write, Control::End),
+        } => Statement::new(Effect::Read, Control::End),
         S::Set(set) => self::set(set),
         S::Reset(reset) => self::reset(reset),
         S::ShowVariable { variable } => show(variable),
@@ -262,7 +266,10 @@
 
 fn reset(reset: &ast::ResetStatement) -> Statement {
     match &reset.reset {
-        ast::Reset::ALL => Statement::new(Effect::Read, Control::Discard),
+        ast::Reset::ALL => {
+            let name = ALL.to_owned();
+            Statement::new(Effect::Read, Control::Set { name, value: None })
+        }
         ast::Reset::ConfigurationParameter(name) => setting(&name.to_string(), None),
         ast::Reset::SessionAuthorization => {
             Statement::new(Effect::Write, Control::Refused(Refusal::Setting))
--- a/crates/pg/src/report.rs
+++ b/crates/pg/src/report.rs
@@ -35,6 +35,8 @@
 pub const BAD_VALUE: SqlState = SqlState("22023");
 /// A `pomelo.` setting is not known.
 pub const UNKNOWN_SETTING: SqlState = SqlState("42704");
+/// The prepared statement exists already.
+pub const DUPLICATE_STATEMENT: SqlState = SqlState("42P05");
 /// The named prepared statement does not exist.
 pub const UNKNOWN_STATEMENT: SqlState = SqlState("26000");
 /// The message breaks the protocol.
--- a/crates/policy/src/outcome.rs
+++ b/crates/policy/src/outcome.rs
@@ -83,6 +83,11 @@
         self.state = State::Begun;
     }
 
+    /// Whether a part of the answer went to the caller.
+    pub const fn has_begun(&self) -> bool {
+        matches!(self.state, State::Begun)
+    }
+
     /// There was no route, no admission, or no connection, and there will be
     /// none before the deadline.
     pub const fn gave_up(&self) -> Verdict {
--- /dev/null
+++ b/crates/proxy/src/cx.rs
@@ -0,0 +1,164 @@
+//! What the tasks of one runtime share: handles to other tasks, and nothing that is
+//! decided upon.
+
+use std::cell::RefCell;
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use compio::tls::TlsAcceptor;
+use indexmap::IndexMap;
+use model::config::{Fleet, Group};
+use model::id::{GroupId, InstanceId, ProxyId};
+use model::place::Place;
+use model::settings::Settings;
+use model::token;
+use pg::classify;
+use pg::startup::Key;
+use policy::route::Target;
+
+use crate::backend::Login;
+use crate::config::Config;
+use crate::{admit, fleet, group, pool, registry};
+
+/// Part of a backend server's connections that one proxy may hold until it is told
+/// its share: six proxies fit the limit of the server.
+const FIRST_SHARE: u32 = 6;
+
+/// Handles that every task of a runtime needs.
+pub struct Cx {
+    /// Settings of the process.
+    pub cfg: Config,
+    /// Name of the process.
+    pub me: ProxyId,
+    /// Signs session tokens.
+    pub key: token::Key,
+    /// The configuration in force.
+    pub fleet: fleet::Handle,
+    /// Admission to the backend servers.
+    pub admit: admit::Handle,
+    /// Accepts TLS towards callers.
+    pub tls: Option<TlsAcceptor>,
+    pub(crate) registry: registry::Handle,
+    pub(crate) statements: RefCell<classify::Cache>,
+    groups: RefCell<IndexMap<GroupId, Rc<GroupCx>>>,
+}
+
+/// Handles to one group.
+pub struct GroupCx {
+    /// Routes and confirmations.
+    pub routes: group::Handle,
+    local: IpAddr,
+    login: Login,
+    settings: Settings,
+    pools: RefCell<IndexMap<InstanceId, pool::Handle>>,
+}
+
+impl Cx {
+    /// Collects the handles of a runtime.
+    pub(crate) fn new(
+        cfg: Config,
+        me: ProxyId,
+        fleet: fleet::Handle,
+        admit: admit::Handle,
+        tls: Option<TlsAcceptor>,
+    ) -> Self {
+        Self {
+            key: token::Key::new(cfg.secret.0.as_bytes()),
+            cfg,
+            me,
+            fleet,
+            admit,
+            tls,
+            registry: registry::spawn(),
+            statements: RefCell::default(),
+            groups: RefCell::default(),
+        }
+    }
+
+    /// The handles of a group; its tasks start with its first caller, so that a
+    /// process watches only the groups that it serves.
+    pub fn group(&self, id: &GroupId) -> Option<Rc<GroupCx>> {
+        if let Some(known) = self.groups.borrow().get(id) {
+            return Some(known.clone());
+        }
+        let snapshot = self.fleet.current();
+        let spec = snapshot.fleet.groups.get(id)?;
+        let made = Rc::new(self.start_group(id, spec, &snapshot.fleet)?);
+        self.groups.borrow_mut().insert(id.clone(), made.clone());
+        Some(made)
+    }
+
+    fn start_group(&self, id: &GroupId, spec: &Group, fleet: &Fleet) -> Option<GroupCx> {
+        let place: Place = fleet.place(&self.cfg.data_centre)?;
+        let routes = group::spawn(group::Setup {
+            group: id.clone(),
+            me: self.me.clone(),
+            place,
+            address: self.cfg.address,
+            fleet: Arc::new(fleet.clone()),
+        });
+        Some(GroupCx {
+            routes,
+            local: self.cfg.address,
+            login: Login {
+                user: spec.user.clone(),
+                database: spec.database.clone(),
+                password: spec.password.clone(),
+            },
+            settings: fleet.settings(id),
+            pools: RefCell::default(),
+        })
+    }
+
+    /// Forgets the tasks of groups whose login changed and hands the rest the new
+    /// configuration.
+    pub fn configure(&self, fleet: &Arc<Fleet>) {
+        self.groups.borrow_mut().retain(|id, known| {
+            let Some(spec) = fleet.groups.get(id) else {
+                return false;
+            };
+            known.routes.configure(fleet.clone());
+            known.login.is_of(spec) && known.settings == fleet.settings(id)
+        });
+    }
+}
+
+impl GroupCx {
+    /// How to log in to the group's backend servers.
+    pub(crate) fn login(&self) -> &Login {
+        &self.login
+    }
+
+    /// The pool of the target's backend server.
+    pub fn pool(&self, target: &Target) -> pool::Handle {
+        let mut pools = self.pools.borrow_mut();
+        match pools.get(&target.instance) {
+            Some(pool) if pool.address() == target.address => pool.clone(),
+            _ => {
+                let pool = self.start_pool(target);
+                pools.insert(target.instance.clone(), pool.clone());
+                pool
+            }
+        }
+    }
+
+    fn start_pool(&self, target: &Target) -> pool::Handle {
+        let share = (self.settings.connections / FIRST_SHARE).max(2);
+        pool::spawn(pool::Setup {
+            instance: target.instance.clone(),
+            address: target.address,
+            local: self.local,
+            login: self.login.clone(),
+            limit: share,
+        })
+    }
+}
+
+/// A random key under which a connection's request can be cancelled.
+pub(crate) fn new_key() -> Key {
+    Key {
+        pid: rand::random::<i32>() & i32::MAX,
+        secret: rand::random(),
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,4 +1,18 @@
-//! The proxy process.
+//! The proxy process: accepts callers, routes their requests, and owns the
+//! connections to the backend servers.
+//!
+//! One runtime per thread; each task owns its sockets and its state, and tasks
+//! talk by messages.
 
 pub mod admit;
+pub mod backend;
+mod caller;
+pub mod cli;
+pub mod config;
+pub mod cx;
+mod filter;
+pub mod fleet;
 pub mod group;
+pub mod pool;
+mod registry;
+pub mod run;
--- /dev/null
+++ b/crates/proxy/src/run.rs
@@ -0,0 +1,232 @@
+//! Starting, serving and shutting down.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::{fs, io, thread};
+
+use compio::net::{TcpListener, TcpStream};
+use compio::tls::TlsAcceptor;
+use futures_util::future;
+use model::config::Fleet;
+use model::id::ProxyId;
+use model::source::Source;
+use policy::admit::Limits;
+use policy::slots::Share;
+
+use crate::config::{Config, Tls};
+use crate::cx::Cx;
+use crate::{admit, caller, fleet};
+
+/// Why a proxy cannot start.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum StartError {
+    /// An address cannot be listened on.
+    #[error("cannot listen on {0}")]
+    Listen(SocketAddr, #[source] io::Error),
+    /// A file cannot be read.
+    #[error("cannot read {}", .0.display())]
+    File(PathBuf, #[source] io::Error),
+    /// The fleet's configuration cannot be read.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Fleet(#[from] Box<model::source::Located>),
+    /// There is no way to learn the fleet's configuration.
+    #[error("neither a store nor a fleet_file is set")]
+    NoFleet,
+    /// The certificate or its key cannot be used.
+    #[error("the certificate cannot be used")]
+    Certificate(#[from] rustls::Error),
+    /// A PEM file holds no private key.
+    #[error("{} holds no private key", .0.display())]
+    NoKey(PathBuf),
+    /// The runtime or its thread cannot be started.
+    #[error("the runtime cannot be started")]
+    Runtime(#[source] io::Error),
+}
+
+/// A proxy that has its sockets and does not serve yet.
+pub struct Server {
+    cx: Rc<Cx>,
+    listener: TcpListener,
+}
+
+impl Server {
+    /// Reads what the settings name and opens the sockets.
+    pub async fn bind(cfg: Config) -> Result<Self, StartError> {
+        let tls = cfg.tls.as_ref().map(acceptor).transpose()?;
+        let fleet = fleet::Handle::fixed(read_fleet(&cfg)?);
+        let me = cfg.id.clone().unwrap_or_else(random_id);
+        let admit = admit::spawn(first_limits(&fleet.current().fleet));
+        let listener = TcpListener::bind(cfg.listen)
+            .await
+            .map_err(|e| StartError::Listen(cfg.listen, e))?;
+        let cx = Rc::new(Cx::new(cfg, me, fleet, admit, tls));
+        Ok(Self { cx, listener })
+    }
+
+    /// Where callers connect.
+    pub fn address(&self) -> SocketAddr {
+        let bound = self.listener.local_addr();
+        bound.unwrap_or(self.cx.cfg.listen)
+    }
+
+    /// Serves until `shutdown` completes, then until the requests in flight are done.
+    pub async fn serve(self, shutdown: impl Future<Output = ()>) {
+        tracing::info!(proxy = %self.cx.me, listen = %self.address(), "serving");
+        let Self { cx, listener } = self;
+        // The listener is closed before anything else, so that the platform's balancer
+        // and new callers turn to other proxies while the requests in flight finish.
+        let accepting = Box::pin(accept(cx.clone(), listener));
+        future::select(accepting, pin!(shutdown)).await;
+        tracing::info!(proxy = %cx.me, "draining");
+        let limit = cx.cfg.limits.drain.as_duration();
+        let drained = compio::time::timeout(limit, cx.registry.drain()).await;
+        tracing::info!(proxy = %cx.me, complete = drained.is_ok(), "stopped");
+    }
+}
+
+async fn accept(cx: Rc<Cx>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((tcp, peer)) => admit_caller(&cx, tcp, peer),
+            // Out of file descriptors, mostly: without the pause the loop would
+            // spin until some caller leaves.
+            Err(e) => {
+                tracing::warn!(error = %e, "accept failed");
+                compio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
+
+fn admit_caller(cx: &Rc<Cx>, tcp: TcpStream, peer: SocketAddr) {
+    let open = Rc::strong_count(cx);
+    if open > cx.cfg.limits.callers as usize {
+        tracing::warn!(%peer, open, "too many callers");
+        return;
+    }
+    let _ = tcp.set_nodelay(true);
+    compio::runtime::spawn(caller::serve(cx.clone(), tcp)).detach();
+}
+
+fn random_id() -> ProxyId {
+    let text = format!("proxy-{:08x}", rand::random::<u32>());
+    text.parse().expect("the text is an identifier")
+}
+
+/// Limits for a backend server that nobody named a share for.
+fn first_limits(fleet: &Fleet) -> Limits {
+    let settings = &fleet.defaults;
+    let held = (settings.connections / 6).max(2);
+    Limits {
+        share: Share {
+            slots: settings.slots,
+            connections: settings.connections,
+            held,
+        },
+        queue: settings.queue,
+    }
+}
+
+fn read_fleet(cfg: &Config) -> Result<Fleet, StartError> {
+    let path = cfg.fleet_file.as_ref().ok_or(StartError::NoFleet)?;
+    let text = read(path)?;
+    let text = String::from_utf8_lossy(&text).into_owned();
+    Ok(Source::new(path.display().to_string(), text).parse()?)
+}
+
+fn read(path: &PathBuf) -> Result<Vec<u8>, StartError> {
+    fs::read(path).map_err(|e| StartError::File(path.clone(), e))
+}
+
+fn acceptor(tls: &Tls) -> Result<TlsAcceptor, StartError> {
+    let chain = read(&tls.certificate)?;
+    let chain: Result<Vec<_>, _> = rustls_pemfile::certs(&mut &chain[..]).collect();
+    let chain = chain.map_err(|e| StartError::File(tls.certificate.clone(), e))?;
+    let key = read(&tls.key)?;
+    let key = rustls_pemfile::private_key(&mut &key[..])
+        .map_err(|e| StartError::File(tls.key.clone(), e))?
+        .ok_or_else(|| StartError::NoKey(tls.key.clone()))?;
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let server = rustls::ServerConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()?
+        .with_no_client_auth()
+        .with_single_cert(chain, key)?;
+    Ok(TlsAcceptor::from(Arc::new(server)))
+}
+
+/// A proxy on a thread of its own; dropping it shuts it down gracefully.
+pub struct Embedded {
+    address: SocketAddr,
+    stop: Option<flume::Sender<()>>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl Embedded {
+    /// Starts a proxy; returns once it accepts callers.
+    pub fn start(cfg: Config) -> Result<Self, StartError> {
+        let (stop, stopped) = flume::bounded::<()>(1);
+        let (tx, started) = flume::bounded(1);
+        let thread = thread::Builder::new()
+            .name("proxy".to_owned())
+            .spawn(move || run_embedded(cfg, &tx, &stopped))
+            .map_err(StartError::Runtime)?;
+        let ended = StartError::Runtime(io::ErrorKind::BrokenPipe.into());
+        let address = started.recv().unwrap_or(Err(ended))?;
+        Ok(Self {
+            address,
+            stop: Some(stop),
+            thread: Some(thread),
+        })
+    }
+
+    /// Where callers connect.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Begins the shutdown without waiting for its end.
+    pub fn shutdown(&mut self) {
+        self.stop = None;
+    }
+}
+
+impl Drop for Embedded {
+    fn drop(&mut self) {
+        self.shutdown();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+type Started = flume::Sender<Result<SocketAddr, StartError>>;
+
+fn run_embedded(cfg: Config, started: &Started, stopped: &flume::Receiver<()>) {
+    let runtime = match compio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            let _ = started.send(Err(StartError::Runtime(e)));
+            return;
+        }
+    };
+    runtime.block_on(async {
+        match Server::bind(cfg).await {
+            Ok(server) => {
+                let _ = started.send(Ok(server.address()));
+                let stop = async {
+                    let _ = stopped.recv_async().await;
+                };
+                server.serve(stop).await;
+            }
+            Err(e) => {
+                let _ = started.send(Err(e));
+            }
+        }
+    });
+}
