Count bytes by purpose, and cut off a data centre at once

Cause: the bytes that reads cost across regions could not be told from replication. Conclusion: Control::bytes is keyed by regions and purpose; Control::partition cuts a data centre off all others.

--- a/crates/standin/src/admin.rs
+++ b/crates/standin/src/admin.rs
@@ -83,6 +83,11 @@
         /// Data centre that receives.
         to: usize,
     },
+    /// See [`Control::partition`].
+    Partition {
+        /// Data centre, counted from 0.
+        site: usize,
+    },
     /// See [`Control::heal`].
     Heal,
     /// See [`Control::store`].
@@ -118,6 +123,7 @@
             Order::SilencePort { instance, port } => self.silence_port(&instance, port),
             Order::SilenceOpen { instance } => self.silence_open(&instance),
             Order::Cut { from, to } => self.cut(from, to),
+            Order::Partition { site } => self.partition(site),
             Order::Heal => self.heal(),
             Order::Store { fault } => self.store(fault),
             Order::Vms { vms } => self.vms(vms),
@@ -188,7 +194,7 @@
     let calls = admin.control.store_calls().map_err(|e| refused(&e))?;
     let bytes: Vec<Value> = bytes
         .iter()
-        .map(|((from, to), n)| json!({ "from": from, "to": to, "bytes": n }))
+        .map(|(flow, n)| json!({ "flow": flow, "bytes": n }))
         .collect();
     let calls: Vec<Value> = calls
         .iter()
--- a/crates/standin/src/control.rs
+++ b/crates/standin/src/control.rs
@@ -5,11 +5,11 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use model::id::{InstanceId, Region};
+use model::id::InstanceId;
 
 use crate::fleet::World;
 use crate::group::{self, Record, Server, Status};
-use crate::link::Reach;
+use crate::link::{Bytes, Reach};
 use crate::platform::{Counts, Fault, Vm};
 use crate::relay;
 
@@ -154,6 +154,16 @@
         })?
     }
 
+    /// Cuts a data centre off all others, both ways.
+    pub fn partition(&self, site: usize) -> Done<()> {
+        let others = self.call(|world| world.spec.data_centres.len())?;
+        for other in (0..others).filter(|other| *other != site) {
+            self.cut(site, other)?;
+            self.cut(other, site)?;
+        }
+        Ok(())
+    }
+
     /// Ends every cut and isolation.
     pub fn heal(&self) -> Done<()> {
         self.call(|world| world.net.heal())
@@ -182,8 +192,8 @@
         self.call(move |world| world.platform.set_vms(vms))
     }
 
-    /// Bytes carried so far by (from, to) region.
-    pub fn bytes(&self) -> Done<IndexMap<(Region, Region), u64>> {
+    /// Bytes carried so far, by regions and purpose.
+    pub fn bytes(&self) -> Done<Bytes> {
         self.call(|world| world.net.bytes())
     }
 
--- a/crates/standin/src/group/exchange.rs
+++ b/crates/standin/src/group/exchange.rs
@@ -6,6 +6,7 @@
 
 use super::replicate::{Message, Role};
 use super::server::Server;
+use crate::link::Traffic;
 
 /// How often a replica asks its primary for records.
 const PULL: Duration = Duration::from_millis(50);
@@ -87,7 +88,9 @@
         if cut() {
             return;
         }
-        let due = self.net.arrival(here, there, message.size());
+        let due = self
+            .net
+            .arrival(Traffic::Replication, here, there, message.size());
         compio::runtime::spawn(async move {
             if due > Instant::now() {
                 compio::time::sleep_until(due).await;
--- a/crates/standin/src/group/wire.rs
+++ b/crates/standin/src/group/wire.rs
@@ -9,7 +9,7 @@
 use compio::net::TcpStream;
 
 use super::server::Server;
-use crate::link::{Direction, Site};
+use crate::link::{Direction, Site, Traffic};
 
 const READ: usize = 16 << 10;
 
@@ -104,10 +104,12 @@
 
     fn count(&self, len: usize) {
         let origin = &self.origin;
-        origin
-            .server
-            .net
-            .arrival(origin.viewer, Some(origin.server.home), len);
+        origin.server.net.arrival(
+            Traffic::Queries,
+            origin.viewer,
+            Some(origin.server.home),
+            len,
+        );
     }
 
     /// Sends `buf` and empties it.
@@ -115,10 +117,12 @@
         let chunk = buf.split().to_vec();
         self.origin.passes(Direction::Out).await;
         let origin = &self.origin;
-        let due = origin
-            .server
-            .net
-            .arrival(Some(origin.server.home), origin.viewer, chunk.len());
+        let due = origin.server.net.arrival(
+            Traffic::Queries,
+            Some(origin.server.home),
+            origin.viewer,
+            chunk.len(),
+        );
         match &self.delayed {
             Some(delayed) => {
                 let gone = |_| io::Error::from(io::ErrorKind::BrokenPipe);
@@ -140,7 +144,10 @@
             return;
         }
         let home = Some(origin.server.home);
-        let due = origin.server.net.arrival(origin.viewer, home, len);
+        let due = origin
+            .server
+            .net
+            .arrival(Traffic::Queries, origin.viewer, home, len);
         if tx.send((due, chunk)).is_err() {
             return;
         }
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -16,7 +16,7 @@
 
 /// A data centre by its index in [`Spec::data_centres`]; `None` is a viewer
 /// outside all of them, which has no delay and is never cut off.
-pub type Site = Option<usize>;
+pub(crate) type Site = Option<usize>;
 
 /// Who still reaches an isolated instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -30,28 +30,65 @@
 
 /// Direction of bytes, as seen from an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Direction {
+pub(crate) enum Direction {
     /// From the viewer to the instance.
     In,
     /// From the instance to the viewer.
     Out,
 }
 
+/// What bytes are for.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum Traffic {
+    /// Between viewers and instances.
+    Queries,
+    /// Between instances of a group.
+    Replication,
+    /// Calls to the platform.
+    Platform,
+    /// Through relays.
+    Relayed,
+}
+
+/// Bytes of one kind from one region to another, or within one.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+pub struct Flow {
+    /// Region that sends.
+    pub from: id::Region,
+    /// Region that receives.
+    pub to: id::Region,
+    /// What the bytes are for.
+    pub traffic: Traffic,
+}
+
+impl Flow {
+    /// Whether the bytes cross from one region to another.
+    pub fn crosses(&self) -> bool {
+        self.from != self.to
+    }
+}
+
+/// Bytes carried so far.
+pub type Bytes = IndexMap<Flow, u64>;
+
 struct State {
     spec: Spec,
     cuts: IndexSet<(usize, usize)>,
     isolated: IndexMap<id::InstanceId, Reach>,
-    bytes: IndexMap<(id::Region, id::Region), u64>,
+    bytes: Bytes,
     free_at: IndexMap<(id::Region, id::Region), Instant>,
 }
 
 /// The links of one fleet; clones share them.
 #[derive(Clone)]
-pub struct Net(Rc<RefCell<State>>);
+pub(crate) struct Net(Rc<RefCell<State>>);
 
 impl Net {
     /// Links as `spec` describes them, none of them cut.
-    pub fn new(spec: &Spec) -> Self {
+    pub(crate) fn new(spec: &Spec) -> Self {
         Self(Rc::new(RefCell::new(State {
             spec: spec.clone(),
             cuts: IndexSet::new(),
@@ -62,7 +99,7 @@
     }
 
     /// The data centre of an address `127.0.k.x`.
-    pub fn site(&self, ip: IpAddr) -> Site {
+    pub(crate) fn site(&self, ip: IpAddr) -> Site {
         let IpAddr::V4(ip) = ip else { return None };
         let [127, 0, k, _] = ip.octets() else {
             return None;
@@ -74,7 +111,7 @@
     }
 
     /// The delay one way.
-    pub fn delay(&self, from: Site, to: Site) -> Duration {
+    pub(crate) fn delay(&self, from: Site, to: Site) -> Duration {
         match (from, to) {
             (Some(from), Some(to)) => self.0.borrow().spec.delay(from, to),
             _ => Duration::ZERO,
@@ -82,19 +119,19 @@
     }
 
     /// Cuts the link in one direction.
-    pub fn cut(&self, from: usize, to: usize) {
+    pub(crate) fn cut(&self, from: usize, to: usize) {
         self.0.borrow_mut().cuts.insert((from, to));
     }
 
     /// Restores every link.
-    pub fn heal(&self) {
+    pub(crate) fn heal(&self) {
         let mut state = self.0.borrow_mut();
         state.cuts.clear();
         state.isolated.clear();
     }
 
     /// Isolates an instance, or ends its isolation.
-    pub fn isolate(&self, instance: &id::InstanceId, reach: Option<Reach>) {
+    pub(crate) fn isolate(&self, instance: &id::InstanceId, reach: Option<Reach>) {
         let isolated = &mut self.0.borrow_mut().isolated;
         match reach {
             Some(reach) => {
@@ -107,7 +144,7 @@
     }
 
     /// Whether bytes pass between two data centres now.
-    pub fn open(&self, from: Site, to: Site) -> bool {
+    pub(crate) fn open(&self, from: Site, to: Site) -> bool {
         match (from, to) {
             (Some(from), Some(to)) => !self.0.borrow().cuts.contains(&(from, to)),
             _ => true,
@@ -124,19 +161,19 @@
     }
 
     /// Whether an instance is cut off from the rest of its group.
-    pub fn isolated(&self, instance: &id::InstanceId) -> bool {
+    pub(crate) fn isolated(&self, instance: &id::InstanceId) -> bool {
         self.0.borrow().isolated.contains_key(instance)
     }
 
     /// Waits until bytes pass between two data centres.
-    pub async fn wait_open(&self, from: Site, to: Site) {
+    pub(crate) async fn wait_open(&self, from: Site, to: Site) {
         while !self.open(from, to) {
             compio::time::sleep(CUT_POLL).await;
         }
     }
 
     /// Waits until bytes pass from a viewer to an instance, or back.
-    pub async fn wait_reach(
+    pub(crate) async fn wait_reach(
         &self,
         viewer: Site,
         home: usize,
@@ -154,7 +191,7 @@
     }
 
     /// Counts `len` bytes and says when the last of them arrives.
-    pub fn arrival(&self, from: Site, to: Site, len: usize) -> Instant {
+    pub(crate) fn arrival(&self, traffic: Traffic, from: Site, to: Site, len: usize) -> Instant {
         let now = Instant::now();
         let (Some(from), Some(to)) = (from, to) else {
             return now;
@@ -165,7 +202,13 @@
             state.spec.data_centres[from].region.clone(),
             state.spec.data_centres[to].region.clone(),
         );
-        *state.bytes.entry(pair.clone()).or_default() += len as u64;
+        let (region, other) = pair.clone();
+        let flow = Flow {
+            from: region,
+            to: other,
+            traffic,
+        };
+        *state.bytes.entry(flow).or_default() += len as u64;
         let sent = match state.spec.between_regions {
             Some(rate) if pair.0 != pair.1 => {
                 let took = len as f64 / rate.as_bytes_per_second().max(1) as f64;
@@ -178,8 +221,8 @@
         sent + delay
     }
 
-    /// Bytes carried so far by (from, to) region.
-    pub fn bytes(&self) -> IndexMap<(id::Region, id::Region), u64> {
+    /// Bytes carried so far.
+    pub(crate) fn bytes(&self) -> Bytes {
         self.0.borrow().bytes.clone()
     }
 }
--- a/crates/standin/src/platform/service.rs
+++ b/crates/standin/src/platform/service.rs
@@ -13,7 +13,7 @@
 
 use super::json;
 use super::kv::{Kv, OpResult};
-use crate::link::Net;
+use crate::link::{Net, Traffic};
 
 /// The data centre that holds the service.
 const HOME: Option<usize> = Some(0);
@@ -129,7 +129,7 @@
     }
 
     async fn travel(&self, from: Option<usize>, to: Option<usize>, len: usize) {
-        let due = self.net.arrival(from, to, len);
+        let due = self.net.arrival(Traffic::Platform, from, to, len);
         self.net.wait_open(from, to).await;
         if due > Instant::now() {
             compio::time::sleep_until(due).await;
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -8,7 +8,7 @@
 use compio::net::{TcpListener, TcpStream};
 
 use crate::group;
-use crate::link::{Net, Site};
+use crate::link::{Net, Site, Traffic};
 
 const READ: usize = 64 << 10;
 
@@ -58,7 +58,10 @@
             let compio::buf::BufResult(Ok(len @ 1..), chunk) = result else {
                 return;
             };
-            if tx.send((net.arrival(from, to, len), chunk)).is_err() {
+            if tx
+                .send((net.arrival(Traffic::Relayed, from, to, len), chunk))
+                .is_err()
+            {
                 return;
             }
         }
--- a/crates/standin/tests/fault.rs
+++ b/crates/standin/tests/fault.rs
@@ -10,6 +10,7 @@
 use model::id::InstanceId;
 use model::unit::Span;
 use postgres::{Client, NoTls};
+use standin::link::{Flow, Traffic};
 use standin::platform::Fault;
 use standin::{Fleet, Spec};
 
@@ -261,7 +262,10 @@
     // A lower bound: a busy machine can only lengthen it.
     assert!(start.elapsed() >= 2 * far.as_duration());
     let bytes = fleet.control().bytes().unwrap();
-    let north = "north".parse().unwrap();
-    let south = "south".parse().unwrap();
-    assert_eq!(bytes[&(south, north)], 4);
+    let flow = Flow {
+        from: "south".parse().unwrap(),
+        to: "north".parse().unwrap(),
+        traffic: Traffic::Relayed,
+    };
+    assert_eq!(bytes[&flow], 4);
 }
