--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,11 +1,14 @@
 //! Decisions of the fleet, free of sockets and clocks.
 
 pub mod admit;
+pub mod bytes;
 pub mod confirm;
 pub mod decision;
 pub mod fresh;
 pub mod group;
+pub mod hedge;
 pub mod lead;
+pub mod load;
 pub mod message;
 pub mod node;
 pub mod outcome;
@@ -14,6 +17,7 @@
 pub mod queue;
 pub mod rank;
 pub mod read;
+pub mod retry;
 pub mod route;
 pub mod service;
 pub mod share;
