--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -5,6 +5,7 @@
 use clap::{Arg, ArgAction, ArgMatches, Command};
 
 use crate::report::Table;
+use crate::saturation;
 
 /// One measurement with its own subcommand.
 pub struct Scenario {
@@ -15,7 +16,10 @@
 }
 
 /// Every measurement, in the order of the help text.
-pub const SCENARIOS: &[Scenario] = &[];
+pub const SCENARIOS: &[Scenario] = &[Scenario {
+    command: saturation::command,
+    run: saturation::run,
+}];
 
 /// What to do after the command line was read.
 pub struct Config {
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod client;
 pub mod ledger;
 pub mod report;
+pub mod saturation;
 pub mod workload;
