Name an instance's connections and count its reads

Cause: one connection out of several could not be made silent, and the share of reads on replicas could not be seen. Conclusion: Control::ports lists connections by the port of their other end, and Control::reads counts reading statements per instance.

--- a/crates/standin/src/control.rs
+++ b/crates/standin/src/control.rs
@@ -212,6 +212,18 @@
         self.on(instance, |server| server.lost())
     }
 
+    /// Reading statements that an instance ran; replication functions do not count.
+    pub fn reads(&self, instance: &InstanceId) -> Done<u64> {
+        self.on(instance, |server| server.reads())
+    }
+
+    /// Ports of the other ends of an instance's open connections, oldest first.
+    pub fn ports(&self, instance: &InstanceId) -> Done<Vec<u16>> {
+        self.on(instance, |server| {
+            server.ports.borrow().iter().copied().collect()
+        })
+    }
+
     /// How often an instance executed each writing statement, committed or not.
     pub fn executed(&self, instance: &InstanceId) -> Done<IndexMap<String, u64>> {
         self.on(instance, |server| server.executed())
--- a/crates/standin/src/group/listener.rs
+++ b/crates/standin/src/group/listener.rs
@@ -53,11 +53,17 @@
         };
         let (open, dead) = (Rc::clone(&open), dead.clone());
         compio::runtime::spawn(async move {
+            let server = Rc::clone(&origin.server);
             open.set(open.get() + 1);
+            server.ports.borrow_mut().insert(peer.port());
             let dead = std::pin::pin!(dead.recv_async());
             let serve = std::pin::pin!(serve(origin, stream, open.get()));
             future::select(serve, dead).await;
             open.set(open.get() - 1);
+            server.ports.borrow_mut().shift_remove(&peer.port());
+            // The port may come back with another connection.
+            let ports = &mut server.knobs.borrow_mut().silent_ports;
+            ports.shift_remove(&peer.port());
         })
         .detach();
     }
--- a/crates/standin/src/group/server.rs
+++ b/crates/standin/src/group/server.rs
@@ -3,12 +3,12 @@
 //! All of a fleet's instances run on one thread; the cells are borrowed only
 //! between awaits.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use model::id::InstanceId;
 use model::position::{History, Point, Position, Term};
 use model::unit::Span;
@@ -43,7 +43,10 @@
     pub(crate) cancels: RefCell<IndexMap<i32, flume::Sender<()>>>,
     pub(super) state: RefCell<State>,
     pub(super) peers: Peers,
-    connections: std::cell::Cell<u64>,
+    connections: Cell<u64>,
+    reads: Cell<u64>,
+    /// Ports of the other ends of open connections, oldest first.
+    pub(crate) ports: RefCell<IndexSet<u16>>,
 }
 
 /// The row that status functions answer.
@@ -83,7 +86,9 @@
             cancels: RefCell::default(),
             state: RefCell::new(State::new(role)),
             peers,
-            connections: std::cell::Cell::new(1),
+            connections: Cell::new(1),
+            reads: Cell::default(),
+            ports: RefCell::default(),
         })
     }
 
@@ -213,6 +218,7 @@
 
     /// Runs a read on the committed data, or inside the open write transaction.
     pub(crate) fn read(&self, statement: &Statement, scratch: bool) -> Result<Output, SqlError> {
+        self.reads.set(self.reads.get() + 1);
         let state = self.state.borrow();
         let db = if scratch { &state.scratch } else { &state.db };
         db.run(&statement.text, &statement.values)
@@ -299,6 +305,11 @@
         self.state.borrow().lost.clone()
     }
 
+    /// Reading statements run so far.
+    pub(crate) fn reads(&self) -> u64 {
+        self.reads.get()
+    }
+
     /// Executions by statement text, committed or not.
     pub(crate) fn executed(&self) -> IndexMap<String, u64> {
         self.state.borrow().executed.clone()
--- a/crates/standin/tests/fault.rs
+++ b/crates/standin/tests/fault.rs
@@ -79,6 +79,19 @@
     assert!(done.recv_timeout(SHORT).is_err());
 }
 
+#[test]
+fn one_connection_goes_silent_and_the_others_work() {
+    let fleet = Fleet::start(Spec::small()).unwrap();
+    let (client, mut other) = (try_connect(&fleet).unwrap(), try_connect(&fleet).unwrap());
+    let id = first(&fleet);
+    let ports = fleet.control().ports(&id).unwrap();
+    fleet.control().silence_port(&id, ports[0]).unwrap();
+    let done = in_background(client, "SELECT 1");
+    other.batch_execute("SELECT 1").unwrap();
+    assert!(done.recv_timeout(SHORT).is_err());
+    assert_eq!(fleet.control().reads(&id).unwrap(), 1);
+}
+
 #[test]
 fn a_paused_instance_answers_after_the_pause() {
     let fleet = Fleet::start(Spec::small()).unwrap();
