--- /dev/null
+++ b/crates/load/src/bed.rs
@@ -0,0 +1,109 @@
+//! A whole fleet in one process: stand-ins and proxies, each on its own thread.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use model::id::{DataCentre, ProxyId};
+use proxy::config::Config;
+use proxy::run::Embedded;
+
+/// Secret that the embedded proxies share.
+const SECRET: &str = "embedded fleet";
+
+/// Why a fleet cannot be started.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum BedError {
+    /// The stand-ins cannot start.
+    #[error(transparent)]
+    StandIn(#[from] standin::StartError),
+    /// A proxy cannot start.
+    #[error(transparent)]
+    Proxy(#[from] proxy::run::StartError),
+    /// The configuration cannot be written to the store.
+    #[error(transparent)]
+    Configuration(#[from] store::config::ConfigError),
+    /// The store cannot be reached.
+    #[error(transparent)]
+    Store(#[from] store::Error),
+    /// The runtime cannot be started.
+    #[error("the runtime cannot be started")]
+    Runtime(#[from] std::io::Error),
+    /// A fault could not be switched.
+    #[error(transparent)]
+    Fault(#[from] standin::ControlError),
+    /// The sessions could not be prepared or audited.
+    #[error(transparent)]
+    Client(#[from] crate::client::ClientError),
+}
+
+/// Running stand-ins and proxies; dropping the bed stops them, proxies first.
+pub struct Bed {
+    /// Proxies, in the order of their data centres, in turn.
+    proxies: Vec<Embedded>,
+    stand_ins: standin::Fleet,
+}
+
+impl Bed {
+    /// Starts the stand-ins, writes their configuration to the store, and starts
+    /// `proxies` proxies, one data centre after the other.
+    pub async fn start(spec: standin::Spec, proxies: usize) -> Result<Self, BedError> {
+        let stand_ins = standin::Fleet::start(spec.clone())?;
+        publish(&stand_ins, &spec.data_centres[0].name).await?;
+        let mut bed = Self {
+            proxies: Vec::new(),
+            stand_ins,
+        };
+        for at in 0..proxies {
+            let cfg = bed.config(&spec, at);
+            bed.proxies.push(Embedded::start(cfg)?);
+        }
+        Ok(bed)
+    }
+
+    /// The stand-ins.
+    pub fn stand_ins(&self) -> &standin::Fleet {
+        &self.stand_ins
+    }
+
+    /// Caller addresses of the proxies, as a workload takes them.
+    pub fn entries(&self) -> Vec<(SocketAddr, Option<IpAddr>)> {
+        self.proxies.iter().map(|p| (p.address(), None)).collect()
+    }
+
+    fn config(&self, spec: &standin::Spec, at: usize) -> Config {
+        let centre = at % spec.data_centres.len();
+        let name: &DataCentre = &spec.data_centres[centre].name;
+        let ip = loopback(centre, at);
+        let id: ProxyId = format!("proxy-{at}").parse().expect("an identifier");
+        let store = self.stand_ins.store_url(name).into_iter().collect();
+        let mut cfg = Config::builder(name.clone(), SECRET)
+            .id(id)
+            .address(ip)
+            .listen(SocketAddr::new(ip, 0))
+            .peer_listen(SocketAddr::new(ip, 0))
+            .store(store)
+            .seeds(self.seeds());
+        if let Some(url) = self.stand_ins.vm_list_url(name) {
+            cfg = cfg.vm_list(url);
+        }
+        cfg.build()
+    }
+
+    fn seeds(&self) -> Vec<SocketAddr> {
+        let peers = self.proxies.iter();
+        peers.filter_map(Embedded::peer_address).collect()
+    }
+}
+
+/// The stand-ins tell data centres apart by the third byte, counted from 1.
+fn loopback(centre: usize, at: usize) -> IpAddr {
+    let byte = |n: usize| u8::try_from(n).unwrap_or(u8::MAX);
+    IpAddr::V4(Ipv4Addr::new(127, 0, byte(centre + 1), byte(at + 10)))
+}
+
+async fn publish(stand_ins: &standin::Fleet, centre: &DataCentre) -> Result<(), BedError> {
+    let endpoints = stand_ins.store_url(centre).into_iter().collect();
+    let client = store::Client::new(endpoints)?;
+    let base = client.load_config().await?;
+    client.save_config(&base, &stand_ins.document(), "bed").await?;
+    Ok(())
+}
