Run the main job on embedded stand-ins: pomelo-load demo

Cause: one command must show the whole path, and nothing did. Before: no demo. After: stand-ins, two proxies and roaming sessions run in one process and the answers are audited.

--- a/crates/load/src/bed.rs
+++ b/crates/load/src/bed.rs
@@ -24,9 +24,9 @@
     /// The store cannot be reached.
     #[error(transparent)]
     Store(#[from] store::Error),
-    /// The runtime cannot be started.
-    #[error("the runtime cannot be started")]
-    Runtime(#[from] std::io::Error),
+    /// The configuration cannot be written to a file.
+    #[error("cannot write the configuration")]
+    File(#[from] std::io::Error),
     /// A fault could not be switched.
     #[error(transparent)]
     Fault(#[from] standin::ControlError),
@@ -40,6 +40,8 @@
     /// Proxies, in the order of their data centres, in turn.
     proxies: Vec<Embedded>,
     stand_ins: standin::Fleet,
+    /// The configuration, for proxies that start before the store answers.
+    document: tempfile::NamedTempFile,
 }
 
 impl Bed {
@@ -50,6 +52,7 @@
         publish(&stand_ins, &spec.data_centres[0].name).await?;
         let mut bed = Self {
             proxies: Vec::new(),
+            document: write_document(&stand_ins)?,
             stand_ins,
         };
         for at in 0..proxies {
@@ -81,17 +84,12 @@
             .listen(SocketAddr::new(ip, 0))
             .peer_listen(SocketAddr::new(ip, 0))
             .store(store)
-            .seeds(self.seeds());
+            .fleet_file(self.document.path().to_owned());
         if let Some(url) = self.stand_ins.vm_list_url(name) {
             cfg = cfg.vm_list(url);
         }
         cfg.build()
     }
-
-    fn seeds(&self) -> Vec<SocketAddr> {
-        let peers = self.proxies.iter();
-        peers.filter_map(Embedded::peer_address).collect()
-    }
 }
 
 /// The stand-ins tell data centres apart by the third byte, counted from 1.
@@ -104,6 +102,14 @@
     let endpoints = stand_ins.store_url(centre).into_iter().collect();
     let client = store::Client::new(endpoints)?;
     let base = client.load_config().await?;
-    client.save_config(&base, &stand_ins.document(), "bed").await?;
+    client
+        .save_config(&base, &stand_ins.document(), "bed")
+        .await?;
     Ok(())
 }
+
+fn write_document(stand_ins: &standin::Fleet) -> Result<tempfile::NamedTempFile, BedError> {
+    let mut file = tempfile::NamedTempFile::new()?;
+    serde_json::to_writer(&mut file, &stand_ins.document()).map_err(std::io::Error::from)?;
+    Ok(file)
+}
--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -4,6 +4,7 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command};
 
+use crate::demo;
 use crate::report::Table;
 use crate::saturation;
 
@@ -16,10 +17,16 @@
 }
 
 /// Every measurement, in the order of the help text.
-pub const SCENARIOS: &[Scenario] = &[Scenario {
-    command: saturation::command,
-    run: saturation::run,
-}];
+pub const SCENARIOS: &[Scenario] = &[
+    Scenario {
+        command: demo::command,
+        run: demo::run,
+    },
+    Scenario {
+        command: saturation::command,
+        run: saturation::run,
+    },
+];
 
 /// What to do after the command line was read.
 pub struct Config {
--- a/crates/load/src/demo.rs
+++ b/crates/load/src/demo.rs
@@ -83,6 +83,7 @@
     };
     let (seen, fault) = future::join(workload::run(&plan), fault).await;
     fault?;
+    control.isolate(&primary, None)?;
     let audit = workload::audit(&plan, &seen).await?;
     Ok((seen, audit))
 }
@@ -90,14 +91,29 @@
 fn summary(seen: &Seen, audit: Audit) -> Table {
     let mut table = Table::new("one failed primary, two proxies", &["figure", "value"]);
     let mut row = |name: &str, value: String| table.row([name.to_owned(), value]);
-    row("writes acknowledged", seen.writes(Answer::Acknowledged).to_string());
-    row("writes that did not run", seen.writes(Answer::DidNotRun).to_string());
-    row("writes of unknown outcome", seen.writes(Answer::Unknown).to_string());
+    row(
+        "writes acknowledged",
+        seen.writes(Answer::Acknowledged).to_string(),
+    );
+    row(
+        "writes that did not run",
+        seen.writes(Answer::DidNotRun).to_string(),
+    );
+    row(
+        "writes of unknown outcome",
+        seen.writes(Answer::Unknown).to_string(),
+    );
     row("reads answered", seen.reads.to_string());
-    row("reads failed", seen.failed_reads.values().sum::<u64>().to_string());
+    row(
+        "reads failed",
+        seen.failed_reads.values().sum::<u64>().to_string(),
+    );
     let gap = seen.write_gap().map_or(Duration::ZERO, |(_, gap)| gap);
     row("write gap", report::millis(gap.into()));
-    row("write p50", report::millis(seen.write_latency.quantile(0.5)));
+    row(
+        "write p50",
+        report::millis(seen.write_latency.quantile(0.5)),
+    );
     row("read p50", report::millis(seen.read_latency.quantile(0.5)));
     row("wrong reads", seen.wrong_reads.to_string());
     row("lost writes", audit.lost.to_string());
