Drive the group controllers against instances and the store

The group task owns the controller and, for each instance, one long-lived connection with pipelined questions. Questions that serve as evidence of life go out on new connections; orders reuse an answered connection of the last two seconds, since claim, fence and promotion follow each other closely. A long-lived connection that stays silent while a fresh one answers is closed.

Before: every route went to the first instance and every write was confirmed unseen.

--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -1,17 +1,25 @@
 //! Routes and confirmations for one database group: the face of its group task.
 
+mod client;
+mod link;
+mod log;
 mod task;
 
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Instant;
 
+use indexmap::IndexMap;
 use model::config::Fleet;
 use model::id::{GroupId, InstanceId, ProxyId};
 use model::place::Place;
 use model::position::Point;
-use model::unit::Span;
+use model::unit::{Span, Time};
+use policy::decision::Decision;
+use policy::group::Lead;
+use policy::message::{Audience, Peer, PeerView, Versioned};
 use policy::route::{Failure, ReadNeed, Refusal, Target, Unconfirmed};
+use policy::status::Observed;
 
 /// A message to a group task.
 enum Request {
@@ -33,10 +41,32 @@
     Finished(InstanceId, Span),
     Failed(InstanceId, Failure),
     Configure(Arc<Fleet>),
+    Told(Told),
+    Snapshot(flume::Sender<Snapshot>),
 }
 
-/// What a group task is started with.
+/// News from other proxies and from the store's watch.
+enum Told {
+    Peers(Vec<Peer>),
+    View(PeerView),
+    Record(Versioned),
+}
+
+/// What a group task knows and has decided.
 #[derive(Clone, Debug)]
+pub struct Snapshot {
+    /// The present on the clock of this task, to which all times here refer.
+    pub now: Time,
+    /// The newest known primary.
+    pub lead: Lead,
+    /// Newest observation of each instance.
+    pub seen: IndexMap<InstanceId, Observed>,
+    /// Newest decisions, oldest first.
+    pub decisions: Vec<Decision>,
+}
+
+/// What a group task is started with.
+#[derive(Clone)]
 pub struct Setup {
     /// The group.
     pub group: GroupId,
@@ -48,6 +78,12 @@
     pub address: IpAddr,
     /// The configuration in force.
     pub fleet: Arc<Fleet>,
+    /// The platform's store, which keeps the leadership record.
+    pub store: store::client::Client,
+    /// Views that other proxies are to be told.
+    pub tell: flume::Sender<(Audience, PeerView)>,
+    /// Source of the controller's randomness.
+    pub seed: u64,
 }
 
 /// Starts the task of one group on the current runtime.
@@ -139,6 +175,27 @@
         let _ = self.tx.send(Request::Configure(fleet));
     }
 
+    /// Hands over the list of live proxies.
+    pub fn peers(&self, live: Vec<Peer>) {
+        let _ = self.tx.send(Request::Told(Told::Peers(live)));
+    }
+
+    /// Hands over another proxy's view of the group.
+    pub fn peer_view(&self, view: PeerView) {
+        let _ = self.tx.send(Request::Told(Told::View(view)));
+    }
+
+    /// Hands over the leadership record as a watch or a peer reported it.
+    pub fn record(&self, versioned: Versioned) {
+        let _ = self.tx.send(Request::Told(Told::Record(versioned)));
+    }
+
+    /// What the group task knows and has decided; `None` while it shuts down.
+    pub async fn snapshot(&self) -> Option<Snapshot> {
+        let (tx, rx) = flume::bounded(1);
+        self.ask(Request::Snapshot(tx), &rx).await
+    }
+
     async fn ask<T>(&self, req: Request, rx: &flume::Receiver<T>) -> Option<T> {
         self.tx.send_async(req).await.ok()?;
         rx.recv_async().await.ok()
--- /dev/null
+++ b/crates/proxy/src/group/link.rs
@@ -0,0 +1,211 @@
+//! The connections of a group task to one instance.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use compio::runtime::JoinHandle;
+use policy::message::{Channel, Query};
+use policy::route::Failure;
+use policy::status::Status;
+
+use super::client::{Connection, Login, Reader};
+
+/// Longest time for a question on a connection of its own, its opening included.
+const FRESH_WITHIN: Duration = Duration::from_millis(1_000);
+
+/// Time for which an answered connection is kept for the next order. Claim, fence and
+/// promotion follow each other within it, and each then saves the opening of a connection
+/// (10 to 30 ms and two round trips); a backend server's connections are too few to keep
+/// it for longer.
+const SPARE_FOR: Duration = Duration::from_millis(2_000);
+
+/// Silence of the long-lived connection after which an answer on a fresh one proves that
+/// something between the ends has forgotten it; it is then closed.
+const FORGOTTEN_AFTER: Duration = Duration::from_millis(100);
+
+/// An answer of an instance.
+pub(super) type Answer = (Query, Result<Status, Failure>);
+
+/// A question to an instance.
+#[derive(Clone, Debug)]
+pub(super) struct Question {
+    pub(super) query: Query,
+    pub(super) sql: String,
+    /// Whether it is an order, which may reuse an answered connection: only a status that
+    /// serves as evidence of life needs a new one.
+    pub(super) order: bool,
+}
+
+/// Questions of the long-lived connection without an answer, oldest first.
+type Pending = Rc<RefCell<VecDeque<(Query, Instant)>>>;
+
+struct Steady {
+    tx: flume::Sender<Question>,
+    pending: Pending,
+    /// Cancelled when dropped.
+    _task: JoinHandle<()>,
+}
+
+/// The connections to one instance.
+pub(super) struct Link {
+    login: Rc<Login>,
+    tx: flume::Sender<Answer>,
+    steady: Option<Steady>,
+    spare: Rc<Cell<Option<(Connection, Instant)>>>,
+}
+
+impl Link {
+    pub(super) fn new(login: Login, tx: flume::Sender<Answer>) -> Self {
+        Self {
+            login: Rc::new(login),
+            tx,
+            steady: None,
+            spare: Rc::default(),
+        }
+    }
+
+    pub(super) fn ask(&mut self, question: Question, channel: Channel) {
+        match channel {
+            Channel::Steady => self.ask_steady(question),
+            Channel::Fresh => self.ask_fresh(question),
+        }
+    }
+
+    /// Notes that the instance answered. Closes what is idle, and the long-lived
+    /// connection if that one stayed silent meanwhile.
+    pub(super) fn answered(&mut self, query: Query) {
+        let Some(steady) = &self.steady else {
+            return;
+        };
+        let pending = steady.pending.borrow();
+        let oldest = pending.front().copied();
+        drop(pending);
+        let forgotten = oldest.is_some_and(|(q, at)| q != query && at.elapsed() >= FORGOTTEN_AFTER);
+        if forgotten {
+            self.steady = None;
+        }
+    }
+
+    /// Closes the spare connection once it is too old.
+    pub(super) fn tidy(&self) {
+        let spare = self.spare.take();
+        self.spare
+            .set(spare.filter(|(_, at)| at.elapsed() < SPARE_FOR));
+    }
+
+    fn ask_steady(&mut self, question: Question) {
+        let (login, tx) = (&self.login, &self.tx);
+        let steady = self.steady.get_or_insert_with(|| open(login, tx));
+        let entry = (question.query, Instant::now());
+        steady.pending.borrow_mut().push_back(entry);
+        if let Err(flume::SendError(question)) = steady.tx.send(question) {
+            // The connection broke since the last question; the next one opens another.
+            self.steady = None;
+            let _ = self.tx.send((question.query, Err(Failure::Broken)));
+        }
+    }
+
+    fn ask_fresh(&mut self, question: Question) {
+        let (login, tx) = (self.login.clone(), self.tx.clone());
+        let spare = self.spare.clone();
+        let reused = if question.order { spare.take() } else { None };
+        compio::runtime::spawn(async move {
+            let asked = ask_once(&login, reused.map(|(c, _)| c), &question.sql);
+            let asked = compio::time::timeout(FRESH_WITHIN, asked).await;
+            let result = match asked {
+                Ok(Ok((connection, status))) => {
+                    spare.set(Some((connection, Instant::now())));
+                    Ok(status)
+                }
+                Ok(Err(e)) => Err(e),
+                Err(_) => Err(Failure::Silent),
+            };
+            let _ = tx.send((question.query, result));
+        })
+        .detach();
+    }
+}
+
+async fn ask_once(
+    login: &Login,
+    reused: Option<Connection>,
+    sql: &str,
+) -> Result<(Connection, Status), Failure> {
+    let mut connection = match reused {
+        Some(connection) => connection,
+        None => Connection::open(login).await?,
+    };
+    let status = connection.ask(sql).await?;
+    Ok((connection, status))
+}
+
+fn open(login: &Rc<Login>, answers: &flume::Sender<Answer>) -> Steady {
+    let (tx, rx) = flume::unbounded();
+    let pending = Pending::default();
+    let task = run(login.clone(), rx, answers.clone(), pending.clone());
+    Steady {
+        tx,
+        pending,
+        _task: compio::runtime::spawn(task),
+    }
+}
+
+/// Serves the long-lived connection until it breaks; then every question without an
+/// answer has failed.
+async fn run(
+    login: Rc<Login>,
+    rx: flume::Receiver<Question>,
+    answers: flume::Sender<Answer>,
+    pending: Pending,
+) {
+    let failure = serve(&login, &rx, &answers, &pending).await;
+    drop(rx);
+    for (query, _) in pending.borrow_mut().drain(..) {
+        let _ = answers.send((query, Err(failure)));
+    }
+}
+
+async fn serve(
+    login: &Login,
+    rx: &flume::Receiver<Question>,
+    answers: &flume::Sender<Answer>,
+    pending: &Pending,
+) -> Failure {
+    let connection = Connection::open(login).await;
+    let Connection {
+        mut tx,
+        rx: mut reader,
+    } = match connection {
+        Ok(connection) => connection,
+        Err(e) => return e,
+    };
+    let write = async {
+        while let Ok(question) = rx.recv_async().await {
+            if let Err(e) = tx.send(&question.sql).await {
+                return e;
+            }
+        }
+        Failure::Broken
+    };
+    let read = read(&mut reader, answers, pending);
+    futures_util::pin_mut!(write, read);
+    futures_util::future::select(write, read)
+        .await
+        .factor_first()
+        .0
+}
+
+async fn read(reader: &mut Reader, answers: &flume::Sender<Answer>, pending: &Pending) -> Failure {
+    loop {
+        let result = reader.status().await;
+        if let Err(e @ (Failure::Broken | Failure::Refused)) = result {
+            return e;
+        }
+        let answered = pending.borrow_mut().pop_front();
+        if let Some((query, _)) = answered {
+            let _ = answers.send((query, result));
+        }
+    }
+}
--- a/crates/proxy/src/group/task.rs
+++ b/crates/proxy/src/group/task.rs
@@ -1,59 +1,361 @@
-//! The task that owns one group's routes.
+//! The task that owns one group: it feeds the controller and carries out its actions.
 
-use model::position::{Point, Term};
-use policy::route::{Refusal, Target};
-use policy::status::Role;
+use std::time::{Duration, Instant};
 
-use super::{Request, Setup};
+use indexmap::IndexMap;
+use model::id::InstanceId;
+use model::position::Revision;
+use model::unit::{Span, Time};
+use policy::group::{self, Group};
+use policy::lead::{self, Record};
+use policy::message::{Action, Ask, Event, Query, StoreAnswer, StoreAsk, Ticket, Versioned};
+use policy::route::{Failure, Refusal, Target, Unconfirmed};
+use policy::spec::{Me, Spec};
 
-const RETRY: model::unit::Span = model::unit::Span::from_millis(100);
+use super::client::Login;
+use super::link::{Answer, Link, Question};
+use super::{Request, Setup, Snapshot, Told};
+
+/// Answers that come back to the task.
+enum Inner {
+    Instance(Answer),
+    Store(Query, StoreAnswer),
+}
+
+enum Caller {
+    Route(flume::Sender<Result<Target, Refusal>>),
+    Confirm(flume::Sender<Result<(), Unconfirmed>>),
+}
+
+struct Task {
+    setup: Setup,
+    /// Zero of the controller's clock.
+    epoch: Instant,
+    spec: Spec,
+    group: Group,
+    links: IndexMap<InstanceId, Link>,
+    callers: IndexMap<Ticket, Caller>,
+    tickets: u64,
+    instances: flume::Sender<Answer>,
+    stores: flume::Sender<(Query, StoreAnswer)>,
+}
 
 /// Serves requests until every handle is gone.
-pub(super) async fn run(mut setup: Setup, rx: flume::Receiver<Request>) {
-    while let Ok(req) = rx.recv_async().await {
+pub(super) async fn run(setup: Setup, rx: flume::Receiver<Request>) {
+    let Some(spec) = Spec::new(&setup.fleet, &setup.group) else {
+        tracing::warn!(group = %setup.group, "group not declared");
+        return;
+    };
+    let (instances, answers) = flume::unbounded();
+    let (stores, stored) = flume::unbounded();
+    let me = Me {
+        id: setup.me.clone(),
+        place: setup.place.clone(),
+    };
+    let now = Time::from_micros(1);
+    let mut task = Task {
+        epoch: Instant::now(),
+        group: Group::new(now, me, spec.clone(), setup.seed),
+        spec,
+        setup,
+        links: IndexMap::new(),
+        callers: IndexMap::new(),
+        tickets: 0,
+        instances,
+        stores,
+    };
+    let tick = group::TICK.as_duration();
+    let mut ticked = Instant::now();
+    loop {
+        let left = tick.saturating_sub(ticked.elapsed());
+        match next(&rx, &answers, &stored, left).await {
+            Some(Ok(Input::Request(req))) => task.request(req),
+            Some(Ok(Input::Inner(inner))) => task.inner(inner),
+            Some(Err(flume::RecvError::Disconnected)) => return,
+            None => {
+                ticked = Instant::now();
+                task.tick();
+            }
+        }
+    }
+}
+
+enum Input {
+    Request(Request),
+    Inner(Inner),
+}
+
+/// The next input; `None` when it is time to tick.
+async fn next(
+    rx: &flume::Receiver<Request>,
+    answers: &flume::Receiver<Answer>,
+    stored: &flume::Receiver<(Query, StoreAnswer)>,
+    left: Duration,
+) -> Option<Result<Input, flume::RecvError>> {
+    if left.is_zero() {
+        return None;
+    }
+    // The task holds a sender of each inner channel, so that neither disconnects.
+    let input = async {
+        futures_util::select! {
+            req = rx.recv_async() => req.map(Input::Request),
+            answer = answers.recv_async() => answer.map(|a| Input::Inner(Inner::Instance(a))),
+            stored = stored.recv_async() => {
+                stored.map(|(query, answer)| Input::Inner(Inner::Store(query, answer)))
+            }
+        }
+    };
+    compio::time::timeout(left, input).await.ok()
+}
+
+impl Task {
+    fn now(&self) -> Time {
+        self.at(Instant::now())
+    }
+
+    fn at(&self, moment: Instant) -> Time {
+        let since = moment.saturating_duration_since(self.epoch);
+        Time::from_micros(1) + Span::from(since)
+    }
+
+    fn step(&mut self, event: Event) {
+        for action in self.group.step(self.now(), event) {
+            self.act(action);
+        }
+    }
+
+    fn tick(&mut self) {
+        for link in self.links.values() {
+            link.tidy();
+        }
+        self.step(Event::Tick);
+    }
+
+    fn ticket(&mut self, caller: Caller) -> Ticket {
+        self.tickets += 1;
+        let ticket = Ticket(self.tickets);
+        self.callers.insert(ticket, caller);
+        ticket
+    }
+
+    fn request(&mut self, req: Request) {
         match req {
             Request::Write {
-                tx,
                 point,
                 deadline,
+                tx,
             } => {
-                tracing::trace!(?point, ?deadline, "write");
-                let _ = tx.send(first(&setup));
+                let (ticket, deadline) = (self.ticket(Caller::Route(tx)), self.at(deadline));
+                self.step(Event::RouteWrite {
+                    ticket,
+                    point,
+                    deadline,
+                });
             }
-            Request::Read { tx, need, deadline } => {
-                tracing::trace!(?need, ?deadline, "read");
-                let _ = tx.send(first(&setup));
+            Request::Read { need, deadline, tx } => {
+                let (ticket, deadline) = (self.ticket(Caller::Route(tx)), self.at(deadline));
+                self.step(Event::RouteRead {
+                    ticket,
+                    need,
+                    deadline,
+                });
             }
             Request::Confirm {
-                tx,
                 point,
                 deadline,
+                tx,
+            } => {
+                let (ticket, deadline) = (self.ticket(Caller::Confirm(tx)), self.at(deadline));
+                self.step(Event::Confirm {
+                    ticket,
+                    point,
+                    deadline,
+                });
+            }
+            Request::Finished(instance, took) => self.step(Event::Finished { instance, took }),
+            Request::Failed(instance, failure) => self.step(Event::Failed { instance, failure }),
+            Request::Configure(fleet) => self.configure(&fleet),
+            Request::Told(told) => self.told(told),
+            Request::Snapshot(tx) => {
+                let _ = tx.send(self.snapshot());
+            }
+        }
+    }
+
+    fn told(&mut self, told: Told) {
+        match told {
+            Told::Peers(live) => self.step(Event::Peers(live)),
+            Told::View(view) => self.step(Event::Peer(view)),
+            Told::Record(versioned) => self.step(Event::Record(versioned)),
+        }
+    }
+
+    fn snapshot(&self) -> Snapshot {
+        Snapshot {
+            now: self.now(),
+            lead: self.group.lead().clone(),
+            seen: self.group.seen().clone(),
+            decisions: self.group.decisions().cloned().collect(),
+        }
+    }
+
+    fn configure(&mut self, fleet: &model::config::Fleet) {
+        let Some(spec) = Spec::new(fleet, &self.setup.group) else {
+            return;
+        };
+        let moved = |id: &InstanceId| spec.members.get(id) != self.spec.members.get(id);
+        self.links.retain(|id, _| !moved(id));
+        self.spec = spec.clone();
+        self.setup.fleet = std::sync::Arc::new(fleet.clone());
+        self.step(Event::Configure(Box::new(spec)));
+    }
+
+    fn inner(&mut self, inner: Inner) {
+        match inner {
+            Inner::Instance((query, result)) => {
+                if result.is_ok() {
+                    let links = self.links.values_mut();
+                    links.for_each(|link| link.answered(query));
+                }
+                self.step(Event::Answer { query, result });
+            }
+            Inner::Store(query, answer) => self.step(Event::Store { query, answer }),
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Ask {
+                query,
+                instance,
+                ask,
+                channel,
             } => {
-                tracing::trace!(%point, ?deadline, "confirm");
-                let _ = tx.send(Ok(()));
+                let question = Question {
+                    query,
+                    sql: self.sql(&ask),
+                    order: !matches!(ask, Ask::Status | Ask::Wait { .. }),
+                };
+                if let Some(link) = self.link(&instance) {
+                    link.ask(question, channel);
+                }
+            }
+            Action::Store { query, ask } => self.ask_store(query, ask),
+            Action::Tell { to, view } => {
+                // Without anyone who passes views on, this proxy decides by itself.
+                let _ = self.setup.tell.send((to, view));
+            }
+            Action::Routed { ticket, result } => self.routed(ticket, result),
+            Action::Confirmed { ticket, result } => {
+                if let Some(Caller::Confirm(tx)) = self.callers.swap_remove(&ticket) {
+                    let _ = tx.send(result);
+                }
             }
-            Request::Finished(instance, took) => {
-                tracing::trace!(%instance, %took, "request finished");
+            Action::Decided(decision) => super::log::decision(&decision),
+        }
+    }
+
+    fn routed(&mut self, ticket: Ticket, result: Result<Target, Refusal>) {
+        let Some(Caller::Route(tx)) = self.callers.swap_remove(&ticket) else {
+            return;
+        };
+        if let Err(flume::SendError(Ok(target))) = tx.send(result) {
+            // The caller is gone; its request no longer counts as under way.
+            let instance = target.instance;
+            let failure = Failure::Silent;
+            let now = self.now();
+            let actions = self.group.step(now, Event::Failed { instance, failure });
+            for action in actions {
+                self.act(action);
             }
-            Request::Failed(instance, failure) => {
-                tracing::debug!(%instance, %failure, "request failed");
+        }
+    }
+
+    fn link(&mut self, instance: &InstanceId) -> Option<&mut Link> {
+        let member = self.spec.members.get(instance)?;
+        let declared = self.setup.fleet.groups.get(&self.setup.group)?;
+        let login = || Login {
+            address: member.address,
+            source: self.setup.address,
+            user: declared.user.clone(),
+            database: declared.database.clone(),
+            password: declared.password.clone(),
+        };
+        let tx = &self.instances;
+        let link = self.links.entry(instance.clone());
+        Some(link.or_insert_with(|| Link::new(login(), tx.clone())))
+    }
+
+    fn sql(&self, ask: &Ask) -> String {
+        let profile = &self.spec.settings.profile;
+        match ask {
+            Ask::Status => profile.status.clone(),
+            Ask::Wait { position, timeout } => profile
+                .wait
+                .replace("$position", &position.to_string())
+                .replace("$timeout_ms", &timeout.as_millis().to_string()),
+            Ask::Fence(term) => profile.fence.replace("$term", &term.to_string()),
+            Ask::Promote(term) => profile.promote.replace("$term", &term.to_string()),
+            Ask::Follow { term, primary } => {
+                let member = self.spec.members.get(primary);
+                let address = member.map(|m| m.address.to_string()).unwrap_or_default();
+                let order = profile.follow.replace("$term", &term.to_string());
+                order.replace("$address", &address)
             }
-            Request::Configure(fleet) => setup.fleet = fleet,
         }
     }
+
+    fn ask_store(&self, query: Query, ask: StoreAsk) {
+        let key = lead::key(&self.setup.group);
+        let (store, tx) = (self.setup.store.clone(), self.stores.clone());
+        compio::runtime::spawn(async move {
+            let answer = match ask {
+                StoreAsk::Read => read(&store, &key).await,
+                StoreAsk::Swap { expected, record } => swap(&store, &key, expected, &record).await,
+            };
+            let _ = tx.send((query, answer));
+        })
+        .detach();
+    }
 }
 
-fn first(setup: &Setup) -> Result<Target, Refusal> {
-    let none = Refusal::NoPrimary { retry: RETRY };
-    let spec = setup.fleet.groups.get(&setup.group).ok_or(none.clone())?;
-    let (name, instance) = spec.instances.first().ok_or(none.clone())?;
-    Ok(Target {
-        instance: name.clone(),
-        address: instance.address,
-        place: setup.fleet.place(&instance.data_centre).ok_or(none)?,
-        role: Role::Primary,
-        term: Term(1),
-        via: None,
-        point: Point::default(),
-    })
+async fn read(client: &store::client::Client, key: &str) -> StoreAnswer {
+    match client.get(key).await {
+        Ok(found) => versioned(found),
+        Err(_) => StoreAnswer::Unknown,
+    }
+}
+
+async fn swap(
+    client: &store::client::Client,
+    key: &str,
+    expected: Revision,
+    record: &Record,
+) -> StoreAnswer {
+    let Ok(value) = serde_json::to_vec(record) else {
+        return StoreAnswer::Unknown;
+    };
+    match client.swap(key, expected, value).await {
+        Ok(store::kv::Outcome::Applied(revision)) => StoreAnswer::Swapped(revision),
+        Ok(store::kv::Outcome::Conflict(found)) => versioned(found),
+        Ok(store::kv::Outcome::Unknown) | Err(_) => StoreAnswer::Unknown,
+    }
+}
+
+/// A record that cannot be read must not pass for an absent one: the group would fall
+/// back to its first instance.
+fn versioned(found: Option<store::kv::Record>) -> StoreAnswer {
+    let Some(found) = found else {
+        return StoreAnswer::Found(Versioned::default());
+    };
+    match serde_json::from_slice(&found.value) {
+        Ok(record) => StoreAnswer::Found(Versioned {
+            revision: found.revision,
+            record: Some(record),
+        }),
+        Err(error) => {
+            tracing::error!(key = found.key, %error, "leadership record unreadable");
+            StoreAnswer::Unknown
+        }
+    }
 }
