--- /dev/null
+++ b/crates/policy/tests/promote.rs
@@ -0,0 +1,150 @@
+//! Single steps of a promotion.
+
+use indexmap::IndexMap;
+use model::config::{Fleet, Group, Instance};
+use model::id::InstanceId;
+use model::position::{Revision, Term};
+use model::unit::{Span, Time};
+use policy::decision::Cause;
+use policy::lead::Record;
+use policy::message::{Query, StoreAnswer, StoreAsk, Versioned};
+use policy::promote::{self, Attempt, Order, Progress, Step};
+use policy::spec::Spec;
+use policy::status::{Role, Status};
+use test_case::test_case;
+
+const NOW: Time = Time::from_millis(1);
+
+fn spec(leaving: Option<usize>) -> Spec {
+    let instance = |at: usize| Instance {
+        address: format!("127.0.{at}.1:5432").parse().unwrap(),
+        data_centre: "d".parse().unwrap(),
+        leaving: leaving == Some(at),
+    };
+    let named = |at: usize| (format!("i{at}").parse().unwrap(), instance(at));
+    let group = Group {
+        instances: (0..3).map(named).collect(),
+        database: "g".into(),
+        user: "g".into(),
+        password: None,
+    };
+    let centres = [("d".parse().unwrap(), "r".parse().unwrap())];
+    let fleet = Fleet {
+        data_centres: centres.into_iter().collect(),
+        groups: [("g".parse().unwrap(), group)].into_iter().collect(),
+        ..Fleet::default()
+    };
+    Spec::new(&fleet, &"g".parse().unwrap()).unwrap()
+}
+
+fn record(claimant: &str, nonce: u64) -> Record {
+    Record {
+        term: Term(2),
+        primary: None,
+        claimant: claimant.parse().unwrap(),
+        nonce,
+    }
+}
+
+fn found(revision: u64, record: Option<Record>) -> StoreAnswer {
+    let revision = Revision(revision);
+    StoreAnswer::Found(Versioned { revision, record })
+}
+
+/// An attempt of p1 with nonce 7 whose claim of term 2 is under way as query 1.
+fn claiming() -> Attempt {
+    let me = "p1".parse().unwrap();
+    let known = Versioned::default();
+    let mut attempt = Attempt::new(NOW, &me, Cause::Unreachable, Some(&known), Term(1), 7);
+    let orders = attempt.orders(NOW, &spec(None));
+    assert!(matches!(&orders[..], [Order::Store(StoreAsk::Swap { .. })]));
+    attempt.note_store(NOW, Query(1));
+    attempt
+}
+
+// Two proxies claim the same term at once. One of them gets no answer and reads back. The
+// record has the term that it claimed, but the other's nonce: the term is not its own.
+#[test]
+fn a_lost_claim_is_not_taken_for_a_won_one() {
+    let mut attempt = claiming();
+    assert_eq!(attempt.store(NOW, Query(1), StoreAnswer::Unknown), None);
+    attempt.note_store(NOW, Query(2));
+    let other = found(1, Some(record("p2", 8)));
+    let progress = attempt.store(NOW, Query(2), other);
+    assert!(matches!(progress, Some(Progress::Outrun(_))));
+    assert!(!attempt.claimed());
+}
+
+// The claim took effect and its answer was lost. Reading back finds its own nonce.
+#[test]
+fn a_claim_whose_answer_was_lost_is_recognised() {
+    let mut attempt = claiming();
+    attempt.store(NOW, Query(1), StoreAnswer::Unknown);
+    attempt.note_store(NOW, Query(2));
+    let own = found(1, Some(record("p1", 7)));
+    let progress = attempt.store(NOW, Query(2), own);
+    assert_eq!(progress, Some(Progress::Claimed));
+}
+
+// The claim did not take effect yet and its answer was lost. It is sent again on the same
+// revision, so that of the two at most one takes effect.
+#[test]
+fn a_claim_without_effect_is_sent_again() {
+    let mut attempt = claiming();
+    attempt.store(NOW, Query(1), StoreAnswer::Unknown);
+    attempt.note_store(NOW, Query(2));
+    attempt.store(NOW, Query(2), found(0, None));
+    assert_eq!(attempt.step, Step::Claiming);
+    let late = attempt.store(NOW, Query(1), StoreAnswer::Swapped(Revision(1)));
+    assert_eq!(late, Some(Progress::Claimed));
+}
+
+// The chosen instance does not answer. It may have been promoted all the same, so the
+// attempt ends, and nobody else is promoted under its term.
+#[test]
+fn one_term_never_has_a_second_choice() {
+    let spec = spec(None);
+    let mut attempt = claiming();
+    attempt.store(NOW, Query(1), StoreAnswer::Swapped(Revision(1)));
+    for id in ["i1", "i2"] {
+        attempt.observe(NOW, &spec, &id.parse().unwrap(), &fenced("1:0", 5));
+    }
+    let chosen: InstanceId = "i1".parse().unwrap();
+    assert_eq!(attempt.step, Step::Promoting(chosen.clone()));
+    let later = NOW + Span::from_millis(1_000);
+    attempt.observe(later, &spec, &"i0".parse().unwrap(), &fenced("1:0", 9));
+    assert_eq!(attempt.step, Step::Promoting(chosen.clone()));
+    assert_eq!(attempt.timed_out(later), Some(Progress::TimedOut(chosen)));
+}
+
+fn fenced(history: &str, received: u64) -> Status {
+    Status {
+        role: Role::Replica,
+        fenced: Term(2),
+        history: history.parse().unwrap(),
+        received: model::position::Position(received),
+        applied: model::position::Position(received),
+        heard: Span::default(),
+    }
+}
+
+// The log with the newest term goes first, then the longest; a leaving instance goes last
+// as long as a majority of logs ends no later than another's.
+#[test_case(None, [Some(("1:0", 5)), Some(("1:0", 7)), None], Some("i1"); "the longer log")]
+#[test_case(None, [Some(("1:0", 9)), Some(("1:0,3:5", 6)), None], Some("i1"); "the newer term")]
+#[test_case(None, [Some(("1:0", 5)), Some(("1:0", 5)), None], Some("i0"); "a tie")]
+#[test_case(None, [Some(("1:0", 5)), None, None], None; "no majority")]
+#[test_case(Some(0), [Some(("1:0", 9)), Some(("1:0", 8)), Some(("1:0", 7))], Some("i1"); "leaving")]
+#[test_case(Some(0), [Some(("1:0", 9)), Some(("1:0", 8)), None], Some("i0"); "leaving, the only safe one")]
+fn chooses(leaving: Option<usize>, logs: [Option<(&str, u64)>; 3], expected: Option<&str>) {
+    let mut statuses = IndexMap::new();
+    for (at, log) in logs.into_iter().enumerate() {
+        if let Some((history, received)) = log {
+            let id: InstanceId = format!("i{at}").parse().unwrap();
+            statuses.insert(id, fenced(history, received));
+        }
+    }
+    let choice = promote::choose(&spec(leaving), &statuses);
+    let chosen = choice.map(|c| c.instance.to_string());
+    assert_eq!(chosen.as_deref(), expected);
+}
