Start the group tasks with the store, and count each route once

A route that admission refused stayed counted as work on its instance, which would have turned reads away from it for good. Routes are now closed by finished, failed or released.

--- a/crates/policy/src/group.rs
+++ b/crates/policy/src/group.rs
@@ -191,6 +191,9 @@
             Event::Finished { instance, took } => {
                 self.loads.entry(instance).or_default().finish(took);
             }
+            Event::Released { instance } => {
+                self.loads.entry(instance).or_default().release();
+            }
             Event::Failed { instance, failure } => self.take_failed(&instance, failure),
         }
     }
--- a/crates/policy/src/group/waiting.rs
+++ b/crates/policy/src/group/waiting.rs
@@ -205,7 +205,7 @@
     }
 
     pub(super) fn take_failed(&mut self, instance: &model::id::InstanceId, failure: Failure) {
-        self.loads.entry(instance.clone()).or_default().fail();
+        self.loads.entry(instance.clone()).or_default().release();
         let refused = matches!(
             failure,
             Failure::Refused | Failure::Broken | Failure::ReadOnly
--- a/crates/policy/src/message.rs
+++ b/crates/policy/src/message.rs
@@ -179,6 +179,11 @@
         /// From sending to the whole answer.
         took: Span,
     },
+    /// A request that was routed to an instance did not go there.
+    Released {
+        /// The instance.
+        instance: InstanceId,
+    },
     /// A request on an instance failed.
     Failed {
         /// The instance.
--- a/crates/policy/src/read.rs
+++ b/crates/policy/src/read.rs
@@ -46,8 +46,8 @@
         self.latency = Some((old * (SMOOTHING - 1) + us) / SMOOTHING);
     }
 
-    /// Takes in a request that failed.
-    pub fn fail(&mut self) {
+    /// Takes in a request that failed, or did not go there after all.
+    pub fn release(&mut self) {
         self.outstanding = self.outstanding.saturating_sub(1);
     }
 }
--- a/crates/proxy/src/caller/execute.rs
+++ b/crates/proxy/src/caller/execute.rs
@@ -180,7 +180,10 @@
             .cx
             .admit
             .enter(self.ticket(req, deadline), &target.instance);
-        let permit = permit.await.map_err(NoWay::NotAdmitted)?;
+        let permit = permit.await.map_err(|e| {
+            self.group.routes.released(&target.instance);
+            NoWay::NotAdmitted(e)
+        })?;
         let pool = self.group.pool(&target);
         match pool.acquire(deadline).await {
             Ok(conn) => Ok(Attempt {
@@ -192,6 +195,8 @@
             Err(e) => {
                 if matches!(e, PoolError::Connect(_)) {
                     self.group.routes.failed(&target.instance, Failure::Refused);
+                } else {
+                    self.group.routes.released(&target.instance);
                 }
                 Err(NoWay::NoConnection(e))
             }
--- a/crates/proxy/src/cx.rs
+++ b/crates/proxy/src/cx.rs
@@ -15,6 +15,7 @@
 use model::token;
 use pg::classify;
 use pg::startup::Key;
+use policy::message::{Audience, Peer, PeerView};
 use policy::route::Target;
 
 use crate::backend::Login;
@@ -25,6 +26,10 @@
 /// its share: six proxies fit the limit of the server.
 const FIRST_SHARE: u32 = 6;
 
+/// Views that wait to be sent to peers. They repeat several times a second while they
+/// matter, so that one that finds no room is dropped.
+const VIEWS: usize = 256;
+
 /// Handles that every task of a runtime needs.
 pub struct Cx {
     /// Settings of the process.
@@ -41,6 +46,12 @@
     pub tls: Option<TlsAcceptor>,
     pub(crate) registry: registry::Handle,
     pub(crate) statements: RefCell<classify::Cache>,
+    /// The platform's store.
+    pub store: store::client::Client,
+    /// Views of groups that peers are to be told.
+    pub views: flume::Receiver<(Audience, PeerView)>,
+    tell: flume::Sender<(Audience, PeerView)>,
+    live: RefCell<Vec<Peer>>,
     groups: RefCell<IndexMap<GroupId, Rc<GroupCx>>>,
 }
 
@@ -62,7 +73,9 @@
         fleet: fleet::Handle,
         admit: admit::Handle,
         tls: Option<TlsAcceptor>,
+        store: store::client::Client,
     ) -> Self {
+        let (tell, views) = flume::bounded(VIEWS);
         Self {
             key: token::Key::new(cfg.secret.0.as_bytes()),
             cfg,
@@ -72,6 +85,10 @@
             tls,
             registry: registry::spawn(),
             statements: RefCell::default(),
+            store,
+            views,
+            tell,
+            live: RefCell::default(),
             groups: RefCell::default(),
         }
     }
@@ -97,7 +114,11 @@
             place,
             address: self.cfg.address,
             fleet: Arc::new(fleet.clone()),
+            store: self.store.clone(),
+            tell: self.tell.clone(),
+            seed: rand::random(),
         });
+        routes.peers(self.live.borrow().clone());
         Some(GroupCx {
             routes,
             local: self.cfg.address,
@@ -111,6 +132,27 @@
         })
     }
 
+    /// Hands the list of live proxies to every group.
+    pub fn peers(&self, live: Vec<Peer>) {
+        for known in self.groups.borrow().values() {
+            known.routes.peers(live.clone());
+        }
+        *self.live.borrow_mut() = live;
+    }
+
+    /// Hands a peer's view to its group, if this process serves it.
+    pub fn peer_view(&self, view: PeerView) {
+        if let Some(known) = self.groups.borrow().get(&view.group) {
+            known.routes.peer_view(view);
+        }
+    }
+
+    /// The routes of every group that this process serves.
+    pub fn routes(&self) -> Vec<group::Handle> {
+        let groups = self.groups.borrow();
+        groups.values().map(|g| g.routes.clone()).collect()
+    }
+
     /// Forgets the tasks of groups whose login changed and hands the rest the new
     /// configuration.
     pub fn configure(&self, fleet: &Arc<Fleet>) {
--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -40,6 +40,7 @@
     },
     Finished(InstanceId, Span),
     Failed(InstanceId, Failure),
+    Released(InstanceId),
     Configure(Arc<Fleet>),
     Told(Told),
     Snapshot(flume::Sender<Snapshot>),
@@ -165,6 +166,14 @@
         let _ = self.tx.send(Request::Finished(instance.clone(), took));
     }
 
+    /// Reports that a routed request did not go to its instance after all.
+    ///
+    /// Every route is followed by exactly one of `finished`, `failed` and `released`;
+    /// otherwise the instance would seem ever more loaded.
+    pub fn released(&self, instance: &InstanceId) {
+        let _ = self.tx.send(Request::Released(instance.clone()));
+    }
+
     /// Reports that an instance failed a request.
     pub fn failed(&self, instance: &InstanceId, failure: Failure) {
         let _ = self.tx.send(Request::Failed(instance.clone(), failure));
--- a/crates/proxy/src/group/task.rs
+++ b/crates/proxy/src/group/task.rs
@@ -9,7 +9,7 @@
 use policy::group::{self, Group};
 use policy::lead::{self, Record};
 use policy::message::{Action, Ask, Event, Query, StoreAnswer, StoreAsk, Ticket, Versioned};
-use policy::route::{Failure, Refusal, Target, Unconfirmed};
+use policy::route::{Refusal, Target, Unconfirmed};
 use policy::spec::{Me, Spec};
 
 use super::client::Login;
@@ -173,6 +173,7 @@
                 });
             }
             Request::Finished(instance, took) => self.step(Event::Finished { instance, took }),
+            Request::Released(instance) => self.step(Event::Released { instance }),
             Request::Failed(instance, failure) => self.step(Event::Failed { instance, failure }),
             Request::Configure(fleet) => self.configure(&fleet),
             Request::Told(told) => self.told(told),
@@ -242,8 +243,8 @@
             }
             Action::Store { query, ask } => self.ask_store(query, ask),
             Action::Tell { to, view } => {
-                // Without anyone who passes views on, this proxy decides by itself.
-                let _ = self.setup.tell.send((to, view));
+                // Views repeat while they matter; one that finds no room is dropped.
+                let _ = self.setup.tell.try_send((to, view));
             }
             Action::Routed { ticket, result } => self.routed(ticket, result),
             Action::Confirmed { ticket, result } => {
@@ -262,12 +263,7 @@
         if let Err(flume::SendError(Ok(target))) = tx.send(result) {
             // The caller is gone; its request no longer counts as under way.
             let instance = target.instance;
-            let failure = Failure::Silent;
-            let now = self.now();
-            let actions = self.group.step(now, Event::Failed { instance, failure });
-            for action in actions {
-                self.act(action);
-            }
+            self.step(Event::Released { instance });
         }
     }
 
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -42,6 +42,9 @@
     /// A PEM file holds no private key.
     #[error("{} holds no private key", .0.display())]
     NoKey(PathBuf),
+    /// The client of the platform's store cannot be made.
+    #[error("the store's client cannot be made")]
+    Store(#[from] store::error::Error),
     /// The runtime or its thread cannot be started.
     #[error("the runtime cannot be started")]
     Runtime(#[source] io::Error),
@@ -63,7 +66,8 @@
         let listener = TcpListener::bind(cfg.listen)
             .await
             .map_err(|e| StartError::Listen(cfg.listen, e))?;
-        let cx = Rc::new(Cx::new(cfg, me, fleet, admit, tls));
+        let store = store::client::Client::new(cfg.store.clone())?;
+        let cx = Rc::new(Cx::new(cfg, me, fleet, admit, tls, store));
         Ok(Self { cx, listener })
     }
 
--- a/crates/proxy/tests/group/bed.rs
+++ b/crates/proxy/tests/group/bed.rs
@@ -28,7 +28,7 @@
 }
 
 impl Bed {
-    pub(crate) fn start(spec: Spec) -> Self {
+    pub(crate) fn start(spec: &Spec) -> Self {
         let fleet = Fleet::start(spec.clone()).unwrap();
         let document = Arc::new(fleet.document());
         let mut handles = Vec::new();
--- a/crates/proxy/tests/group/main.rs
+++ b/crates/proxy/tests/group/main.rs
@@ -20,7 +20,7 @@
 #[test]
 fn a_write_is_confirmed_and_read_elsewhere() {
     block_on(async {
-        let bed = Bed::start(Spec::small());
+        let bed = Bed::start(&Spec::small());
         let point = bed.write(0).await.unwrap();
         for point in [Some(point), None] {
             let need = ReadNeed {
@@ -37,7 +37,7 @@
 #[test]
 fn a_read_of_a_stated_age_goes_to_a_replica() {
     block_on(async {
-        let bed = Bed::start(Spec::small());
+        let bed = Bed::start(&Spec::small());
         bed.write(0).await.unwrap();
         compio::time::sleep(Duration::from_millis(300)).await;
         let need = ReadNeed {
@@ -54,7 +54,7 @@
 #[test]
 fn a_killed_primary_is_replaced_and_follows_later() {
     block_on(async {
-        let bed = Bed::start(Spec::small());
+        let bed = Bed::start(&Spec::small());
         bed.write(1).await.unwrap();
         let old = bed.primary(1).await;
         bed.fleet.control().kill(&old).unwrap();
@@ -78,7 +78,7 @@
 #[test]
 fn silent_connections_promote_nobody() {
     block_on(async {
-        let bed = Bed::start(Spec::small());
+        let bed = Bed::start(&Spec::small());
         bed.write(0).await.unwrap();
         let primary = bed.primary(0).await;
         bed.fleet.control().silence_open(&primary).unwrap();
@@ -93,7 +93,7 @@
 #[test]
 fn a_stall_of_300_ms_promotes_nobody() {
     block_on(async {
-        let bed = Bed::start(Spec::small());
+        let bed = Bed::start(&Spec::small());
         bed.write(0).await.unwrap();
         let primary = bed.primary(0).await;
         let stall = Duration::from_millis(300);
@@ -109,7 +109,7 @@
 #[test]
 fn without_a_majority_writes_are_refused() {
     block_on(async {
-        let bed = Bed::start(Spec::small());
+        let bed = Bed::start(&Spec::small());
         bed.write(0).await.unwrap();
         let ids: Vec<_> = bed.fleet.addresses().instances.keys().cloned().collect();
         bed.fleet.control().kill(&ids[1]).unwrap();
