Adopt configurations and keep membership, free of sockets

Adoption takes a value only under a higher revision; a record of a peer counts as one of the store. Membership: one heartbeat a second within a data centre, suspicion that can be contradicted, one watch on the store for each data centre by rendezvous hash, links between data centres at distances 1, 2, 4, ...

Breaking on purpose the revision check or the contradiction fails the test at once.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod config;
 pub mod document;
+pub mod hash;
 pub mod id;
 pub mod place;
 pub mod position;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,6 +1,7 @@
 //! Decisions of the fleet, free of sockets and clocks.
 
 pub mod admit;
+pub mod adopt;
 pub mod bytes;
 pub mod confirm;
 pub mod decision;
@@ -9,6 +10,7 @@
 pub mod hedge;
 pub mod lead;
 pub mod load;
+pub mod member;
 pub mod message;
 pub mod node;
 pub mod outcome;
