Answer requests at the change of primary, not at their deadline

Cause: a request in flight on a primary that was cut off waited for its whole deadline (10 s) although its group had a new primary 0.43 s after the fault, and a request still queued for the old primary was refused at the deadline instead of going to the new one. Sessions looked idle, and the gap between acknowledged writes, which ended with the last one, hid it. Ruled out: the group's task (its log shows the new primary published 437 ms after the fault) and the workload (each session had one request in flight). Conclusion: who waits for a primary waits for its replacement too.

--- a/crates/load/src/workload.rs
+++ b/crates/load/src/workload.rs
@@ -55,6 +55,8 @@
     pub wrong_reads: u64,
     /// Errors to writes outside the documented families, by SQLSTATE.
     pub odd_errors: IndexMap<String, u64>,
+    /// When the run was to end; a gap that is open by then counts up to here.
+    pub end: Option<Instant>,
     /// Latency of acknowledged writes.
     pub write_latency: Latency,
     /// Latency of answered reads.
@@ -70,7 +72,7 @@
     /// The longest time without an acknowledged write, and its start.
     pub fn write_gap(&self) -> Option<(Instant, Duration)> {
         let moments = self.ledgers.iter().flat_map(Ledger::acknowledged);
-        ledger::longest_gap(moments.collect())
+        ledger::longest_gap(moments.chain(self.end).collect())
     }
 
     fn merge(&mut self, other: Self) {
@@ -102,7 +104,10 @@
 /// Runs every session to its end.
 pub async fn run(plan: &Plan) -> Seen {
     let sessions = (0..plan.sessions).map(|at| Session::new(plan, at).run());
-    let mut seen = Seen::default();
+    let mut seen = Seen {
+        end: Some(Instant::now() + plan.length),
+        ..Seen::default()
+    };
     for one in future::join_all(sessions).await {
         seen.merge(one);
     }
--- a/crates/policy/src/outcome.rs
+++ b/crates/policy/src/outcome.rs
@@ -88,6 +88,12 @@
         matches!(self.state, State::Begun)
     }
 
+    /// Whether another server may run it instead: it has no effect, and nothing of an
+    /// answer has gone out.
+    pub const fn may_move(&self) -> bool {
+        matches!(self.kind, Kind::Read) && !self.has_begun()
+    }
+
     /// There was no route, no admission, or no connection, and there will be
     /// none before the deadline.
     pub const fn gave_up(&self) -> Verdict {
--- a/crates/proxy/src/caller/answer.rs
+++ b/crates/proxy/src/caller/answer.rs
@@ -57,6 +57,12 @@
 }
 
 impl Passing<'_> {
+    /// Waits for more bytes of the answer.
+    async fn fill(&mut self) -> Result<(), Stop> {
+        let may_move = self.outcome.may_move();
+        self.watch.fill(self.conn, self.link, may_move).await
+    }
+
     /// Reads past the answer to the settings that were sent ahead.
     pub(super) async fn skip_setup(&mut self) -> Result<(), Stop> {
         loop {
@@ -94,7 +100,7 @@
             if self.link.is_full() {
                 self.flush().await?;
             }
-            self.watch.fill(self.conn, self.link).await?;
+            self.fill().await?;
         }
     }
 
@@ -108,7 +114,7 @@
                     Piece::Frame(_) => {}
                 }
             }
-            self.watch.fill(self.conn, self.link).await?;
+            self.fill().await?;
         }
     }
 
@@ -117,7 +123,7 @@
             match self.conn.piece().map_err(|_| PROTOCOL)? {
                 Some(Piece::Frame(frame)) => return Ok(frame),
                 Some(Piece::Data { .. }) => {}
-                None => self.watch.fill(self.conn, self.link).await?,
+                None => self.fill().await?,
             }
         }
     }
--- a/crates/proxy/src/caller/execute.rs
+++ b/crates/proxy/src/caller/execute.rs
@@ -14,7 +14,7 @@
 use super::request::{Mode, Request};
 use super::session::TOKEN;
 use super::transaction::{Pinned, Transaction};
-use super::watch::{Stop, Watch};
+use super::watch::{Reign, Stop, Watch};
 use super::{Caller, render, reply};
 use crate::admit::{EnterError, Permit, Ticket};
 use crate::backend::Status;
@@ -36,11 +36,21 @@
     permit: Option<Permit>,
 }
 
+/// Under which conditions a request goes out.
+struct Way {
+    deadline: Instant,
+    reign: Reign,
+    /// Whether its completion is held back until a majority confirms it.
+    hold: bool,
+}
+
 /// Why an attempt sent nothing.
 enum NoWay {
     Refused(Refusal),
     NotAdmitted(EnterError),
     NoConnection(PoolError),
+    /// The primary was replaced before anything was sent to it.
+    Replaced,
 }
 
 /// How an attempt that was sent ended.
@@ -135,7 +145,10 @@
             let attempt = match self.prepare(&req, deadline).await {
                 Ok(attempt) => attempt,
                 Err(no_way) => {
-                    let again = matches!(no_way, NoWay::NoConnection(PoolError::Connect(_)));
+                    let again = matches!(
+                        no_way,
+                        NoWay::Replaced | NoWay::NoConnection(PoolError::Connect(_))
+                    );
                     let verdict = match again {
                         true => outcome.lost(has_time(deadline)),
                         false => outcome.gave_up(),
@@ -176,6 +189,21 @@
     /// Finds a route, a slot and a connection.
     async fn prepare(&self, req: &Request, deadline: Instant) -> Result<Attempt, NoWay> {
         let target = self.route(req, deadline).await.map_err(NoWay::Refused)?;
+        let reign = Reign::new(&self.group.routes, &target);
+        let reached = reign.during(self.reach(req, &target, deadline)).await;
+        reached.unwrap_or_else(|| {
+            self.group.routes.released(&target.instance);
+            Err(NoWay::Replaced)
+        })
+    }
+
+    /// Waits for a slot and a connection of the target.
+    async fn reach(
+        &self,
+        req: &Request,
+        target: &Target,
+        deadline: Instant,
+    ) -> Result<Attempt, NoWay> {
         let permit = self
             .cx
             .admit
@@ -184,12 +212,12 @@
             self.group.routes.released(&target.instance);
             NoWay::NotAdmitted(e)
         })?;
-        let pool = self.group.pool(&target);
+        let pool = self.group.pool(target);
         match pool.acquire(deadline).await {
             Ok(conn) => Ok(Attempt {
                 conn,
                 pool,
-                target,
+                target: target.clone(),
                 permit: Some(permit),
             }),
             Err(e) => {
@@ -240,8 +268,13 @@
     ) -> Ended {
         let writes = req.profile.effect == pg::classify::Effect::Write;
         let hold = writes && req.profile.begins.is_none() && req.mode != Mode::Flush;
-        self.run_on(&mut attempt.conn, req, outcome, deadline, hold)
-            .await
+        let reign = Reign::new(&self.group.routes, &attempt.target);
+        let way = Way {
+            deadline,
+            reign,
+            hold,
+        };
+        self.run_on(&mut attempt.conn, req, outcome, way).await
     }
 
     async fn run_on(
@@ -249,9 +282,13 @@
         conn: &mut Conn,
         req: &Request,
         outcome: &mut Outcome,
-        deadline: Instant,
-        hold: bool,
+        way: Way,
     ) -> Ended {
+        let Way {
+            deadline,
+            reign,
+            hold,
+        } = way;
         let mut work = match render::render(req, &mut self.session, conn, &self.cx) {
             Ok(work) => work,
             // A local statement inside failed; nothing was sent.
@@ -273,7 +310,7 @@
             work.bytes.extend_from_slice(&point);
         }
         let patience = req.profile.patience(&self.session.settings).as_duration();
-        let mut watch = Watch::new(deadline, patience, self.group.login().clone());
+        let mut watch = Watch::new(deadline, patience, self.group.login().clone(), reign);
         let hold_limit = self.session.settings.answer_buffer.as_bytes();
         let readies = u32::from(work.setup) + u32::from(hold) + u32::from(req.mode != Mode::Flush);
         outcome.sending();
@@ -405,6 +442,11 @@
                 self.group.routes.failed(&attempt.target.instance, failure);
                 attempt.pool.purge();
             }
+            Stop::Replaced => {
+                let routes = &self.group.routes;
+                routes.failed(&attempt.target.instance, Failure::Silent);
+                attempt.pool.purge();
+            }
             Stop::Deadline | Stop::TooLarge => {}
         }
         // Half a row has gone out: no message could follow it.
@@ -450,8 +492,14 @@
         let ends = req.profile.ends || implicit;
         let hold = ends && pinned.wrote && req.mode != Mode::Flush;
         let mut outcome = Outcome::new(policy::outcome::Kind::Write);
+        let reign = Reign::new(&self.group.routes, &pinned.target);
+        let way = Way {
+            deadline,
+            reign,
+            hold,
+        };
         let conn = &mut pinned.conn;
-        match self.run_on(conn, &req, &mut outcome, deadline, hold).await {
+        match self.run_on(conn, &req, &mut outcome, way).await {
             Ended::Answered(answer, _) if answer.refused && !pinned.read_only => {
                 self.group
                     .routes
@@ -596,6 +644,7 @@
             }
             NoWay::NotAdmitted(e) => did_not_run(report::UNAVAILABLE, &e, RETRY),
             NoWay::NoConnection(e) => did_not_run(report::UNAVAILABLE, &e, RETRY),
+            NoWay::Replaced => did_not_run(report::UNAVAILABLE, &"the primary was replaced", RETRY),
         }
     }
 }
--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -13,7 +13,7 @@
 use model::config::Fleet;
 use model::id::{GroupId, InstanceId, ProxyId};
 use model::place::Place;
-use model::position::Point;
+use model::position::{Point, Term};
 use model::unit::{Span, Time};
 use policy::decision::Decision;
 use policy::group::Lead;
@@ -38,6 +38,7 @@
         deadline: Instant,
         tx: flume::Sender<Result<(), Unconfirmed>>,
     },
+    Replaced(Term, flume::Sender<()>),
     Finished(InstanceId, Span),
     Failed(InstanceId, Failure),
     Released(InstanceId),
@@ -161,6 +162,19 @@
             .unwrap_or(Err(Unconfirmed::Stopping))
     }
 
+    /// Completes once a primary of a later term than `term` is known.
+    ///
+    /// Failure: a primary is cut off with requests in flight, which stay silent until
+    /// their deadlines although their writes can no longer be confirmed. Whoever waits
+    /// for such a primary waits for this too.
+    pub async fn replaced(&self, term: Term) {
+        let (tx, rx) = flume::bounded(1);
+        if self.ask(Request::Replaced(term, tx), &rx).await.is_none() {
+            // The task has ended, which says nothing about the primary.
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Reports how long a request took on an instance, for later choices.
     pub fn finished(&self, instance: &InstanceId, took: Span) {
         let _ = self.tx.send(Request::Finished(instance.clone(), took));
--- a/crates/proxy/src/group/task.rs
+++ b/crates/proxy/src/group/task.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 use model::id::InstanceId;
-use model::position::Revision;
+use model::position::{Revision, Term};
 use model::unit::{Span, Time};
 use policy::group::{self, Group};
 use policy::lead::{self, Record};
@@ -36,6 +36,8 @@
     links: IndexMap<InstanceId, Link>,
     callers: IndexMap<Ticket, Caller>,
     tickets: u64,
+    /// Who waits for a primary of a later term than this.
+    waiting: Vec<(Term, flume::Sender<()>)>,
     instances: flume::Sender<Answer>,
     stores: flume::Sender<(Query, StoreAnswer)>,
 }
@@ -61,6 +63,7 @@
         links: IndexMap::new(),
         callers: IndexMap::new(),
         tickets: 0,
+        waiting: Vec::new(),
         instances,
         stores,
     };
@@ -122,6 +125,18 @@
         for action in self.group.step(self.now(), event) {
             self.act(action);
         }
+        self.tell_waiting();
+    }
+
+    /// Tells those who wait for a later term than that of the primary they use.
+    fn tell_waiting(&mut self) {
+        let term = self.group.lead().term;
+        self.waiting.retain(|(old, tx)| {
+            if term > *old {
+                let _ = tx.send(());
+            }
+            term <= *old && !tx.is_disconnected()
+        });
     }
 
     fn tick(&mut self) {
@@ -172,6 +187,10 @@
                     deadline,
                 });
             }
+            Request::Replaced(term, tx) => {
+                self.waiting.push((term, tx));
+                self.tell_waiting();
+            }
             Request::Finished(instance, took) => self.step(Event::Finished { instance, took }),
             Request::Released(instance) => self.step(Event::Released { instance }),
             Request::Failed(instance, failure) => self.step(Event::Failed { instance, failure }),
