--- /dev/null
+++ b/crates/load/tests/failover.rs
@@ -0,0 +1,65 @@
+//! What callers see while a primary is replaced, through real proxies and sockets.
+
+use std::time::Duration;
+
+use compio::time;
+use futures_util::future;
+use load::bed::Bed;
+use load::client::{Client, Login};
+use standin::link::Reach;
+
+/// Far beyond any failover, and far below the requests' deadline.
+const PATIENCE: Duration = Duration::from_secs(60);
+const WRITERS: usize = 8;
+
+fn login(bed: &Bed, entry: usize) -> Login {
+    let entries = bed.entries();
+    let (address, source) = entries[entry % entries.len()];
+    Login {
+        address,
+        source,
+        user: "app".to_owned(),
+        database: "g1".to_owned(),
+        session: None,
+    }
+}
+
+// Users of a payment form see it hang for minutes after the primary's network failed,
+// although the fleet has a new primary within a second. Their requests were sent to the
+// old primary, or were queued for it, when it went silent: each waited for its own
+// deadline, since nobody told it that the primary it waited for was replaced.
+#[compio::test]
+async fn requests_for_a_replaced_primary_do_not_wait_for_their_deadline() {
+    let bed = Bed::start(standin::Spec::small(), 2).await.unwrap();
+    let mut first = Client::connect(&login(&bed, 0)).await.unwrap();
+    first
+        .query("CREATE TABLE payment (id INTEGER)")
+        .await
+        .unwrap();
+    let mut clients = Vec::new();
+    for at in 0..WRITERS {
+        clients.push(Client::connect(&login(&bed, at)).await.unwrap());
+    }
+    let primary = bed.stand_ins().addresses().instances.keys().next().cloned();
+    let control = bed.stand_ins().control();
+    control
+        .isolate(&primary.unwrap(), Some(Reach::Nobody))
+        .unwrap();
+    let writes = clients
+        .iter_mut()
+        .enumerate()
+        .map(|(at, client)| async move {
+            let sql = format!("/*deadline='600s',once='true'*/ INSERT INTO payment VALUES ({at})");
+            let answer = time::timeout(PATIENCE, client.query(&sql)).await;
+            answer.expect("answered long before the deadline")
+        });
+    for answer in future::join_all(writes).await {
+        let code = answer
+            .err()
+            .map(|e| e.code().unwrap_or("closed").to_owned());
+        assert!(
+            code.is_none() || code.as_deref() == Some("40003"),
+            "neither acknowledged by the new primary nor of unknown outcome: {code:?}"
+        );
+    }
+}
