--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -4,9 +4,8 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command};
 
-use crate::demo;
 use crate::report::Table;
-use crate::saturation;
+use crate::{demo, failover, read_share, saturation};
 
 /// One measurement with its own subcommand.
 pub struct Scenario {
@@ -22,6 +21,14 @@
         command: demo::command,
         run: demo::run,
     },
+    Scenario {
+        command: failover::command,
+        run: failover::run,
+    },
+    Scenario {
+        command: read_share::command,
+        run: read_share::run,
+    },
     Scenario {
         command: saturation::command,
         run: saturation::run,
--- /dev/null
+++ b/crates/load/src/failover/summary.rs
@@ -0,0 +1,160 @@
+//! Figures of the measurement.
+
+use std::time::{Duration, Instant};
+
+use model::unit::Span;
+
+use super::strike::{Calm, Loss, Strike};
+use crate::decisions::{self, Stage};
+use crate::deployment::Deployment;
+use crate::ledger::{self, Answer, Audit, Ledger};
+use crate::report::{self, Latency, Table};
+use crate::workload::Seen;
+
+/// Longest time without an acknowledged write that began or went on after a fault.
+pub(super) fn gap(seen: &Seen, strike: &Strike) -> Option<Duration> {
+    longest(seen, strike.at, strike.until)
+}
+
+fn longest(seen: &Seen, from: Instant, until: Instant) -> Option<Duration> {
+    let all = || seen.ledgers.iter().flat_map(Ledger::acknowledged);
+    let before = all().filter(|at| *at <= from).max();
+    let within = all().filter(|at| (from..until).contains(at));
+    // Without a write after the fault there is no end of the gap to measure.
+    let moments: Vec<Instant> = before.into_iter().chain(within).collect();
+    ledger::longest_gap(moments).map(|(_, gap)| gap)
+}
+
+/// Everything that one deployment's run gave.
+pub(super) struct Result {
+    pub(super) strikes: Vec<Strike>,
+    pub(super) gaps: Vec<Option<Duration>>,
+    pub(super) stages: Vec<Stage>,
+    pub(super) quiet: Vec<Calm>,
+    pub(super) seen: Seen,
+    pub(super) audit: Audit,
+}
+
+fn two(latency: &Latency) -> [String; 3] {
+    [
+        latency.count().to_string(),
+        report::millis(latency.quantile(0.5)),
+        report::millis(latency.max()),
+    ]
+}
+
+fn collect(spans: impl Iterator<Item = Span>) -> Latency {
+    let mut latency = Latency::default();
+    spans.for_each(|span| latency.record(span));
+    latency
+}
+
+impl Result {
+    /// Answers that broke a promise.
+    pub(super) fn broken(&self) -> u64 {
+        self.audit.total() + self.seen.wrong_reads
+    }
+
+    /// The tables for people and programs.
+    pub(super) fn tables(&self, deployment: Deployment) -> [Table; 4] {
+        [
+            self.gap_table(deployment),
+            self.stage_table(deployment),
+            self.quiet_table(deployment),
+            self.answer_table(deployment),
+        ]
+    }
+
+    fn gap_table(&self, deployment: Deployment) -> Table {
+        let title = format!("write gap, {deployment}");
+        let mut table = Table::new(
+            &title,
+            &[
+                "fault", "faults", "gaps", "median", "worst", "replaced", "settled",
+            ],
+        );
+        let mut row = |name: &str, keep: &dyn Fn(Loss) -> bool| {
+            let chosen = || {
+                self.strikes
+                    .iter()
+                    .zip(&self.gaps)
+                    .filter(|(s, _)| keep(s.loss))
+            };
+            let gaps = collect(chosen().filter_map(|(_, gap)| gap.map(Span::from)));
+            let [count, median, worst] = two(&gaps);
+            let replaced = chosen().filter(|(s, _)| s.replaced).count().to_string();
+            let settled = chosen().filter(|(s, _)| s.settled).count().to_string();
+            let faults = chosen().count().to_string();
+            table.row([
+                name.to_owned(),
+                faults,
+                count,
+                median,
+                worst,
+                replaced,
+                settled,
+            ]);
+        };
+        row("all", &|_| true);
+        row("killed", &|loss| loss == Loss::Kill);
+        row("cut off", &|loss| loss == Loss::CutOff);
+        row("isolated, believes it leads", &|loss| {
+            loss == Loss::Isolated
+        });
+        table
+    }
+
+    fn stage_table(&self, deployment: Deployment) -> Table {
+        let title = format!("stages of the gap as the proxies logged them, {deployment}");
+        let mut table = Table::new(&title, &["stage", "count", "median", "worst"]);
+        for phase in decisions::PHASES {
+            let of_phase = self.stages.iter().filter(|s| s.phase == phase);
+            let [count, median, worst] = two(&collect(of_phase.map(|s| s.took)));
+            table.row([phase.to_string(), count, median, worst]);
+        }
+        table
+    }
+
+    fn quiet_table(&self, deployment: Deployment) -> Table {
+        let title = format!("faults that must not change the primary, {deployment}");
+        let mut table = Table::new(&title, &["fault", "times", "changes", "worst gap"]);
+        for calm in &self.quiet {
+            let gaps = calm
+                .spans
+                .iter()
+                .filter_map(|(a, b)| longest(&self.seen, *a, *b));
+            let worst = gaps.max().unwrap_or_default();
+            table.row([
+                format!("{:?}", calm.quiet),
+                calm.times.to_string(),
+                calm.changes.to_string(),
+                report::millis(worst.into()),
+            ]);
+        }
+        table
+    }
+
+    fn answer_table(&self, deployment: Deployment) -> Table {
+        let mut table = Table::new(&format!("answers, {deployment}"), &["figure", "count"]);
+        let seen = &self.seen;
+        let rows = [
+            ("writes acknowledged", seen.writes(Answer::Acknowledged)),
+            ("writes that did not run", seen.writes(Answer::DidNotRun)),
+            ("writes of unknown outcome", seen.writes(Answer::Unknown)),
+            (
+                "errors outside the documented families",
+                seen.odd_errors.values().sum(),
+            ),
+            ("reads answered", seen.reads),
+            ("reads failed", seen.failed_reads.values().sum()),
+            ("wrong reads", seen.wrong_reads),
+            ("lost writes", self.audit.lost),
+            ("doubled writes", self.audit.doubled),
+            ("false refusals", self.audit.false_refusals),
+        ];
+        for (name, count) in rows {
+            table.row([name.to_owned(), count.to_string()]);
+        }
+        table
+    }
+}
--- a/crates/load/src/ledger.rs
+++ b/crates/load/src/ledger.rs
@@ -50,6 +50,12 @@
         at.map_or(0, |at| at as u64 + 1)
     }
 
+    /// Time from the newest write's answer, whatever it was, to `sent`.
+    pub fn since_write(&self, sent: Instant) -> Option<Duration> {
+        let newest = self.entries.last()?;
+        Some(sent.saturating_duration_since(newest.answered))
+    }
+
     /// Times of the acknowledged writes, in order.
     pub fn acknowledged(&self) -> impl Iterator<Item = Instant> {
         let entries = self.entries.iter();
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -3,8 +3,12 @@
 pub mod bed;
 pub mod cli;
 pub mod client;
+pub mod decisions;
 pub mod demo;
+pub mod deployment;
+pub mod failover;
 pub mod ledger;
+pub mod read_share;
 pub mod report;
 pub mod saturation;
 pub mod workload;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -2,16 +2,15 @@
 
 use std::{fs, process};
 
-use load::{cli, report};
+use load::{cli, decisions, report};
 use miette::IntoDiagnostic as _;
+use tracing_subscriber::Layer as _;
 use tracing_subscriber::layer::SubscriberExt as _;
 use tracing_subscriber::util::SubscriberInitExt as _;
 
 fn main() -> process::ExitCode {
     let cfg = cli::parse();
-    if cfg.verbose {
-        log_to_stderr();
-    }
+    observe(cfg.verbose);
     match run(&cfg) {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(e) => {
@@ -36,12 +35,17 @@
     fs::write(path, text).into_diagnostic()
 }
 
-fn log_to_stderr() {
-    let logs = tracing_logfmt::builder()
-        .layer()
-        .with_writer(std::io::stderr);
+/// Collects decisions, and logs to standard error if asked to.
+fn observe(verbose: bool) {
+    let logs = verbose.then(|| {
+        tracing_logfmt::builder()
+            .layer()
+            .with_writer(std::io::stderr)
+            .with_filter(tracing_subscriber::EnvFilter::from_default_env())
+    });
+    let info = tracing_subscriber::filter::LevelFilter::INFO;
     tracing_subscriber::registry()
-        .with(tracing_subscriber::EnvFilter::from_default_env())
         .with(logs)
+        .with(decisions::Collector.with_filter(info))
         .init();
 }
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -41,6 +41,11 @@
         Span::from_micros(self.0.value_at_quantile(share))
     }
 
+    /// Number of measurements of at least `span`.
+    pub fn at_least(&self, span: Span) -> u64 {
+        self.0.count_between(span.as_micros(), u64::MAX)
+    }
+
     /// The longest span.
     pub fn max(&self) -> Span {
         Span::from_micros(self.0.max())
--- a/crates/load/src/workload.rs
+++ b/crates/load/src/workload.rs
@@ -61,6 +61,8 @@
     pub write_latency: Latency,
     /// Latency of answered reads.
     pub read_latency: Latency,
+    /// Time from the session's newest write to each answered read.
+    pub since_write: Latency,
 }
 
 impl Seen {
@@ -83,6 +85,7 @@
         add(&mut self.odd_errors, other.odd_errors);
         self.write_latency.merge(&other.write_latency);
         self.read_latency.merge(&other.read_latency);
+        self.since_write.merge(&other.since_write);
     }
 }
 
@@ -249,6 +252,8 @@
     fn check(&mut self, value: u64, sent: Instant, age: Duration) {
         self.seen.reads += 1;
         self.seen.read_latency.record(sent.elapsed().into());
+        let since = self.ledger.since_write(sent).unwrap_or(Duration::MAX);
+        self.seen.since_write.record(since.into());
         let allowed = self.ledger.oldest_allowed(sent, age)..self.ledger.next();
         if !allowed.contains(&value) {
             self.seen.wrong_reads += 1;
