Report a presented session token back to the caller

A proxy took over a newer token by SET pomelo.session without reporting it, so the caller's newest report on that connection was an older token; it went on with that one and missed its own write. Ruled out: replicas that answer before they apply (the reads that followed on the same session were stale too, until the lag had passed), and the choice of replica by token. Conclusion: a change of the session's token is reported whichever statement made it.

--- a/crates/proxy/src/caller/execute.rs
+++ b/crates/proxy/src/caller/execute.rs
@@ -104,10 +104,7 @@
     async fn run_request(&mut self, req: Request) -> Result<(), Closed> {
         let idle = !self.transaction.is_open();
         if idle && (req.is_local() && !req.steps.is_empty() || req.local.is_some()) {
-            return match render::local(&req, &mut self.session, &self.cx) {
-                Ok(out) => self.finish(req.mode, &out).await,
-                Err(report) => self.refuse(req.mode, &report).await,
-            };
+            return self.answer_locally(&req).await;
         }
         match std::mem::replace(&mut self.transaction, Transaction::None) {
             Transaction::None if req.steps.is_empty() && req.mode != Mode::Query => {
@@ -116,16 +113,31 @@
             Transaction::None => self.alone(req).await,
             Transaction::Open(pinned) if req.local.is_some() => {
                 self.transaction = Transaction::Open(pinned);
-                match render::local(&req, &mut self.session, &self.cx) {
-                    Ok(out) => self.finish(req.mode, &out).await,
-                    Err(report) => self.refuse(req.mode, &report).await,
-                }
+                self.answer_locally(&req).await
             }
             Transaction::Open(pinned) => self.in_transaction(req, *pinned).await,
             Transaction::Lost => self.after_loss(&req).await,
         }
     }
 
+    /// Runs statements that need no backend server.
+    ///
+    /// A token that they present is reported back like any changed parameter: a caller
+    /// that keeps the value last reported would otherwise return to an older token, and
+    /// miss its own write on the next proxy.
+    async fn answer_locally(&mut self, req: &Request) -> Result<(), Closed> {
+        let before = self.session.token.clone();
+        match render::local(req, &mut self.session, &self.cx) {
+            Ok(out) => {
+                if self.session.token != before {
+                    self.push_token();
+                }
+                self.finish(req.mode, &out).await
+            }
+            Err(report) => self.refuse(req.mode, &report).await,
+        }
+    }
+
     /// Answers the statements that follow in a transaction whose connection is gone.
     async fn after_loss(&mut self, req: &Request) -> Result<(), Closed> {
         if req.profile.ends {
