--- a/crates/policy/src/share/lender.rs
+++ b/crates/policy/src/share/lender.rs
@@ -17,7 +17,8 @@
 
 /// Lends the pool of one backend server while a majority votes for it.
 ///
-/// Invariant: during a reign the unexpired records add up to the pool at most.
+/// Invariant: once a reign has settled, the unexpired records add up to the pool at
+/// most.
 #[derive(Clone, Debug)]
 pub struct Lender {
     instance: InstanceId,
@@ -74,12 +75,11 @@
     /// Counts a vote and notices the end or the beginning of a reign.
     ///
     /// Failure: this lender lost its majority, another one lent the same pool, and
-    /// the majority came back. What was recorded before the gap says nothing about
-    /// the loans of the other, so a new reign starts without records.
+    /// the majority came back. The new reign lends nothing until the loans of the
+    /// other have lapsed; its own records have lapsed by then as well.
     fn count(&mut self, ask: &Ask, now: Time) {
         if !self.reigns(now) {
             self.reign = None;
-            self.records.clear();
         }
         self.votes.retain(|_, until| now < *until);
         if let (Some(Stamp(stamped)), Some(bound)) = (ask.stamp, ask.vote) {
--- a/crates/policy/tests/share.rs
+++ b/crates/policy/tests/share.rs
@@ -215,6 +215,40 @@
     }
 }
 
+// A proxy's request to a new lender is held up. Its old loan lapses meanwhile, and the
+// old lender, still in office, lends the same connections to another proxy. When the
+// new lender takes over and the late request arrives, it must not be taken at its word.
+#[test]
+fn late_request_revives_no_loan() {
+    let mut world = World::settled();
+    world.want(3, 20);
+    world.rounds(4);
+    let others = |world: &mut World| {
+        [0, 1, 2, 4, 5, 6].into_iter().for_each(|p| world.ask(p));
+        world.deliver_all();
+    };
+    let run = |world: &mut World, steps: usize| {
+        for _ in 0..steps {
+            world.advance(100);
+            others(world);
+        }
+    };
+    world.name(3, 1);
+    run(&mut world, 16);
+    world.ask(3);
+    world.deliver_all();
+    run(&mut world, 10);
+    world.ask(3);
+    world.hold();
+    world.want(5, 20);
+    run(&mut world, 5);
+    assert!(world.allowed(5) > world.terms().floor());
+    (0..PROXIES).for_each(|p| world.name(p, 1));
+    run(&mut world, 17);
+    world.release();
+    world.check();
+}
+
 #[test_case(20, 9 => (1, 11); "small server")]
 #[test_case(35, 9 => (1, 26); "larger server")]
 #[test_case(20, 3 => (3, 11); "few proxies")]
--- a/crates/policy/tests/world/mod.rs
+++ b/crates/policy/tests/world/mod.rs
@@ -91,6 +91,7 @@
     incarnations: u64,
     proxies: Vec<Proxy>,
     messages: Vec<Message>,
+    held: Vec<Message>,
     /// Proxies whose bit differs cannot reach each other.
     sides: u16,
 }
@@ -103,6 +104,7 @@
             incarnations: 0,
             proxies: (0..PROXIES).map(|at| Proxy::new(at, 0, 0)).collect(),
             messages: Vec::new(),
+            held: Vec::new(),
             sides: 0,
         };
         world.rounds(14);
@@ -201,6 +203,18 @@
         }
     }
 
+    /// Holds up everything that is under way until [`World::release`].
+    pub(crate) fn hold(&mut self) {
+        self.held.append(&mut self.messages);
+    }
+
+    pub(crate) fn release(&mut self) {
+        self.messages.append(&mut self.held);
+        self.deliver_all();
+        let real = self.real;
+        self.proxies.iter_mut().for_each(|p| p.settle(real));
+    }
+
     /// Every proxy asks, and what is not under way yet arrives.
     pub(crate) fn round(&mut self) {
         let late = std::mem::take(&mut self.messages);
