Exchange connection shares between proxies

Cause: every proxy held a sixth of a server's connections, however many proxies there are and whatever each needs. The task asks each server's lender every sixth of a loan, at once when requests wait for a connection, and tells pool and admission what may be used. It rules only once it is told the live proxies. Latency of the exchange not measured.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod pool;
 mod registry;
 pub mod run;
+pub mod share;
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -75,6 +75,17 @@
     }
 }
 
+/// How many connections a pool has and needs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Connections that are open or being opened.
+    pub open: u32,
+    /// Connections that are handed out or being opened for someone.
+    pub busy: u32,
+    /// Requests that wait for a connection.
+    pub waiting: u32,
+}
+
 type Waiter = flume::Sender<Result<Conn, PoolError>>;
 
 enum Request {
@@ -83,6 +94,7 @@
     Opened(Box<Result<backend::Conn, ConnectError>>),
     Gone,
     Limit(u32),
+    Usage(flume::Sender<Usage>),
     Purge,
 }
 
@@ -131,6 +143,13 @@
         let _ = self.tx.send(Request::Limit(limit));
     }
 
+    /// How many connections the pool has and needs.
+    pub async fn usage(&self) -> Usage {
+        let (tx, rx) = flume::bounded(1);
+        let _ = self.tx.send(Request::Usage(tx));
+        rx.recv_async().await.unwrap_or_default()
+    }
+
     /// Closes the idle connections: the server broke one, and the rest have
     /// probably met the same end without having shown it yet.
     pub fn purge(&self) {
--- a/crates/proxy/src/pool/core.rs
+++ b/crates/proxy/src/pool/core.rs
@@ -2,6 +2,8 @@
 
 use std::collections::VecDeque;
 
+use super::Usage;
+
 /// Idle connections that stay open without being used. Load: bursts after quiet
 /// times; harm: 10 to 30 ms for a new connection before the first statement. One
 /// covers the first request while others are opened.
@@ -53,6 +55,16 @@
         self.open
     }
 
+    /// How many connections there are and are needed.
+    pub fn usage(&self) -> Usage {
+        let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+        Usage {
+            open: count(self.open),
+            busy: count(self.open - self.idle.len()),
+            waiting: count(self.waiting.len().saturating_sub(self.opening)),
+        }
+    }
+
     /// Someone asks for a connection.
     pub fn acquire(&mut self, waiter: W) -> Vec<Action<C, W>> {
         // The connection used last has the warmest caches, and the others can age out.
--- a/crates/proxy/src/pool/task.rs
+++ b/crates/proxy/src/pool/task.rs
@@ -66,6 +66,10 @@
             },
             Request::Gone => self.core.gone(),
             Request::Limit(limit) => self.core.set_limit(limit as usize),
+            Request::Usage(tx) => {
+                let _ = tx.send(self.core.usage());
+                Vec::new()
+            }
             Request::Purge => self.core.purge(),
         }
     }
--- /dev/null
+++ b/crates/proxy/src/share.rs
@@ -0,0 +1,92 @@
+//! Shares of the backend servers' connections: the face of the task that borrows and
+//! lends them.
+
+mod task;
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use model::id::{InstanceId, ProxyId};
+use peer::server::Call;
+use policy::share::{Answer, Ask};
+
+use crate::{admit, fleet, pool};
+
+/// Path under which peers ask the lender.
+pub const PATH: &str = "/peer/share";
+
+/// Requests of one proxy for every backend server that the asked one lends.
+pub type Asks = Vec<Ask>;
+
+/// Answers to those that did not come late.
+pub type Answers = Vec<Answer>;
+
+/// What the task is started with.
+pub struct Setup {
+    /// This proxy.
+    pub me: ProxyId,
+    /// The configuration in force.
+    pub fleet: fleet::Handle,
+    /// Told of this proxy's part of each backend server.
+    pub admit: admit::Handle,
+    /// Sends requests to peers.
+    pub client: peer::Client,
+}
+
+enum Request {
+    Pool(InstanceId, pool::Handle),
+    Peers(IndexMap<ProxyId, SocketAddr>),
+    Answered(ProxyId, Answers),
+    Leave,
+    Shares(flume::Sender<IndexMap<InstanceId, u32>>),
+}
+
+/// Starts the task on the current runtime.
+///
+/// Until [`Handle::peers`] is called it changes nothing: a proxy that knows no peers
+/// keeps the limits that its pools were started with.
+pub fn spawn(setup: Setup) -> Handle {
+    let (tx, rx) = flume::unbounded();
+    let (calls_tx, calls) = flume::bounded(peer::server::QUEUE);
+    compio::runtime::spawn(task::run(setup, tx.downgrade(), rx, calls)).detach();
+    Handle {
+        tx,
+        calls: calls_tx,
+    }
+}
+
+/// Sends requests to the share task.
+#[derive(Clone)]
+pub struct Handle {
+    tx: flume::Sender<Request>,
+    calls: flume::Sender<Call<Asks, Answers>>,
+}
+
+impl Handle {
+    /// Where requests of peers under [`PATH`] go.
+    pub fn calls(&self) -> flume::Sender<Call<Asks, Answers>> {
+        self.calls.clone()
+    }
+
+    /// Names the pool of a backend server, whose limit follows the share from now on.
+    pub fn pool(&self, instance: &InstanceId, pool: pool::Handle) {
+        let _ = self.tx.send(Request::Pool(instance.clone(), pool));
+    }
+
+    /// The live proxies, this one included, and where they hear peers.
+    pub fn peers(&self, live: IndexMap<ProxyId, SocketAddr>) {
+        let _ = self.tx.send(Request::Peers(live));
+    }
+
+    /// Connections that this proxy may hold at each backend server.
+    pub async fn shares(&self) -> IndexMap<InstanceId, u32> {
+        let (tx, rx) = flume::bounded(1);
+        let _ = self.tx.send(Request::Shares(tx));
+        rx.recv_async().await.unwrap_or_default()
+    }
+
+    /// Gives everything lent back at the next requests: this proxy is shutting down.
+    pub fn leave(&self) {
+        let _ = self.tx.send(Request::Leave);
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/share/task.rs
@@ -0,0 +1,307 @@
+//! The task that borrows for this proxy and lends to the others.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use futures_util::future::{self, Either};
+use indexmap::IndexMap;
+use model::id::{InstanceId, ProxyId};
+use model::settings::Settings;
+use model::unit::{Span, Time};
+use peer::server::Call;
+use policy::admit::Limits;
+use policy::share::{self, Borrower, Demand, Lender, Terms};
+use policy::slots::Share;
+
+use super::{Answers, Asks, PATH, Request, Setup};
+use crate::pool;
+
+/// Time between two looks at the pools. Short against a loan, so that one that lapses
+/// is noticed well within its margin.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Time for which a peak of use keeps connections warm. Load: bursts every few
+/// seconds; harm: each opens connections of 10 to 30 ms that were closed just before.
+const WARM: Span = Span::from_millis(10_000);
+
+/// Assumed time on the way to a backend server and back.
+const ROUND_TRIP: Span = Span::from_millis(1);
+
+/// Everything about one backend server.
+struct Server {
+    borrower: Borrower,
+    lender: Lender,
+    settings: Settings,
+    pool: Option<pool::Handle>,
+    asked: Option<Time>,
+    allowed: Option<u32>,
+    peak: u32,
+    peak_at: Time,
+}
+
+struct Task {
+    setup: Setup,
+    started: Instant,
+    servers: IndexMap<InstanceId, Server>,
+    pools: IndexMap<InstanceId, pool::Handle>,
+    live: IndexMap<ProxyId, SocketAddr>,
+    leaving: bool,
+    tx: flume::WeakSender<Request>,
+}
+
+/// Serves until every handle is gone.
+pub(super) async fn run(
+    setup: Setup,
+    tx: flume::WeakSender<Request>,
+    rx: flume::Receiver<Request>,
+    calls: flume::Receiver<Call<Asks, Answers>>,
+) {
+    let mut task = Task {
+        setup,
+        started: Instant::now(),
+        servers: IndexMap::new(),
+        pools: IndexMap::new(),
+        live: IndexMap::new(),
+        leaving: false,
+        tx,
+    };
+    let mut next = Instant::now();
+    loop {
+        if Instant::now() >= next {
+            next = Instant::now() + TICK;
+            task.tick().await;
+        }
+        let request = future::select(rx.recv_async(), calls.recv_async());
+        match compio::time::timeout_at(next, request).await {
+            Ok(Either::Left((Ok(req), _))) => task.handle(req),
+            Ok(Either::Right((Ok(call), _))) => task.answer(&call),
+            Ok(_) => return,
+            Err(_) => {}
+        }
+    }
+}
+
+impl Task {
+    fn now(&self) -> Time {
+        Time::default() + Span::from(self.started.elapsed())
+    }
+
+    fn handle(&mut self, req: Request) {
+        match req {
+            Request::Pool(instance, pool) => {
+                if let Some(server) = self.servers.get_mut(&instance) {
+                    server.pool = Some(pool.clone());
+                    server.allowed = None;
+                }
+                self.pools.insert(instance, pool);
+            }
+            Request::Peers(live) => self.live = live,
+            Request::Answered(from, answers) => self.take(&from, &answers),
+            Request::Leave => self.leaving = true,
+            Request::Shares(tx) => {
+                let now = self.now();
+                let servers = self.servers.iter();
+                let shares = servers.map(|(id, s)| (id.clone(), s.borrower.allowed(now)));
+                let _ = tx.send(shares.collect());
+            }
+        }
+    }
+
+    /// Answers a peer's requests at once, which keeps the loans' clocks honest.
+    fn answer(&mut self, call: &Call<Asks, Answers>) {
+        let answers = self.lend(&call.req);
+        let _ = call.reply.send(answers);
+    }
+
+    fn lend(&mut self, asks: &Asks) -> Answers {
+        let now = self.now();
+        let answer = |ask: &share::Ask| {
+            let server = self.servers.get_mut(&ask.instance)?;
+            server.lender.ask(ask, now)
+        };
+        asks.iter().filter_map(answer).collect()
+    }
+
+    fn take(&mut self, from: &ProxyId, answers: &Answers) {
+        for answer in answers {
+            if let Some(server) = self.servers.get_mut(&answer.instance) {
+                server.borrower.answered(from, answer);
+            }
+        }
+        self.apply();
+    }
+
+    async fn tick(&mut self) {
+        if self.live.is_empty() {
+            return;
+        }
+        self.follow_fleet();
+        let mut batches: IndexMap<ProxyId, Asks> = IndexMap::new();
+        let instances: Vec<InstanceId> = self.servers.keys().cloned().collect();
+        for instance in instances {
+            if let Some((lender, ask)) = self.ask(&instance).await {
+                batches.entry(lender).or_default().push(ask);
+            }
+        }
+        for (lender, asks) in batches {
+            self.send(lender, asks);
+        }
+        self.apply();
+    }
+
+    /// Starts with what the configuration names and forgets what it names no more.
+    fn follow_fleet(&mut self) {
+        let snapshot = self.setup.fleet.current();
+        let fleet = &snapshot.fleet;
+        let mut named = IndexMap::new();
+        for (group, spec) in &fleet.groups {
+            let settings = fleet.settings(group);
+            for instance in spec.instances.keys() {
+                named.insert(instance.clone(), settings.clone());
+            }
+        }
+        self.servers.retain(|id, _| named.contains_key(id));
+        for (instance, settings) in named {
+            self.follow_server(instance, settings);
+        }
+    }
+
+    fn follow_server(&mut self, instance: InstanceId, settings: Settings) {
+        let now = self.now();
+        let terms = terms(&settings);
+        if let Some(server) = self.servers.get_mut(&instance) {
+            if server.settings != settings {
+                server.borrower.set_terms(terms);
+                server.lender.set_terms(terms);
+                server.settings = settings;
+                server.allowed = None;
+            }
+            return;
+        }
+        let me = self.setup.me.clone();
+        let server = Server {
+            borrower: Borrower::new(instance.clone(), me, terms, now),
+            lender: Lender::new(instance.clone(), terms),
+            settings,
+            pool: self.pools.get(&instance).cloned(),
+            asked: None,
+            allowed: None,
+            peak: 0,
+            peak_at: now,
+        };
+        self.servers.insert(instance, server);
+    }
+
+    /// The next request about a backend server, when one is due.
+    async fn ask(&mut self, instance: &InstanceId) -> Option<(ProxyId, share::Ask)> {
+        let now = self.now();
+        let lender = share::choose(instance, self.live.keys())?.clone();
+        let leaving = self.leaving;
+        let server = self.servers.get_mut(instance)?;
+        let usage = match &server.pool {
+            Some(pool) => pool.usage().await,
+            None => pool::Usage::default(),
+        };
+        // Requests that wait for a connection are worth an early question.
+        let interval = match usage.waiting {
+            0 => terms(&server.settings).interval(),
+            _ => Span::from(TICK),
+        };
+        if server.asked.is_some_and(|at| now.since(at) < interval) {
+            return None;
+        }
+        let demand = server.demand(usage, leaving, now);
+        server.asked = Some(now);
+        let ask = server.borrower.ask(&lender, demand, now);
+        Some((lender, ask))
+    }
+
+    fn send(&mut self, lender: ProxyId, asks: Asks) {
+        if lender == self.setup.me {
+            let answers = self.lend(&asks);
+            self.take(&lender, &answers);
+            return;
+        }
+        let Some(address) = self.live.get(&lender).copied() else {
+            return;
+        };
+        let (client, tx) = (self.setup.client.clone(), self.tx.clone());
+        // A later answer than this belongs to a request that was replaced.
+        let settings = self.servers.values().next().map(|s| terms(&s.settings));
+        let limit = settings.map_or(TICK, |t| t.interval().as_duration());
+        let exchange = async move {
+            match client.call(address, PATH, &asks, limit, None).await {
+                Ok(answers) => {
+                    if let Some(tx) = tx.upgrade() {
+                        let _ = tx.send(Request::Answered(lender, answers));
+                    }
+                }
+                Err(e) => tracing::debug!(%lender, error = %e, "lender does not answer"),
+            }
+        };
+        compio::runtime::spawn(exchange).detach();
+    }
+
+    /// Tells pools and admission what they may use.
+    ///
+    /// Failure: a loan lapses while the lender is out of reach; the pool must shrink
+    /// although no message says so, which is why every tick looks.
+    fn apply(&mut self) {
+        let now = self.now();
+        for (instance, server) in &mut self.servers {
+            let allowed = server.borrower.allowed(now);
+            if server.allowed == Some(allowed) {
+                continue;
+            }
+            tracing::debug!(%instance, allowed, "connection share");
+            server.allowed = Some(allowed);
+            if let Some(pool) = &server.pool {
+                pool.set_limit(allowed);
+            }
+            let limits = limits(&server.settings, allowed);
+            self.setup.admit.set_limits(instance, limits);
+        }
+    }
+}
+
+impl Server {
+    /// What to ask for: the peak of late while nobody else is short, and what is
+    /// used at the moment otherwise.
+    fn demand(&mut self, usage: pool::Usage, leaving: bool, now: Time) -> Demand {
+        let used = usage.busy + usage.waiting;
+        if used >= self.peak || now.since(self.peak_at) >= WARM {
+            self.peak = used;
+            self.peak_at = now;
+        }
+        let want = match (leaving, self.borrower.pressed()) {
+            (true, _) => usage.busy,
+            (false, true) => used + 1,
+            (false, false) => self.peak + 1,
+        };
+        Demand {
+            want,
+            open: usage.open,
+            busy: usage.busy,
+        }
+    }
+}
+
+fn terms(settings: &Settings) -> Terms {
+    Terms {
+        connections: settings.connections,
+        proxies: settings.proxies,
+        loan: settings.loan,
+    }
+}
+
+fn limits(settings: &Settings, held: u32) -> Limits {
+    Limits {
+        share: Share {
+            slots: settings.slots,
+            connections: settings.connections,
+            held,
+            round_trip: ROUND_TRIP,
+        },
+        queue: settings.queue,
+    }
+}
