--- a/crates/proxy/src/cx.rs
+++ b/crates/proxy/src/cx.rs
@@ -20,7 +20,7 @@
 
 use crate::backend::Login;
 use crate::config::Config;
-use crate::{admit, fleet, group, pool, registry};
+use crate::{admit, fleet, group, pool, registry, share};
 
 /// Part of a backend server's connections that one proxy may hold until it is told
 /// its share: six proxies fit the limit of the server.
@@ -42,6 +42,8 @@
     pub fleet: fleet::Handle,
     /// Admission to the backend servers.
     pub admit: admit::Handle,
+    /// Shares of the backend servers' connections.
+    pub share: share::Handle,
     /// Accepts TLS towards callers.
     pub tls: Option<TlsAcceptor>,
     pub(crate) registry: registry::Handle,
@@ -62,6 +64,7 @@
     local: IpAddr,
     login: Login,
     settings: Settings,
+    share: share::Handle,
     pools: RefCell<IndexMap<InstanceId, pool::Handle>>,
 }
 
@@ -72,6 +75,7 @@
         me: ProxyId,
         fleet: fleet::Handle,
         admit: admit::Handle,
+        share: share::Handle,
         tls: Option<TlsAcceptor>,
         store: store::client::Client,
     ) -> Self {
@@ -82,6 +86,7 @@
             me,
             fleet,
             admit,
+            share,
             tls,
             registry: registry::spawn(),
             statements: RefCell::default(),
@@ -128,6 +133,7 @@
                 password: spec.password.clone(),
             },
             settings: fleet.settings(id),
+            share: self.share.clone(),
             pools: RefCell::default(),
         })
     }
@@ -187,13 +193,15 @@
 
     fn start_pool(&self, target: &Target) -> pool::Handle {
         let share = (self.settings.connections / FIRST_SHARE).max(2);
-        pool::spawn(pool::Setup {
+        let pool = pool::spawn(pool::Setup {
             instance: target.instance.clone(),
             address: target.address,
             local: self.local,
             login: self.login.clone(),
             limit: share,
-        })
+        });
+        self.share.pool(&target.instance, pool.clone());
+        pool
     }
 }
 
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -19,7 +19,7 @@
 
 use crate::config::{Config, Tls};
 use crate::cx::Cx;
-use crate::{admit, caller, fleet};
+use crate::{admit, caller, fleet, share};
 
 /// Why a proxy cannot start.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
@@ -46,6 +46,9 @@
     /// The client of the platform's store cannot be made.
     #[error("the store's client cannot be made")]
     Store(#[from] store::error::Error),
+    /// The client of the peers cannot be made.
+    #[error("the peers' client cannot be made")]
+    Peers(#[from] peer::client::Error),
     /// The runtime or its thread cannot be started.
     #[error("the runtime cannot be started")]
     Runtime(#[source] io::Error),
@@ -68,7 +71,13 @@
             .await
             .map_err(|e| StartError::Listen(cfg.listen, e))?;
         let store = store::client::Client::new(cfg.store.clone())?;
-        let cx = Rc::new(Cx::new(cfg, me, fleet, admit, tls, store));
+        let share = share::spawn(share::Setup {
+            me: me.clone(),
+            fleet: fleet.clone(),
+            admit: admit.clone(),
+            client: peer::Client::new(peer::auth::Key::new(cfg.secret.0.as_bytes()))?,
+        });
+        let cx = Rc::new(Cx::new(cfg, me, fleet, admit, share, tls, store));
         Ok(Self { cx, listener })
     }
 
@@ -87,6 +96,7 @@
         let accepting = Box::pin(accept(cx.clone(), listener));
         future::select(accepting, pin!(shutdown)).await;
         tracing::info!(proxy = %cx.me, "draining");
+        cx.share.leave();
         let limit = cx.cfg.limits.drain.as_duration();
         let drained = compio::time::timeout(limit, cx.registry.drain()).await;
         tracing::info!(proxy = %cx.me, complete = drained.is_ok(), "stopped");
