Run membership and configuration in the proxy, with operators' pages

One task owns the membership controller and the adopted records; it watches the store when its data centre's rank says so, relays records to peers, and hands configurations, live proxies, views and leadership records to the groups. /health tells the balancer to stop sending callers as soon as a drain begins. Store calls and times are not measured yet.

--- a/crates/proxy/src/caller/execute.rs
+++ b/crates/proxy/src/caller/execute.rs
@@ -19,6 +19,7 @@
 use crate::admit::{EnterError, Permit, Ticket};
 use crate::backend::Status;
 use crate::filter::{self, Scene};
+use crate::metrics::{Ending, Stage};
 use crate::pool::{self, Conn, PoolError};
 
 /// Pause before a request that met a failure looks for another route: time for the
@@ -173,7 +174,10 @@
                 }
             };
             let mut attempt = attempt;
+            self.observe(Stage::Waiting, req.profile.arrived);
+            let sent = Instant::now();
             let ended = self.send(&req, &mut attempt, &mut outcome, deadline).await;
+            self.observe(Stage::Serving, sent);
             let verdict = match ended {
                 Ended::Answered(answer, _) if answer.refused => {
                     self.group
@@ -198,6 +202,18 @@
         }
     }
 
+    /// Records the time since `began` under a stage of the group's requests.
+    fn observe(&self, stage: Stage, began: Instant) {
+        let group = self.group.routes.group();
+        let metrics = &self.cx.metrics;
+        metrics.observe(group.as_str(), stage, began.elapsed());
+    }
+
+    fn ended(&self, ending: Ending) {
+        let group = self.group.routes.group();
+        self.cx.metrics.ended(group.as_str(), ending);
+    }
+
     /// Finds a route, a slot and a connection.
     async fn prepare(&self, req: &Request, deadline: Instant) -> Result<Attempt, NoWay> {
         let target = self.route(req, deadline).await.map_err(NoWay::Refused)?;
@@ -388,6 +404,7 @@
             return self.confirm(req, &target, answer, &held, deadline).await;
         }
         self.settle(attempt);
+        self.ended(Ending::Answered);
         self.link.push(&held);
         let before = self.session.known;
         if !writes && self.session.advance(target.point) && !before {
@@ -410,11 +427,15 @@
                 .unknown(req, "the server did not say where the write ended")
                 .await;
         };
-        match self.group.routes.confirm(target, point, deadline).await {
+        let began = Instant::now();
+        let confirmed = self.group.routes.confirm(target, point, deadline).await;
+        self.observe(Stage::Confirming, began);
+        match confirmed {
             Ok(()) => {
                 self.session.advance(point);
                 self.link.push(held);
                 self.push_token();
+                self.ended(Ending::Answered);
                 self.finish(req.mode, &[]).await
             }
             Err(e) => self.unknown(req, &e.to_string()).await,
@@ -591,6 +612,12 @@
     /// Answers with an error of the proxy's own.
     async fn refuse(&mut self, mode: Mode, report: &Report) -> Result<(), Closed> {
         tracing::debug!(caller = %self.session.caller, code = %report.code, "request refused");
+        let unknown = report.code == report::OUTCOME_UNKNOWN;
+        self.ended(if unknown {
+            Ending::Unknown
+        } else {
+            Ending::Refused
+        });
         // The server does not know of the error. Were its transaction to go on, a
         // commit would keep the rest of what the caller meant as a whole.
         if self.transaction.is_open() {
--- a/crates/proxy/src/cx.rs
+++ b/crates/proxy/src/cx.rs
@@ -13,23 +13,23 @@
 use model::place::Place;
 use model::settings::Settings;
 use model::token;
+use model::unit::Span;
 use pg::classify;
 use pg::startup::Key;
-use policy::message::{Audience, Peer, PeerView};
+use policy::admit::Limits;
+use policy::message::{Audience, Peer, PeerView, Versioned};
 use policy::route::Target;
+use policy::slots::Share;
 
 use crate::backend::Login;
 use crate::config::Config;
+use crate::metrics::Metrics;
 use crate::{admit, fleet, group, pool, registry, share};
 
 /// Part of a backend server's connections that one proxy may hold until it is told
 /// its share: six proxies fit the limit of the server.
 const FIRST_SHARE: u32 = 6;
 
-/// Views that wait to be sent to peers. They repeat several times a second while they
-/// matter, so that one that finds no room is dropped.
-const VIEWS: usize = 256;
-
 /// Handles that every task of a runtime needs.
 pub struct Cx {
     /// Settings of the process.
@@ -50,13 +50,24 @@
     pub(crate) statements: RefCell<classify::Cache>,
     /// The platform's store.
     pub store: store::client::Client,
-    /// Views of groups that peers are to be told.
-    pub views: flume::Receiver<(Audience, PeerView)>,
+    /// Metrics of the process.
+    pub metrics: Metrics,
     tell: flume::Sender<(Audience, PeerView)>,
     live: RefCell<Vec<Peer>>,
     groups: RefCell<IndexMap<GroupId, Rc<GroupCx>>>,
 }
 
+/// What a runtime's tasks are given when it starts.
+pub(crate) struct Services {
+    pub(crate) fleet: fleet::Handle,
+    pub(crate) admit: admit::Handle,
+    pub(crate) share: share::Handle,
+    pub(crate) tls: Option<TlsAcceptor>,
+    pub(crate) store: store::client::Client,
+    pub(crate) tell: flume::Sender<(Audience, PeerView)>,
+    pub(crate) metrics: Metrics,
+}
+
 /// Handles to one group.
 pub struct GroupCx {
     /// Routes and confirmations.
@@ -70,29 +81,20 @@
 
 impl Cx {
     /// Collects the handles of a runtime.
-    pub(crate) fn new(
-        cfg: Config,
-        me: ProxyId,
-        fleet: fleet::Handle,
-        admit: admit::Handle,
-        share: share::Handle,
-        tls: Option<TlsAcceptor>,
-        store: store::client::Client,
-    ) -> Self {
-        let (tell, views) = flume::bounded(VIEWS);
+    pub(crate) fn new(cfg: Config, me: ProxyId, services: Services) -> Self {
         Self {
             key: token::Key::new(cfg.secret.0.as_bytes()),
             cfg,
             me,
-            fleet,
-            admit,
-            share,
-            tls,
+            fleet: services.fleet,
+            admit: services.admit,
+            share: services.share,
+            tls: services.tls,
             registry: registry::spawn(),
             statements: RefCell::default(),
-            store,
-            views,
-            tell,
+            store: services.store,
+            metrics: services.metrics,
+            tell: services.tell,
             live: RefCell::default(),
             groups: RefCell::default(),
         }
@@ -124,6 +126,10 @@
             seed: rand::random(),
         });
         routes.peers(self.live.borrow().clone());
+        let settings = fleet.settings(id);
+        for instance in spec.instances.keys() {
+            self.admit.set_limits(instance, first_limits(&settings));
+        }
         Some(GroupCx {
             routes,
             local: self.cfg.address,
@@ -132,7 +138,7 @@
                 database: spec.database.clone(),
                 password: spec.password.clone(),
             },
-            settings: fleet.settings(id),
+            settings,
             share: self.share.clone(),
             pools: RefCell::default(),
         })
@@ -153,6 +159,13 @@
         }
     }
 
+    /// Hands a leadership record to its group, if this process serves it.
+    pub fn record(&self, group: &GroupId, versioned: Versioned) {
+        if let Some(known) = self.groups.borrow().get(group) {
+            known.routes.record(versioned);
+        }
+    }
+
     /// The routes of every group that this process serves.
     pub fn routes(&self) -> Vec<group::Handle> {
         let groups = self.groups.borrow();
@@ -164,6 +177,7 @@
     pub fn configure(&self, fleet: &Arc<Fleet>) {
         self.groups.borrow_mut().retain(|id, known| {
             let Some(spec) = fleet.groups.get(id) else {
+                self.metrics.forget(id.as_str());
                 return false;
             };
             known.routes.configure(fleet.clone());
@@ -205,6 +219,22 @@
     }
 }
 
+/// Assumed before one was measured: between data centres of a region.
+const FIRST_ROUND_TRIP: Span = Span::from_millis(1);
+
+/// Limits for a backend server until this proxy is told its share.
+pub(crate) fn first_limits(settings: &Settings) -> Limits {
+    Limits {
+        share: Share {
+            slots: settings.slots,
+            connections: settings.connections,
+            held: (settings.connections / FIRST_SHARE).max(2),
+            round_trip: FIRST_ROUND_TRIP,
+        },
+        queue: settings.queue,
+    }
+}
+
 /// A random key under which a connection's request can be cancelled.
 pub(crate) fn new_key() -> Key {
     Key {
--- a/crates/proxy/src/registry.rs
+++ b/crates/proxy/src/registry.rs
@@ -21,6 +21,7 @@
     Leave(Key),
     Cancel(Key),
     Drain(flume::Sender<()>),
+    Count(flume::Sender<u64>),
 }
 
 /// Sends requests to the registry.
@@ -66,6 +67,13 @@
         let _ = self.0.send(Request::Cancel(key));
     }
 
+    /// How many callers are connected.
+    pub(crate) async fn count(&self) -> u64 {
+        let (tx, rx) = flume::bounded(1);
+        let _ = self.0.send(Request::Count(tx));
+        rx.recv_async().await.unwrap_or_default()
+    }
+
     /// Asks every caller's task to end; completes when all have.
     pub(crate) async fn drain(&self) {
         let (tx, rx) = flume::bounded(1);
@@ -93,6 +101,9 @@
                     let _ = tx.try_send(Control::Cancel);
                 }
             }
+            Request::Count(tx) => {
+                let _ = tx.send(callers.len() as u64);
+            }
             Request::Drain(tx) => {
                 for caller in callers.values() {
                     let _ = caller.try_send(Control::Drain);
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -10,15 +10,13 @@
 use compio::net::{TcpListener, TcpStream};
 use compio::tls::TlsAcceptor;
 use futures_util::future;
-use model::config::Fleet;
 use model::id::ProxyId;
 use model::source::Source;
-use model::unit::Span;
-use policy::admit::Limits;
-use policy::slots::Share;
 
 use crate::config::{Config, Tls};
-use crate::cx::Cx;
+use crate::control::{self, Control, Running};
+use crate::cx::{self, Cx, Services};
+use crate::metrics::{self, Metrics};
 use crate::{admit, caller, fleet, share};
 
 /// Why a proxy cannot start.
@@ -35,7 +33,7 @@
     #[diagnostic(transparent)]
     Fleet(#[from] Box<model::source::Located>),
     /// There is no way to learn the fleet's configuration.
-    #[error("neither a store nor a fleet_file is set")]
+    #[error("neither a store nor seeds nor a fleet_file is set")]
     NoFleet,
     /// The certificate or its key cannot be used.
     #[error("the certificate cannot be used")]
@@ -46,9 +44,12 @@
     /// The client of the platform's store cannot be made.
     #[error("the store's client cannot be made")]
     Store(#[from] store::error::Error),
-    /// The client of the peers cannot be made.
-    #[error("the peers' client cannot be made")]
-    Peers(#[from] peer::client::Error),
+    /// The control side cannot be started.
+    #[error(transparent)]
+    Control(#[from] control::ControlError),
+    /// The metrics cannot be set up.
+    #[error(transparent)]
+    Metrics(#[from] metrics::MetricsError),
     /// The runtime or its thread cannot be started.
     #[error("the runtime cannot be started")]
     Runtime(#[source] io::Error),
@@ -58,27 +59,55 @@
 pub struct Server {
     cx: Rc<Cx>,
     listener: TcpListener,
+    control: Running,
+    peer_address: Option<SocketAddr>,
 }
 
 impl Server {
     /// Reads what the settings name and opens the sockets.
     pub async fn bind(cfg: Config) -> Result<Self, StartError> {
         let tls = cfg.tls.as_ref().map(acceptor).transpose()?;
-        let fleet = fleet::Handle::fixed(read_fleet(&cfg)?);
+        let fleet = first_fleet(&cfg)?;
         let me = cfg.id.clone().unwrap_or_else(random_id);
-        let admit = admit::spawn(first_limits(&fleet.current().fleet));
-        let listener = TcpListener::bind(cfg.listen)
-            .await
-            .map_err(|e| StartError::Listen(cfg.listen, e))?;
         let store = store::client::Client::new(cfg.store.clone())?;
+        let control = Control::start(&cfg, &me, &store, &fleet).await?;
+        let known = fleet.changed();
+        let admit = admit::spawn(cx::first_limits(&fleet.current().fleet.defaults));
         let share = share::spawn(share::Setup {
             me: me.clone(),
             fleet: fleet.clone(),
             admit: admit.clone(),
-            client: peer::Client::new(peer::auth::Key::new(cfg.secret.0.as_bytes()))?,
+            client: control.client().clone(),
         });
-        let cx = Rc::new(Cx::new(cfg, me, fleet, admit, share, tls, store));
-        Ok(Self { cx, listener })
+        let services = Services {
+            admit,
+            share,
+            tell: control.tell.clone(),
+            metrics: Metrics::new()?,
+            fleet,
+            tls,
+            store,
+        };
+        let cx = Rc::new(Cx::new(cfg, me, services));
+        let peer_address = control.address();
+        let control = control.serve(&cx);
+        // Callers are let in once there is a configuration to serve them by.
+        let _ = known.recv_async().await;
+        let listen = cx.cfg.listen;
+        let listener = TcpListener::bind(listen)
+            .await
+            .map_err(|e| StartError::Listen(listen, e))?;
+        Ok(Self {
+            cx,
+            listener,
+            control,
+            peer_address,
+        })
+    }
+
+    /// Where peers and operators connect.
+    pub fn peer_address(&self) -> Option<SocketAddr> {
+        self.peer_address
     }
 
     /// Where callers connect.
@@ -90,15 +119,22 @@
     /// Serves until `shutdown` completes, then until the requests in flight are done.
     pub async fn serve(self, shutdown: impl Future<Output = ()>) {
         tracing::info!(proxy = %self.cx.me, listen = %self.address(), "serving");
-        let Self { cx, listener } = self;
+        let Self {
+            cx,
+            listener,
+            control,
+            ..
+        } = self;
         // The listener is closed before anything else, so that the platform's balancer
         // and new callers turn to other proxies while the requests in flight finish.
         let accepting = Box::pin(accept(cx.clone(), listener));
         future::select(accepting, pin!(shutdown)).await;
         tracing::info!(proxy = %cx.me, "draining");
         cx.share.leave();
+        control.drain();
         let limit = cx.cfg.limits.drain.as_duration();
         let drained = compio::time::timeout(limit, cx.registry.drain()).await;
+        control.leave().await;
         tracing::info!(proxy = %cx.me, complete = drained.is_ok(), "stopped");
     }
 }
@@ -134,29 +170,18 @@
     text.parse().expect("the text is an identifier")
 }
 
-/// Assumed before one was measured: between data centres of a region.
-const FIRST_ROUND_TRIP: Span = Span::from_millis(1);
-
-/// Limits for a backend server that nobody named a share for.
-fn first_limits(fleet: &Fleet) -> Limits {
-    let settings = &fleet.defaults;
-    let held = (settings.connections / 6).max(2);
-    Limits {
-        share: Share {
-            slots: settings.slots,
-            connections: settings.connections,
-            held,
-            round_trip: FIRST_ROUND_TRIP,
-        },
-        queue: settings.queue,
-    }
-}
-
-fn read_fleet(cfg: &Config) -> Result<Fleet, StartError> {
-    let path = cfg.fleet_file.as_ref().ok_or(StartError::NoFleet)?;
+/// The configuration to start with: the file's, until the store or a peer has one.
+fn first_fleet(cfg: &Config) -> Result<fleet::Handle, StartError> {
+    let Some(path) = &cfg.fleet_file else {
+        return match cfg.store.is_empty() && cfg.seeds.is_empty() {
+            true => Err(StartError::NoFleet),
+            false => Ok(fleet::Handle::default()),
+        };
+    };
     let text = read(path)?;
     let text = String::from_utf8_lossy(&text).into_owned();
-    Ok(Source::new(path.display().to_string(), text).parse()?)
+    let fleet = Source::new(path.display().to_string(), text).parse()?;
+    Ok(fleet::Handle::fixed(fleet))
 }
 
 fn read(path: &PathBuf) -> Result<Vec<u8>, StartError> {
@@ -182,6 +207,7 @@
 /// A proxy on a thread of its own; dropping it shuts it down gracefully.
 pub struct Embedded {
     address: SocketAddr,
+    peer_address: Option<SocketAddr>,
     stop: Option<flume::Sender<()>>,
     thread: Option<thread::JoinHandle<()>>,
 }
@@ -196,9 +222,10 @@
             .spawn(move || run_embedded(cfg, &tx, &stopped))
             .map_err(StartError::Runtime)?;
         let ended = StartError::Runtime(io::ErrorKind::BrokenPipe.into());
-        let address = started.recv().unwrap_or(Err(ended))?;
+        let (address, peer_address) = started.recv().unwrap_or(Err(ended))?;
         Ok(Self {
             address,
+            peer_address,
             stop: Some(stop),
             thread: Some(thread),
         })
@@ -209,6 +236,11 @@
         self.address
     }
 
+    /// Where peers and operators connect.
+    pub fn peer_address(&self) -> Option<SocketAddr> {
+        self.peer_address
+    }
+
     /// Begins the shutdown without waiting for its end.
     pub fn shutdown(&mut self) {
         self.stop = None;
@@ -224,7 +256,8 @@
     }
 }
 
-type Started = flume::Sender<Result<SocketAddr, StartError>>;
+/// Addresses for callers and for peers.
+type Started = flume::Sender<Result<(SocketAddr, Option<SocketAddr>), StartError>>;
 
 fn run_embedded(cfg: Config, started: &Started, stopped: &flume::Receiver<()>) {
     let runtime = match compio::runtime::Runtime::new() {
@@ -237,7 +270,7 @@
     runtime.block_on(async {
         match Server::bind(cfg).await {
             Ok(server) => {
-                let _ = started.send(Ok(server.address()));
+                let _ = started.send(Ok((server.address(), server.peer_address())));
                 let stop = async {
                     let _ = stopped.recv_async().await;
                 };
