Place each group on a few proxies of its data centres

Cause: at 2,200 proxies a backend server's 20 connections cannot be shared by all of them, and no proxy can watch 99,000 servers. Not wired into the proxy yet. Conclusion: rendezvous hashing carries the aim without messages or state.

--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -5,7 +5,7 @@
 use clap::{Arg, ArgAction, ArgMatches, Command};
 
 use crate::report::Table;
-use crate::{demo, failover, read_share, saturation};
+use crate::{demo, failover, placement, read_share, saturation};
 
 /// One measurement with its own subcommand.
 pub struct Scenario {
@@ -25,6 +25,10 @@
         command: failover::command,
         run: failover::run,
     },
+    Scenario {
+        command: placement::command,
+        run: placement::run,
+    },
     Scenario {
         command: read_share::command,
         run: read_share::run,
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod deployment;
 pub mod failover;
 pub mod ledger;
+pub mod placement;
 pub mod read_share;
 pub mod report;
 pub mod saturation;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod message;
 pub mod node;
 pub mod outcome;
+pub mod place;
 pub mod poll;
 pub mod promote;
 pub mod queue;
--- /dev/null
+++ b/crates/policy/tests/place.rs
@@ -0,0 +1,116 @@
+//! Which proxies serve a group, judged by spread, movement and reach.
+
+use indexmap::{IndexMap, IndexSet};
+use model::id::GroupId;
+use model::place::Place;
+use policy::place::{self, Homes, PER_DATA_CENTRE, Proxy, Route};
+
+fn proxy(centre: usize, n: usize) -> Proxy {
+    Proxy {
+        id: format!("p{centre}-{n}").parse().unwrap(),
+        place: Place {
+            region: format!("region-{}", centre / 2).parse().unwrap(),
+            data_centre: format!("dc-{centre}").parse().unwrap(),
+        },
+    }
+}
+
+fn fleet(centres: usize, each: usize) -> Vec<Proxy> {
+    let centres = 0..centres;
+    centres
+        .flat_map(|c| (0..each).map(move |n| proxy(c, n)))
+        .collect()
+}
+
+fn homes(centres: &[usize]) -> Homes {
+    centres
+        .iter()
+        .map(|c| proxy(*c, 0).place.data_centre)
+        .collect()
+}
+
+fn group(n: usize) -> GroupId {
+    format!("group-{n}").parse().unwrap()
+}
+
+#[test]
+fn today_every_proxy_serves_every_group() {
+    let live = fleet(3, 3);
+    for me in &live {
+        let route = place::route(&group(1), &homes(&[0, 1, 2]), me, &live);
+        assert_eq!(route, Route::Here);
+    }
+}
+
+#[test]
+fn a_group_has_the_same_servers_whoever_asks() {
+    let live = fleet(6, 20);
+    let homes = homes(&[0, 2, 3]);
+    let mut shuffled = live.clone();
+    shuffled.reverse();
+    let names = |live: &[Proxy]| -> IndexSet<_> {
+        let servers = place::servers(&group(7), &homes, live);
+        servers.into_iter().map(|p| p.id.clone()).collect()
+    };
+    let mut a = names(&live);
+    let mut b = names(&shuffled);
+    a.sort();
+    b.sort();
+    assert_eq!(a, b);
+    assert_eq!(a.len(), 3 * PER_DATA_CENTRE);
+}
+
+#[test]
+fn passed_on_to_the_nearest_server_first() {
+    let live = fleet(6, 20);
+    let me = proxy(1, 19);
+    let Route::Through(servers) = place::route(&group(7), &homes(&[0, 4]), &me, &live) else {
+        panic!("a proxy outside the group's data centres serves it");
+    };
+    let near = servers.iter().map(|p| me.place.distance(&p.place));
+    assert!(near.is_sorted());
+    assert_eq!(servers[0].place.data_centre, proxy(0, 0).place.data_centre);
+}
+
+// A user connects through a proxy whose data centre is cut off from the group's. No
+// server of the group is alive as far as this proxy knows; refusing would leave the user
+// without even the reads that a replica on this side could answer.
+#[test]
+fn served_here_when_no_server_is_known_alive() {
+    let me = proxy(5, 0);
+    let live = [me.clone()];
+    assert_eq!(
+        place::route(&group(1), &homes(&[0, 1]), &me, &live),
+        Route::Here
+    );
+}
+
+#[test]
+fn groups_spread_evenly_over_the_proxies_of_a_data_centre() {
+    let live = fleet(1, 90);
+    let mut load: IndexMap<_, usize> = IndexMap::new();
+    for n in 0..3_000 {
+        for server in place::servers(&group(n), &homes(&[0]), &live) {
+            *load.entry(server.id.clone()).or_default() += 1;
+        }
+    }
+    let mean = 3_000 * PER_DATA_CENTRE / 90;
+    let most = load.values().copied().max().unwrap();
+    assert_eq!(load.len(), 90);
+    assert!(
+        most < mean * 3 / 2,
+        "{most} groups on one proxy, {mean} on average"
+    );
+}
+
+#[test]
+fn a_proxy_that_leaves_moves_only_its_own_groups() {
+    let before = fleet(1, 30);
+    let after = &before[1..];
+    for n in 0..500 {
+        let old = place::servers(&group(n), &homes(&[0]), &before);
+        let new = place::servers(&group(n), &homes(&[0]), after);
+        let kept = old.iter().filter(|p| p.id != before[0].id);
+        assert!(kept.into_iter().all(|p| new.contains(p)));
+    }
+}
