Replace a crashed primary in half the time of a silent one

A stalled or frozen server leaves connections hanging; one whose process is gone refuses them. Two refusals since the last answer halve the silence that counts as loss, for this proxy and for the replicas' view alike.

Stories added: a crashed primary, and a leaving primary that hands over.

--- a/crates/policy/src/group.rs
+++ b/crates/policy/src/group.rs
@@ -274,7 +274,8 @@
         self.verdict_since = self.now;
         self.deposed = None;
         self.followed.clear();
-        self.reach.entry(primary.clone()).or_default().fresh = None;
+        let reach = self.reach.entry(primary.clone()).or_default();
+        (reach.fresh, reach.refused) = (None, 0);
         self.change.promoted = Some(self.now);
         let outcomes = self.confirm.begin(term);
         self.emit_confirmed(outcomes);
--- a/crates/policy/src/group/answer.rs
+++ b/crates/policy/src/group/answer.rs
@@ -29,8 +29,9 @@
                 };
                 self.observe(&instance, seen);
             }
-            // A refused connection is a fresh one that failed; the silence goes on.
-            Err(Failure::Refused | Failure::Broken) => reach.ask_fresh(open.asked),
+            // The silence goes on.
+            Err(Failure::Refused) => reach.refuse(open.asked),
+            Err(Failure::Broken) => reach.ask_fresh(open.asked),
             Err(Failure::Silent | Failure::ReadOnly | Failure::Protocol) => {}
         }
     }
--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -23,6 +23,10 @@
 /// [`crate::poll::DOUBT`] during doubt, so that this allows for three lost rounds.
 pub const VIEW_AGE: Span = Span::from_millis(250);
 
+/// Refused connections in a row that show that the process is gone: one may have met a
+/// listener that was just being opened.
+const REFUSALS: u32 = 2;
+
 /// A primary that proxies reach but no majority of instances hears is replaced after this
 /// many times the usual silence: it cannot have a write confirmed, but a short cut among
 /// the instances heals by itself.
@@ -37,6 +41,8 @@
     pub asked: Option<Time>,
     /// Start of the oldest fresh connection since then that brought no answer.
     pub fresh: Option<Time>,
+    /// Fresh connections since then that were refused outright.
+    pub refused: u32,
 }
 
 impl Reach {
@@ -46,6 +52,7 @@
             answered: Some(now),
             asked: None,
             fresh: None,
+            refused: 0,
         };
     }
 
@@ -60,6 +67,12 @@
         self.fresh.get_or_insert(now);
     }
 
+    /// Takes in a fresh connection that was refused: no process listens any more.
+    pub fn refuse(&mut self, asked: Time) {
+        self.ask_fresh(asked);
+        self.refused += 1;
+    }
+
     /// Time for which questions have gone without an answer. Time in which nothing was
     /// asked does not count: a proxy that was paused must not take its own silence for
     /// that of the primary.
@@ -123,11 +136,24 @@
 }
 
 impl View<'_> {
+    /// Silence that counts as loss. A stalled server keeps its socket open, so that
+    /// connections to it hang; where they are refused, the process is gone, and half the
+    /// time is enough. A process that restarts within it is replaced without harm, as
+    /// its callers have lost their connections anyway.
+    fn patience(&self) -> Span {
+        let after = self.spec.settings.suspect_after;
+        if self.reach.refused >= REFUSALS {
+            Span::from_micros(after.as_micros() / 2)
+        } else {
+            after
+        }
+    }
+
     /// Judges the primary.
     pub fn judge(&self) -> Verdict {
-        let after = self.spec.settings.suspect_after;
+        let after = self.patience();
         let silent = self.reach.silent(self.now);
-        let long = after.times(ISOLATED_FACTOR);
+        let long = self.spec.settings.suspect_after.times(ISOLATED_FACTOR);
         let settled = self.now.since(self.since) >= long;
         if settled && self.unheard(long).len() >= self.spec.majority() {
             return Verdict::Replace(Cause::Isolated);
@@ -173,7 +199,7 @@
     pub fn evidence(&self) -> Vec<Fact> {
         let own = Fact::Silent(self.primary.clone(), self.reach.silent(self.now));
         let mut facts = vec![own];
-        let unheard = self.unheard(self.spec.settings.suspect_after);
+        let unheard = self.unheard(self.patience());
         facts.extend(unheard.iter().map(|(i, s)| Fact::Unheard((*i).clone(), *s)));
         facts.extend(self.recent().map(|h| match h.view.heard {
             Some(age) if reaches(&h.view) => Fact::Reached(h.view.proxy.clone(), age),
--- a/crates/policy/tests/failover/fake/proxy.rs
+++ b/crates/policy/tests/failover/fake/proxy.rs
@@ -1,5 +1,7 @@
 //! A proxy process around the real decisions.
 
+use std::sync::Arc;
+
 use model::id::ProxyId;
 use model::place::Place;
 use policy::message::{Action, Audience, Event, Peer, PeerView, Query, StoreAnswer};
@@ -51,6 +53,16 @@
         self.membership();
     }
 
+    /// Declares an instance to be leaving, in force on every proxy.
+    pub(crate) fn leave(&mut self, instance: usize) {
+        let fleet = Arc::make_mut(&mut self.fleet);
+        let group = fleet.groups.get_mut(&self.group).unwrap();
+        group.instances[instance].leaving = true;
+        for at in 0..self.proxies.len() {
+            self.input(at, Input::Configure(self.fleet.clone()));
+        }
+    }
+
     pub(crate) fn kill_proxy(&mut self, at: usize) {
         self.proxies[at].alive = false;
         self.membership();
--- a/crates/policy/tests/failover/stories.rs
+++ b/crates/policy/tests/failover/stories.rs
@@ -101,6 +101,30 @@
     finish(&mut world);
 }
 
+// The primary's process crashes: connections are refused. It is replaced in half the time
+// that a silent one gets, since a stall does not look like this.
+#[test]
+fn a_crashed_primary_is_replaced_sooner() {
+    let mut world = world(13);
+    world.begin(Fault::DownLeader);
+    world.run(420);
+    assert!(newest(&world) > Term(1));
+    finish(&mut world);
+}
+
+// An operator takes the primary out of service. Another instance leads within the three
+// seconds in which it must get no new work, and nothing acknowledged is lost.
+#[test]
+fn a_leaving_primary_hands_over() {
+    let mut world = world(14);
+    world.leave(0);
+    world.traffic(1_500);
+    assert_ne!(world.leader(), 0);
+    let refused = world.oracle.callers.told.refused;
+    assert_eq!(refused, 0);
+    finish(&mut world);
+}
+
 // A broker's data centre does not reach the primary while the others do. Its writes go
 // through a proxy that reaches it, and nothing is promoted.
 #[test]
--- a/crates/proxy/src/group/client.rs
+++ b/crates/proxy/src/group/client.rs
@@ -51,7 +51,10 @@
 
 impl Connection {
     pub(super) async fn open(login: &Login) -> Result<Self, Failure> {
-        let stream = connect(login).await.map_err(|_| Failure::Refused)?;
+        let stream = connect(login).await.map_err(|e| match e.kind() {
+            std::io::ErrorKind::ConnectionRefused => Failure::Refused,
+            _ => Failure::Silent,
+        })?;
         stream.set_nodelay(true).map_err(|_| Failure::Broken)?;
         let tx = Writer(stream.clone());
         let buf = BytesMut::new();
