Attribute stages to each failover, and let servers give up silent connections

Cause: stages were summed over all proxies and counted the first write of the start; and a connection made silent held one of the instance's connections for ever, so that later connects were refused (53300) and the run's audit found no instance to read from. Conclusion: a server gives up a silent session after 5 s, as keep-alive probes would, while the other end hears nothing.

--- a/crates/load/src/failover.rs
+++ b/crates/load/src/failover.rs
@@ -11,7 +11,6 @@
 use miette::IntoDiagnostic as _;
 
 use crate::bed::{Bed, BedError};
-use crate::decisions;
 use crate::report::Table;
 use crate::workload::{self, Plan};
 
@@ -89,26 +88,19 @@
         seed: SEED,
     };
     workload::prepare(&plan).await?;
-    // What was logged by an earlier deployment's proxies does not count here.
-    decisions::take();
     let conduct = async {
         compio::time::sleep(WARM_UP).await;
         let bench = strike::Bench::new(bed.stand_ins(), &group);
         let strikes = bench.strikes(count).await?;
-        let stages = decisions::take();
         let quiet = bench.quiet().await?;
-        Ok::<_, BedError>((strikes, stages, quiet))
+        Ok::<_, BedError>((strikes, quiet))
     };
     let (seen, conducted) = future::join(workload::run(&plan), conduct).await;
-    let (strikes, stages, quiet) = conducted?;
+    let (strikes, quiet) = conducted?;
     let audit = workload::audit(&plan, &seen).await?;
     Ok(summary::Result {
         gaps: strikes.iter().map(|s| summary::gap(&seen, s)).collect(),
         strikes,
-        stages: stages
-            .into_iter()
-            .filter(|s| s.group == group.as_str())
-            .collect(),
         quiet,
         seen,
         audit,
--- a/crates/load/src/failover/strike.rs
+++ b/crates/load/src/failover/strike.rs
@@ -7,6 +7,8 @@
 use standin::ControlError;
 use standin::link::Reach;
 
+use crate::decisions::{self, Stage};
+
 /// Time from one fault to the next.
 pub(super) const CYCLE: Duration = Duration::from_secs(6);
 /// Time that a fault lasts.
@@ -67,6 +69,8 @@
     pub(super) until: Instant,
     /// Whether another primary led before the fault was over.
     pub(super) replaced: bool,
+    /// Stages that the proxies logged.
+    pub(super) stages: Vec<Stage>,
     /// Whether every instance followed the newest primary before the next fault.
     pub(super) settled: bool,
 }
@@ -83,6 +87,7 @@
 
 /// The group under measurement and the handle to its faults.
 pub(super) struct Bench {
+    group: GroupId,
     control: standin::Control,
     instances: Vec<InstanceId>,
     /// Data centre of each instance, by index.
@@ -102,6 +107,7 @@
         };
         let home = |p: &standin::Placed| addresses.platform.get_index_of(&p.data_centre);
         Self {
+            group: group.clone(),
             control: stand_ins.control(),
             instances: of_group().map(|(id, _)| id.clone()).collect(),
             homes: of_group().filter_map(|(_, p)| home(p)).collect(),
@@ -148,6 +154,7 @@
     async fn strike(&self, loss: Loss, until: Instant) -> Done<Strike> {
         let (primary, term) = self.primary()?;
         let id = &self.instances[primary];
+        decisions::take();
         let at = Instant::now();
         match loss {
             Loss::Kill => self.control.kill(id)?,
@@ -162,12 +169,15 @@
         }
         compio::time::sleep_until(until).await;
         let settled = self.settled()?;
+        let of_group = |s: &Stage| s.group == self.group.as_str();
+        let stages = decisions::take().into_iter().filter(of_group).collect();
         tracing::info!(?loss, instance = %id, replaced, settled, "fault over");
         Ok(Strike {
             loss,
             at,
             until,
             replaced,
+            stages,
             settled,
         })
     }
--- a/crates/load/src/failover/summary.rs
+++ b/crates/load/src/failover/summary.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use model::unit::Span;
+use policy::decision::Phase;
 
 use super::strike::{Calm, Loss, Strike};
 use crate::decisions::{self, Stage};
@@ -29,7 +30,6 @@
 pub(super) struct Result {
     pub(super) strikes: Vec<Strike>,
     pub(super) gaps: Vec<Option<Duration>>,
-    pub(super) stages: Vec<Stage>,
     pub(super) quiet: Vec<Calm>,
     pub(super) seen: Seen,
     pub(super) audit: Audit,
@@ -49,6 +49,13 @@
     latency
 }
 
+/// The time of a stage in one change: every proxy detects the loss and notes its first
+/// acknowledged write, and the change goes on with the first of them.
+fn first(stages: &[Stage], phase: Phase) -> Option<Span> {
+    let of_phase = stages.iter().filter(|s| s.phase == phase);
+    of_phase.map(|s| s.took).min()
+}
+
 impl Result {
     /// Answers that broke a promise.
     pub(super) fn broken(&self) -> u64 {
@@ -108,8 +115,8 @@
         let title = format!("stages of the gap as the proxies logged them, {deployment}");
         let mut table = Table::new(&title, &["stage", "count", "median", "worst"]);
         for phase in decisions::PHASES {
-            let of_phase = self.stages.iter().filter(|s| s.phase == phase);
-            let [count, median, worst] = two(&collect(of_phase.map(|s| s.took)));
+            let spans = self.strikes.iter().filter_map(|s| first(&s.stages, phase));
+            let [count, median, worst] = two(&collect(spans));
             table.row([phase.to_string(), count, median, worst]);
         }
         table
--- a/crates/standin/src/group/listener.rs
+++ b/crates/standin/src/group/listener.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use compio::net::{TcpListener, TcpStream};
-use futures_util::future;
+use futures_util::future::{self, Either};
 
 use super::server::Server;
 use super::session;
@@ -51,22 +51,39 @@
             port: peer.port(),
             viewer: server.net.site(peer.ip()),
         };
-        let (open, dead) = (Rc::clone(&open), dead.clone());
-        compio::runtime::spawn(async move {
-            let server = Rc::clone(&origin.server);
-            open.set(open.get() + 1);
-            server.ports.borrow_mut().insert(peer.port());
-            let dead = std::pin::pin!(dead.recv_async());
-            let serve = std::pin::pin!(serve(origin, stream, open.get()));
-            future::select(serve, dead).await;
-            open.set(open.get() - 1);
-            server.ports.borrow_mut().shift_remove(&peer.port());
-            // The port may come back with another connection.
-            let ports = &mut server.knobs.borrow_mut().silent_ports;
-            ports.shift_remove(&peer.port());
-        })
-        .detach();
+        compio::runtime::spawn(attend(origin, stream, Rc::clone(&open), dead.clone())).detach();
+    }
+}
+
+/// Serves one connection until it ends, goes silent for too long, or the instance dies.
+async fn attend(
+    origin: Origin,
+    stream: TcpStream,
+    open: Rc<Cell<usize>>,
+    dead: flume::Receiver<()>,
+) {
+    open.set(open.get() + 1);
+    let server = Rc::clone(&origin.server);
+    let port = origin.port;
+    server.ports.borrow_mut().insert(port);
+    let socket = stream.clone();
+    let silent = {
+        let watched = origin.clone();
+        let given_up = std::pin::pin!(watched.given_up());
+        let dead = std::pin::pin!(dead.recv_async());
+        let serve = std::pin::pin!(serve(origin, stream, open.get()));
+        let ended = future::select(serve, dead);
+        matches!(future::select(ended, given_up).await, Either::Right(_))
+    };
+    open.set(open.get() - 1);
+    server.ports.borrow_mut().shift_remove(&port);
+    if silent {
+        // Closing the socket would tell the other end, which must hear nothing.
+        let _ = dead.recv_async().await;
     }
+    drop(socket);
+    // The port may come back with another connection.
+    server.knobs.borrow_mut().silent_ports.shift_remove(&port);
 }
 
 async fn serve(origin: Origin, stream: TcpStream, open: usize) {
--- a/crates/standin/src/group/wire.rs
+++ b/crates/standin/src/group/wire.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
 use compio::io::{AsyncRead, AsyncWriteExt};
@@ -13,6 +13,12 @@
 
 const READ: usize = 16 << 10;
 
+/// How often a connection looks whether it has been made silent.
+const SILENCE_POLL: Duration = Duration::from_secs(1);
+
+/// Time after which a server gives up a connection that does not answer its probes.
+const KEEP_ALIVE: Duration = Duration::from_secs(5);
+
 /// Which connection this is, and from where.
 #[derive(Clone)]
 pub(crate) struct Origin {
@@ -28,6 +34,16 @@
         self.number < knobs.silent_before || knobs.silent_ports.contains(&self.port)
     }
 
+    /// Waits until the connection is silent and the server has noticed. Its end is
+    /// then that of a keep-alive probe without an answer: the server gives the session
+    /// up, while the other end hears nothing.
+    pub(crate) async fn given_up(&self) {
+        while !self.silent() {
+            compio::time::sleep(SILENCE_POLL).await;
+        }
+        compio::time::sleep(KEEP_ALIVE).await;
+    }
+
     /// Waits while no bytes pass; a silent connection waits for good.
     async fn passes(&self, direction: Direction) {
         if self.silent() {
