--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -16,7 +16,7 @@
 
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use compio::net::TcpStream;
 use futures_util::future::{self, Either};
@@ -29,6 +29,13 @@
 use session::Session;
 use transaction::Transaction;
 
+/// Pause between a caller's last answer and the word that its connection ends.
+///
+/// Failure: a client library that finds both at once reports the second in place of
+/// the first, so that a commit which was acknowledged looks like an error. The pause
+/// lets the answer be taken up by itself.
+const GOODBYE_PAUSE: Duration = Duration::from_millis(100);
+
 /// A caller that is logged in.
 struct Caller {
     cx: Rc<Cx>,
@@ -76,6 +83,7 @@
                 Next::Input(Input::Request(messages)) => {
                     Box::pin(self.request(messages)).await?;
                     if self.link.draining && self.transaction.is_none() {
+                        compio::time::sleep(GOODBYE_PAUSE).await;
                         return self.say_goodbye().await;
                     }
                 }
--- a/crates/proxy/tests/env/mod.rs
+++ b/crates/proxy/tests/env/mod.rs
@@ -64,7 +64,7 @@
         env
     }
 
-    fn settings(&self) -> Builder {
+    pub(crate) fn settings(&self) -> Builder {
         let first = &self.fleet.addresses().instances[0];
         Settings::builder(first.data_centre.clone(), "a secret of the fleet")
             .fleet_file(self.file.path().to_owned())
@@ -91,18 +91,22 @@
     }
 
     pub(crate) fn login(&self, proxy: usize) -> Config {
-        let address = self.address(proxy);
-        let mut login = Config::new();
-        login
-            .host(&address.ip().to_string())
-            .port(address.port())
-            .user("app")
-            .dbname("g1")
-            .connect_timeout(Duration::from_secs(10));
-        login
+        login_at(self.address(proxy))
     }
 }
 
+/// How to log in as `app` at this address.
+pub(crate) fn login_at(address: SocketAddr) -> Config {
+    let mut login = Config::new();
+    login
+        .host(&address.ip().to_string())
+        .port(address.port())
+        .user("app")
+        .dbname("g1")
+        .connect_timeout(Duration::from_secs(10));
+    login
+}
+
 /// Values of the first column that a simple query answers.
 pub(crate) fn column(client: &mut Client, sql: &str) -> Vec<String> {
     let messages = client.simple_query(sql).expect("the query runs");
