--- a/crates/load/src/bed.rs
+++ b/crates/load/src/bed.rs
@@ -9,6 +9,9 @@
 /// Secret that the embedded proxies share.
 const SECRET: &str = "embedded fleet";
 
+/// Proxies that a later one is told of; through these it finds the others.
+const SEEDS: usize = 3;
+
 /// Why a fleet cannot be started.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
 pub enum BedError {
@@ -72,6 +75,17 @@
         self.proxies.iter().map(|p| (p.address(), None)).collect()
     }
 
+    /// Peer addresses of the proxies.
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        let peers = self.proxies.iter().map(Embedded::peer_address);
+        peers.flatten().collect()
+    }
+
+    /// Proves requests to the proxies.
+    pub fn key() -> peer::auth::Key {
+        peer::auth::Key::new(SECRET.as_bytes())
+    }
+
     fn config(&self, spec: &standin::Spec, at: usize) -> Config {
         let centre = at % spec.data_centres.len();
         let name: &DataCentre = &spec.data_centres[centre].name;
@@ -84,6 +98,7 @@
             .listen(SocketAddr::new(ip, 0))
             .peer_listen(SocketAddr::new(ip, 0))
             .store(store)
+            .seeds(self.peers().into_iter().take(SEEDS).collect())
             .fleet_file(self.document.path().to_owned());
         if let Some(url) = self.stand_ins.vm_list_url(name) {
             cfg = cfg.vm_list(url);
--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -5,7 +5,7 @@
 use clap::{Arg, ArgAction, ArgMatches, Command};
 
 use crate::report::Table;
-use crate::{demo, failover, placement, read_share, saturation};
+use crate::{demo, failover, placement, read_share, saturation, slopes};
 
 /// One measurement with its own subcommand.
 pub struct Scenario {
@@ -37,6 +37,10 @@
         command: saturation::command,
         run: saturation::run,
     },
+    Scenario {
+        command: slopes::command,
+        run: slopes::run,
+    },
 ];
 
 /// What to do after the command line was read.
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod read_share;
 pub mod report;
 pub mod saturation;
+pub mod slopes;
 pub mod workload;
