Trace each hop of a request and export the spans by OTLP

A request's span continues its caller's W3C context; waiting, the backend server and the confirmation are spans inside it; a fetch of records carries its context to the peer. Not measured: cost per traced request.

--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -24,6 +24,7 @@
 
 use crate::cx::{Cx, GroupCx};
 use crate::registry::Control;
+use crate::trace::Span;
 use batch::{Batch, Input};
 use link::{Closed, Link};
 use session::Session;
@@ -45,6 +46,8 @@
     transaction: Transaction,
     /// Messages of a request that is not complete yet.
     batch: Batch,
+    /// The span of the request that is being served.
+    span: Span,
 }
 
 /// Serves one connection until it ends.
--- a/crates/proxy/src/caller/execute.rs
+++ b/crates/proxy/src/caller/execute.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
+use model::id::InstanceId;
 use model::unit::Span;
 use pg::frame::Frame;
 use pg::report::{self, Report};
@@ -21,6 +22,7 @@
 use crate::filter::{self, Scene};
 use crate::metrics::{Ending, Stage};
 use crate::pool::{self, Conn, PoolError};
+use crate::trace::Side;
 
 /// Pause before a request that met a failure looks for another route: time for the
 /// failure to reach the group's task, short against any deadline.
@@ -111,12 +113,18 @@
             Transaction::None if req.steps.is_empty() && req.mode != Mode::Query => {
                 self.finish(req.mode, &[]).await
             }
-            Transaction::None => self.alone(req).await,
+            Transaction::None => {
+                self.begin_span(&req);
+                self.alone(req).await
+            }
             Transaction::Open(pinned) if req.local.is_some() => {
                 self.transaction = Transaction::Open(pinned);
                 self.answer_locally(&req).await
             }
-            Transaction::Open(pinned) => self.in_transaction(req, *pinned).await,
+            Transaction::Open(pinned) => {
+                self.begin_span(&req);
+                self.in_transaction(req, *pinned).await
+            }
             Transaction::Lost => self.after_loss(&req).await,
         }
     }
@@ -174,10 +182,11 @@
                 }
             };
             let mut attempt = attempt;
-            self.observe(Stage::Waiting, req.profile.arrived);
+            let instance = attempt.target.instance.clone();
+            self.observe(Stage::Waiting, req.profile.arrived, &instance);
             let sent = Instant::now();
             let ended = self.send(&req, &mut attempt, &mut outcome, deadline).await;
-            self.observe(Stage::Serving, sent);
+            self.observe(Stage::Serving, sent, &instance);
             let verdict = match ended {
                 Ended::Answered(answer, _) if answer.refused => {
                     self.group
@@ -202,14 +211,32 @@
         }
     }
 
+    /// Begins the request's span, under the context in its marks if there is one.
+    fn begin_span(&mut self, req: &Request) {
+        let parent = req.profile.marks.traceparent.as_deref();
+        let parent = parent.and_then(|text| text.parse().ok());
+        self.span = self.cx.tracer.incoming("request", parent);
+        self.span.set("group", self.group.routes.group());
+        self.span.set("caller", &self.session.caller);
+    }
+
     /// Records the time since `began` under a stage of the group's requests.
-    fn observe(&self, stage: Stage, began: Instant) {
+    fn observe(&self, stage: Stage, began: Instant, instance: &InstanceId) {
+        let (name, side) = match stage {
+            Stage::Waiting => ("wait", Side::Internal),
+            Stage::Serving => ("backend", Side::Client),
+            Stage::Confirming => ("confirm", Side::Internal),
+        };
+        let mut span = self.span.child_since(name, side, began);
+        span.set("instance", instance);
         let group = self.group.routes.group();
         let metrics = &self.cx.metrics;
         metrics.observe(group.as_str(), stage, began.elapsed());
     }
 
-    fn ended(&self, ending: Ending) {
+    fn ended(&mut self, ending: Ending) {
+        let mut span = std::mem::take(&mut self.span);
+        span.set("ending", &ending.name());
         let group = self.group.routes.group();
         self.cx.metrics.ended(group.as_str(), ending);
     }
@@ -429,7 +456,7 @@
         };
         let began = Instant::now();
         let confirmed = self.group.routes.confirm(target, point, deadline).await;
-        self.observe(Stage::Confirming, began);
+        self.observe(Stage::Confirming, began, &target.instance);
         match confirmed {
             Ok(()) => {
                 self.session.advance(point);
@@ -531,8 +558,11 @@
             reign,
             hold,
         };
-        let conn = &mut pinned.conn;
-        match self.run_on(conn, &req, &mut outcome, way).await {
+        let instance = pinned.target.instance.clone();
+        let sent = Instant::now();
+        let ended = self.run_on(&mut pinned.conn, &req, &mut outcome, way).await;
+        self.observe(Stage::Serving, sent, &instance);
+        match ended {
             Ended::Answered(answer, _) if answer.refused && !pinned.read_only => {
                 self.group
                     .routes
--- a/crates/proxy/src/caller/login.rs
+++ b/crates/proxy/src/caller/login.rs
@@ -24,6 +24,7 @@
 use crate::backend::Status;
 use crate::cx::{self, Cx};
 use crate::fleet::Snapshot;
+use crate::trace;
 
 /// Largest message of a password exchange.
 const PASSWORD_LIMIT: usize = 4 << 10;
@@ -299,6 +300,7 @@
         session,
         transaction: Transaction::None,
         batch: Batch::default(),
+        span: trace::Span::default(),
     })
 }
 
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -6,6 +6,8 @@
 use model::id::{DataCentre, ProxyId};
 use model::unit::{Size, Span};
 
+use crate::trace::Traces;
+
 /// Settings of one proxy process, read from a file of JSON with comments.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -42,6 +44,9 @@
     /// File with the fleet's configuration, for a start without the store.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub fleet_file: Option<PathBuf>,
+    /// Where traces go; none are made when left out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub traces: Option<Traces>,
     /// What one caller connection may cost.
     #[serde(default)]
     pub limits: Limits,
@@ -118,6 +123,7 @@
             secret: Secret(secret.into()),
             tls: None,
             fleet_file: None,
+            traces: None,
             limits: Limits::default(),
         })
     }
@@ -166,6 +172,8 @@
     tls: Tls => Some,
     /// Sets the file with the fleet's configuration.
     fleet_file: PathBuf => Some,
+    /// Sets where traces go.
+    traces: Traces => Some,
     /// Sets what one caller may cost.
     limits: Limits => std::convert::identity,
 }
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -19,6 +19,7 @@
 use crate::cx::Cx;
 use crate::http::Health;
 use crate::member::{self, Setup, Told};
+use crate::trace::Tracer;
 use crate::{fleet, http, share};
 
 /// Views that wait to be sent to peers. They repeat several times a second while they
@@ -65,6 +66,7 @@
         me: &model::id::ProxyId,
         store: &store::Client,
         fleet: &fleet::Handle,
+        tracer: &Tracer,
     ) -> Result<Self, ControlError> {
         let listener = match cfg.peer_listen {
             Some(address) => Some(listen(address).await?),
@@ -82,6 +84,7 @@
             key: Key::new(cfg.secret.0.as_bytes()),
             store: store.clone(),
             fleet: fleet.clone(),
+            tracer: tracer.clone(),
             views,
         })?;
         Ok(Self {
--- a/crates/proxy/src/cx.rs
+++ b/crates/proxy/src/cx.rs
@@ -24,6 +24,7 @@
 use crate::backend::Login;
 use crate::config::Config;
 use crate::metrics::Metrics;
+use crate::trace::Tracer;
 use crate::{admit, fleet, group, pool, registry, share};
 
 /// Part of a backend server's connections that one proxy may hold until it is told
@@ -52,6 +53,8 @@
     pub store: store::client::Client,
     /// Metrics of the process.
     pub metrics: Metrics,
+    /// Starts the spans of requests.
+    pub tracer: Tracer,
     tell: flume::Sender<(Audience, PeerView)>,
     live: RefCell<Vec<Peer>>,
     groups: RefCell<IndexMap<GroupId, Rc<GroupCx>>>,
@@ -66,6 +69,7 @@
     pub(crate) store: store::client::Client,
     pub(crate) tell: flume::Sender<(Audience, PeerView)>,
     pub(crate) metrics: Metrics,
+    pub(crate) tracer: Tracer,
 }
 
 /// Handles to one group.
@@ -94,6 +98,7 @@
             statements: RefCell::default(),
             store: services.store,
             metrics: services.metrics,
+            tracer: services.tracer,
             tell: services.tell,
             live: RefCell::default(),
             groups: RefCell::default(),
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -21,3 +21,4 @@
 mod registry;
 pub mod run;
 pub mod share;
+pub mod trace;
--- a/crates/proxy/src/member.rs
+++ b/crates/proxy/src/member.rs
@@ -16,6 +16,7 @@
 use policy::message::{Audience, PeerView};
 
 use crate::fleet;
+use crate::trace::Tracer;
 
 /// Path of heartbeats.
 pub const BEAT: &str = "/peer/heartbeat";
@@ -66,6 +67,8 @@
     pub store: store::Client,
     /// Takes the configurations that come into force.
     pub fleet: fleet::Handle,
+    /// Starts the spans of exchanges with peers.
+    pub tracer: Tracer,
     /// Views of groups to tell others.
     pub views: flume::Receiver<(Audience, PeerView)>,
 }
--- a/crates/proxy/src/member/exchange.rs
+++ b/crates/proxy/src/member/exchange.rs
@@ -7,6 +7,8 @@
 use policy::adopt::Delta;
 use policy::member::message::{Compare, Failure, Heartbeat, Peer, Tables};
 
+use crate::trace::Tracer;
+
 use super::{BEAT, COMPARE, Fetch, Nothing, RECORDS, VIEW};
 
 /// Longest wait for the answer to a heartbeat: well above a round trip between regions
@@ -30,11 +32,12 @@
 pub(super) struct Exchanges {
     pub(super) client: peer::Client,
     pub(super) ends: flume::Sender<End>,
+    pub(super) tracer: Tracer,
 }
 
 impl Exchanges {
     pub(super) fn beat(&self, peer: Peer, heartbeat: Heartbeat) {
-        let Self { client, ends } = self.clone();
+        let Self { client, ends, .. } = self.clone();
         compio::runtime::spawn(async move {
             let answer = client.call(peer.address, BEAT, &heartbeat, BEAT_LIMIT, None);
             let end = match answer.await {
@@ -50,7 +53,7 @@
     }
 
     pub(super) fn compare(&self, address: SocketAddr, compare: Compare) {
-        let Self { client, ends } = self.clone();
+        let Self { client, ends, .. } = self.clone();
         compio::runtime::spawn(async move {
             let answer = client.call(address, COMPARE, &compare, BULK_LIMIT, None);
             if let Ok(tables) = answer.await {
@@ -61,9 +64,16 @@
     }
 
     pub(super) fn fetch(&self, peer: Peer, fetch: Fetch) {
-        let Self { client, ends } = self.clone();
+        let Self {
+            client,
+            ends,
+            tracer,
+        } = self.clone();
         compio::runtime::spawn(async move {
-            let answer = client.call(peer.address, RECORDS, &fetch, BULK_LIMIT, None);
+            let mut span = tracer.incoming("adopt", None);
+            span.set("peer.address", &peer.address);
+            let cx = span.context();
+            let answer = client.call(peer.address, RECORDS, &fetch, BULK_LIMIT, cx);
             let end = match answer.await {
                 Ok(delta) => End::Delta(peer, delta),
                 Err(e) => {
--- a/crates/proxy/src/member/task.rs
+++ b/crates/proxy/src/member/task.rs
@@ -68,16 +68,8 @@
         let port = setup.address.port();
         compio::runtime::spawn(read_vms(setup.store.clone(), url, port, vms_tx)).detach();
     }
-    let me = News {
-        id: setup.id.clone(),
-        data_centre: setup.data_centre.clone(),
-        address: setup.address,
-        incarnation: 0,
-        state: State::Live,
-        draining: false,
-        storeless: false,
-    };
-    let member = Member::new(Time::default(), me, setup.seeds.clone(), rand::random());
+    let (me, seeds) = (news_of_self(&setup), setup.seeds.clone());
+    let member = Member::new(Time::default(), me, seeds, rand::random());
     let views = setup.views.clone();
     let mut task = Task {
         epoch: Instant::now(),
@@ -86,6 +78,7 @@
         exchanges: Exchanges {
             client,
             ends: ends_tx,
+            tracer: setup.tracer.clone(),
         },
         told,
         seen_tx,
@@ -121,6 +114,18 @@
     }
 }
 
+fn news_of_self(setup: &Setup) -> News {
+    News {
+        id: setup.id.clone(),
+        data_centre: setup.data_centre.clone(),
+        address: setup.address,
+        incarnation: 0,
+        state: State::Live,
+        draining: false,
+        storeless: false,
+    }
+}
+
 async fn within<T>(left: Duration, next: impl Future<Output = T>) -> Option<T> {
     if left.is_zero() {
         return None;
@@ -194,6 +199,8 @@
                 let _ = call.reply.send(self.member.compare(&call.req));
             }
             Input::Fetch(call) => {
+                let mut span = self.setup.tracer.incoming("records", call.trace);
+                span.set("after", &call.req.after);
                 let _ = call.reply.send(self.adopter.since(call.req.after));
             }
             Input::View(call) => {
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -17,6 +17,7 @@
 use crate::control::{self, Control, Running};
 use crate::cx::{self, Cx, Services};
 use crate::metrics::{self, Metrics};
+use crate::trace::Tracer;
 use crate::{admit, caller, fleet, share};
 
 /// Why a proxy cannot start.
@@ -70,7 +71,9 @@
         let fleet = first_fleet(&cfg)?;
         let me = cfg.id.clone().unwrap_or_else(random_id);
         let store = store::client::Client::new(cfg.store.clone())?;
-        let control = Control::start(&cfg, &me, &store, &fleet).await?;
+        let traces = cfg.traces.as_ref();
+        let tracer = traces.map_or_else(Tracer::off, |t| Tracer::start(t, &me));
+        let control = Control::start(&cfg, &me, &store, &fleet, &tracer).await?;
         let known = fleet.changed();
         let admit = admit::spawn(cx::first_limits(&fleet.current().fleet.defaults));
         let share = share::spawn(share::Setup {
@@ -84,6 +87,7 @@
             share,
             tell: control.tell.clone(),
             metrics: Metrics::new()?,
+            tracer,
             fleet,
             tls,
             store,
