Judge reads with a stated age by the session's own writes too, and choose lags

Cause: reads with a stated age were all counted as eligible, but a session reads its own writes in any case, so a replica may not serve it before its newest write has arrived. Conclusion: eligible means that the newest write is older than the lag.

--- a/crates/load/src/read_share.rs
+++ b/crates/load/src/read_share.rs
@@ -19,7 +19,6 @@
 const PROXIES: usize = 6;
 const READS: f64 = 0.9;
 const PAUSE: Duration = Duration::from_millis(10);
-const LAGS: [Span; 2] = [Span::from_millis(50), Span::from_millis(2_000)];
 /// Age that reads state in the runs with stated ages; longer than either lag.
 const AGE: Span = Span::from_millis(5_000);
 /// Time over which the bytes of an idle fleet are counted.
@@ -35,6 +34,15 @@
              cost across regions, and whether any answer was staler than promised.",
         )
         .arg(deployment::argument())
+        .arg(
+            Arg::new("lag")
+                .long("lag")
+                .value_name("TIME")
+                .help("Set the lags of the replicas")
+                .num_args(1..)
+                .default_values(["50ms", "2s"])
+                .value_parser(value_parser!(Span)),
+        )
         .arg(
             Arg::new("seconds")
                 .long("seconds")
@@ -83,7 +91,11 @@
     let mut broken = 0;
     for deployment in deployment::chosen(args) {
         let mut table = empty(deployment);
-        for lag in LAGS {
+        for lag in args
+            .get_many::<Span>("lag")
+            .expect("has a default")
+            .copied()
+        {
             for age in [None, Some(AGE)] {
                 let length = Duration::from_secs(seconds);
                 let case = Case {
@@ -203,12 +215,9 @@
 fn row(table: &mut Table, case: Case, outcome: &Outcome) {
     let seen = &outcome.seen;
     let all = outcome.primary + outcome.replicas;
-    // A read may run on a replica if the session's newest write has reached it, or if
-    // the stated age is longer than the lag.
-    let eligible = match case.age {
-        Some(age) if age >= case.lag => seen.reads,
-        _ => seen.since_write.at_least(case.lag),
-    };
+    // A session reads its own writes, also where it states an age: a replica may serve
+    // it once the session's newest write has reached that replica.
+    let eligible = seen.since_write.at_least(case.lag);
     table.row([
         case.lag.to_string(),
         case.age.map_or("none".to_owned(), |age| age.to_string()),
