Measure what the data path costs, and describe it

Adds pomelo-load latency: direct, forwarder and proxy in turn in one run, and the memory of idle callers.

--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -5,7 +5,7 @@
 use clap::{Arg, ArgAction, ArgMatches, Command};
 
 use crate::report::Table;
-use crate::{demo, failover, placement, read_share, saturation, slopes};
+use crate::{demo, failover, latency, placement, read_share, saturation, slopes};
 
 /// One measurement with its own subcommand.
 pub struct Scenario {
@@ -25,6 +25,10 @@
         command: failover::command,
         run: failover::run,
     },
+    Scenario {
+        command: latency::command,
+        run: latency::run,
+    },
     Scenario {
         command: placement::command,
         run: placement::run,
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod demo;
 pub mod deployment;
 pub mod failover;
+pub mod latency;
 pub mod ledger;
 pub mod placement;
 pub mod read_share;
