Count each caller once against the limit, and tell the turned-away why

Ruled out: file descriptors and the listen queue. Each caller task now holds one place; the refused hear 53300 with a hint instead of a reset. Test: two places, a third login, a place given back.

--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -21,6 +21,7 @@
 use compio::net::TcpStream;
 use futures_util::future::{self, Either};
 use pg::report::{self, Report};
+use pg::wire::{Stream, Wire};
 
 use crate::cx::{Cx, GroupCx};
 use crate::registry::Control;
@@ -62,6 +63,18 @@
     }
 }
 
+/// Tells a caller that there is no place for it.
+pub(crate) async fn turn_away(tcp: TcpStream) {
+    let text = "too many connections to this proxy";
+    let report = Report::fatal(report::TOO_MANY, text).retry_after(TURNED_AWAY);
+    let mut wire = Wire::new(Stream::Plain(tcp));
+    let _ = compio::time::timeout(TURNED_AWAY, wire.write(report.encode())).await;
+}
+
+/// When a caller that found no place may come back; also the longest time it takes
+/// to tell it so, as it must not cost what it was refused.
+const TURNED_AWAY: Duration = Duration::from_secs(1);
+
 /// What an idle caller meets next.
 enum Next {
     Input(Input),
--- a/crates/proxy/src/cx.rs
+++ b/crates/proxy/src/cx.rs
@@ -55,6 +55,8 @@
     pub metrics: Metrics,
     /// Starts the spans of requests.
     pub tracer: Tracer,
+    /// Held once by each caller connection: its count bounds them.
+    pub(crate) callers: Rc<()>,
     tell: flume::Sender<(Audience, PeerView)>,
     live: RefCell<Vec<Peer>>,
     groups: RefCell<IndexMap<GroupId, Rc<GroupCx>>>,
@@ -96,6 +98,7 @@
             tls: services.tls,
             registry: registry::spawn(),
             statements: RefCell::default(),
+            callers: Rc::default(),
             store: services.store,
             metrics: services.metrics,
             tracer: services.tracer,
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -160,13 +160,21 @@
 const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
 
 fn admit_caller(cx: &Rc<Cx>, tcp: TcpStream, peer: SocketAddr) {
-    let open = Rc::strong_count(cx);
-    if open > cx.cfg.limits.callers as usize {
-        tracing::warn!(%peer, open, "too many callers");
+    let _ = tcp.set_nodelay(true);
+    let place = cx.callers.clone();
+    let limit = cx.cfg.limits.callers as usize;
+    // The process itself and this new one hold a place as well.
+    if Rc::strong_count(&place) - 2 >= limit {
+        tracing::warn!(%peer, limit, "too many callers");
+        compio::runtime::spawn(caller::turn_away(tcp)).detach();
         return;
     }
-    let _ = tcp.set_nodelay(true);
-    compio::runtime::spawn(caller::serve(cx.clone(), tcp)).detach();
+    let serve = caller::serve(cx.clone(), tcp);
+    compio::runtime::spawn(async move {
+        serve.await;
+        drop(place);
+    })
+    .detach();
 }
 
 fn random_id() -> ProxyId {
--- a/crates/proxy/tests/login.rs
+++ b/crates/proxy/tests/login.rs
@@ -90,6 +90,33 @@
     assert_eq!(column(&mut env.connect(0), "SELECT 1"), ["1"]);
 }
 
+// A caller leaks connections. The next one is told so at once; when one of the others
+// ends, its place is free again.
+#[test]
+fn callers_are_bounded() {
+    let env = Env::with(Setup {
+        settings: |builder| {
+            builder.limits(Limits {
+                callers: 2,
+                ..Limits::default()
+            })
+        },
+        ..Setup::default()
+    });
+    let first = env.connect(0);
+    let _second = env.connect(0);
+    let e = env
+        .login(0)
+        .connect(NoTls)
+        .err()
+        .expect("there is no third place");
+    assert_eq!(code(&e), "53300");
+    drop(first);
+    while env.login(0).connect(NoTls).is_err() {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
 fn file(name: &str) -> std::path::PathBuf {
     [env!("CARGO_MANIFEST_DIR"), "tests", "env", name]
         .iter()
