--- a/crates/model/src/document.rs
+++ b/crates/model/src/document.rs
@@ -119,7 +119,9 @@
 /// change of one entry changes one leaf.
 fn split(fleet: &mut Fleet) -> Vec<Leaf> {
     let entries = fleet.groups.len() + fleet.callers.len();
-    let n = (entries / LEAF_ENTRIES).next_power_of_two();
+    // A power of two, so that a growing fleet is seldom split anew.
+    let n = (entries / LEAF_ENTRIES + 1).next_power_of_two() / 2;
+    let n = n.max(1);
     let mut leaves: Vec<Leaf> = Vec::new();
     leaves.resize_with(n, Leaf::default);
     for (id, group) in std::mem::take(&mut fleet.groups) {
@@ -172,23 +174,85 @@
     head: &[u8],
     part: impl Fn(&str) -> Option<&'a [u8]>,
 ) -> Result<Fleet, DocumentError> {
-    let Some(head) = read_head(head)? else {
-        return Ok(serde_json::from_slice(head)?);
-    };
-    let find = |name: &String| {
-        let key = format!("{PARTS}{name}");
-        part(&key).ok_or_else(|| DocumentError::MissingPart(name.clone()))
-    };
-    let mut fleet = head.fleet;
-    for name in &head.index {
-        let names: Vec<String> = serde_json::from_slice(find(name)?)?;
-        for name in &names {
+    Decoder::default().decode(head, part)
+}
+
+/// Reads one stored configuration after the other, and of each only the leaves that the
+/// one before did not have.
+///
+/// Load: 37,000 changes a day of a fleet with 33,000 groups. Harm: reading all of it each
+/// time would take every proxy a fourteenth of a core.
+#[derive(Clone, Debug, Default)]
+pub struct Decoder {
+    /// The leaves of the last configuration by name, with what they hold.
+    leaves: IndexMap<String, Names>,
+    groups: IndexMap<GroupId, Group>,
+    callers: IndexMap<CallerId, Caller>,
+}
+
+/// What a leaf holds.
+#[derive(Clone, Debug)]
+struct Names {
+    groups: Vec<GroupId>,
+    callers: Vec<CallerId>,
+}
+
+impl Decoder {
+    /// Reads a stored configuration; after an error the next one is read as usual.
+    pub fn decode<'a>(
+        &mut self,
+        head: &[u8],
+        part: impl Fn(&str) -> Option<&'a [u8]>,
+    ) -> Result<Fleet, DocumentError> {
+        let Some(head) = read_head(head)? else {
+            return Ok(serde_json::from_slice(head)?);
+        };
+        let find = |name: &String| {
+            let key = format!("{PARTS}{name}");
+            part(&key).ok_or_else(|| DocumentError::MissingPart(name.clone()))
+        };
+        let mut names = indexmap::IndexSet::new();
+        for name in &head.index {
+            let listed: Vec<String> = serde_json::from_slice(find(name)?)?;
+            names.extend(listed);
+        }
+        let mut new = Vec::new();
+        for name in names.iter().filter(|name| !self.leaves.contains_key(*name)) {
             let leaf: Leaf = serde_json::from_slice(find(name)?)?;
-            fleet.groups.extend(leaf.groups);
-            fleet.callers.extend(leaf.callers);
+            new.push((name.clone(), leaf));
+        }
+        self.replace(&names, new);
+        let mut fleet = head.fleet;
+        fleet.groups.extend(self.groups.clone());
+        fleet.callers.extend(self.callers.clone());
+        Ok(fleet)
+    }
+
+    /// Old leaves go before new ones come, since an entry that changed is in both.
+    fn replace(&mut self, names: &indexmap::IndexSet<String>, new: Vec<(String, Leaf)>) {
+        let (groups, callers) = (&mut self.groups, &mut self.callers);
+        self.leaves.retain(|name, held| {
+            let keep = names.contains(name);
+            if !keep {
+                for id in &held.groups {
+                    groups.swap_remove(id);
+                }
+                for id in &held.callers {
+                    callers.swap_remove(id);
+                }
+            }
+            keep
+        });
+        for (name, leaf) in new {
+            let held = Names {
+                groups: leaf.groups.keys().cloned().collect(),
+                callers: leaf.callers.keys().cloned().collect(),
+            };
+            self.leaves.insert(name, held);
+            self.groups.extend(leaf.groups);
+            self.callers.extend(leaf.callers);
         }
     }
-    Ok(fleet)
 }
 
 fn read_head(head: &[u8]) -> Result<Option<Head>, DocumentError> {
--- a/crates/model/tests/document.rs
+++ b/crates/model/tests/document.rs
@@ -73,6 +73,31 @@
     );
 }
 
+/// A proxy reads one configuration after the other and keeps what did not change. A group
+/// that was changed, removed or brought back must not linger in an older form.
+#[test]
+fn a_decoder_follows_changes() {
+    let mut decoder = document::Decoder::default();
+    let mut stored_parts = HashMap::new();
+    let mut fleet = fleet(2_000);
+    let all = fleet.groups.clone();
+    for step in 0..30_usize {
+        match step % 3 {
+            0 => fleet.groups[step * 7].database = format!("name-{step}"),
+            1 => drop(fleet.groups.swap_remove_index(step)),
+            _ => fleet.groups.extend(all.clone().into_iter().take(step * 60)),
+        }
+        let encoded = document::encode(&fleet, &step.to_string()).unwrap();
+        stored_parts.extend(stored(&encoded));
+        let part = |key: &str| stored_parts.get(key).map(Vec::as_slice);
+        assert_eq!(
+            decoder.decode(&encoded.head, part).unwrap(),
+            fleet,
+            "step {step}"
+        );
+    }
+}
+
 #[test]
 fn a_bare_document_is_read_too() {
     let fleet = fleet(3);
--- a/crates/policy/src/adopt.rs
+++ b/crates/policy/src/adopt.rs
@@ -10,7 +10,7 @@
 
 use indexmap::IndexMap;
 use model::config::{Finding, Fleet};
-use model::document::{self, DocumentError};
+use model::document::{self, Decoder, DocumentError};
 use model::position::Revision;
 
 /// Most bytes of values in one [`Delta`]. Load: a starting proxy takes megabytes. Harm:
@@ -84,6 +84,7 @@
     complete: Revision,
     current: Option<Snapshot>,
     refused: Option<(Revision, Rejection)>,
+    decoder: Decoder,
 }
 
 impl Adopter {
@@ -151,9 +152,11 @@
         }
     }
 
-    fn read(&self, head: &Record) -> Result<Fleet, Option<Rejection>> {
-        let part = |key: &str| self.records.get(key).map(|r| r.value.as_bytes());
-        let fleet = document::decode(head.value.as_bytes(), part).map_err(|e| match e {
+    fn read(&mut self, head: &Record) -> Result<Fleet, Option<Rejection>> {
+        let records = &self.records;
+        let part = |key: &str| records.get(key).map(|r| r.value.as_bytes());
+        let fleet = self.decoder.decode(head.value.as_bytes(), part);
+        let fleet = fleet.map_err(|e| match e {
             DocumentError::MissingPart(_) => None,
             DocumentError::Form(e) => Some(Rejection::Unreadable(e.to_string())),
         })?;
