--- a/crates/load/src/slopes/sockets.rs
+++ b/crates/load/src/slopes/sockets.rs
@@ -25,7 +25,7 @@
 const OPERATOR_CALLS: f64 = 2.0;
 
 /// Time for the proxies to find each other.
-const SETTLE: Duration = Duration::from_secs(8);
+const SETTLE: Duration = Duration::from_secs(25);
 
 /// Longest wait for one change.
 const PATIENCE: Duration = Duration::from_secs(30);
