Hold the work in flight at this proxy's part on average, with room for urgent work

Cause: with more proxies than slots each proxy had one statement in flight, and urgent ones waited inside the server where nothing can pass. A proxy that is ahead of its part of the slots pauses ordinary work; urgent work may exceed the limit by one.

--- a/crates/load/src/saturation/discipline.rs
+++ b/crates/load/src/saturation/discipline.rs
@@ -63,6 +63,8 @@
     pub callers: usize,
     /// Connections to each server.
     pub held: u32,
+    /// Connections that all proxies hold together.
+    pub shared: u32,
 }
 
 /// One proxy's ordering of requests.
@@ -131,7 +133,7 @@
         let limits = Limits {
             share: slots::Share {
                 slots: workload::SLOTS,
-                connections: workload::CONNECTIONS,
+                shared: setup.shared,
                 held: setup.held,
                 round_trip: workload::LINK.times(2),
             },
--- a/crates/load/src/saturation/simulate.rs
+++ b/crates/load/src/saturation/simulate.rs
@@ -41,10 +41,12 @@
 
 /// Runs the arrivals through `proxies` equal proxies and returns what became of each.
 pub fn run(scenario: &Scenario, arrivals: &[Arrival], name: Name, proxies: usize) -> Vec<Outcome> {
+    let held = (workload::CONNECTIONS / proxies as u32).max(1);
     let setup = Setup {
         servers: scenario.servers,
         callers: scenario.demand.len(),
-        held: (workload::CONNECTIONS / proxies as u32).max(1),
+        held,
+        shared: held * proxies as u32,
     };
     let server = |at| Server {
         busy: 0,
--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -133,8 +133,11 @@
         self.slots.limit(self.times.median(), now)
     }
 
-    fn admits(&self, length: Length, now: Time) -> bool {
-        self.slots.admits(length, self.times.median(), now)
+    fn fits(&self, ticket: &Ticket, cost: Span, now: Time) -> bool {
+        let room = self.slots.room(self.times.median(), now);
+        let urgent = ticket.class_weight >= queue::URGENT_WEIGHT;
+        let short = self.times.length(cost) == Length::Short;
+        room.any && (room.ordinary || urgent) && (room.long || short)
     }
 
     /// The learned service times.
@@ -153,7 +156,7 @@
     /// What the backlog alone suggests.
     fn forecast(&self, ticket: &Ticket, now: Time) -> Span {
         let cost = self.times.expect(&ticket.class, ticket.shape);
-        if self.queue.is_empty() && self.admits(self.times.length(cost), now) {
+        if self.queue.is_empty() && self.fits(ticket, cost, now) {
             return Span::default();
         }
         let ahead = self.queue.ahead_of(ticket, cost).as_micros();
@@ -222,6 +225,7 @@
         };
         let entry = run.entry;
         let took = now.since(run.since);
+        self.slots.advance(self.times.median(), now);
         self.slots.end(entry.length);
         self.queue.settle(&entry.ticket, entry.cost, took);
         if end == End::Answered {
@@ -254,7 +258,9 @@
         let expiry = self.queue.next_expiry();
         // The request itself may start at its latest start; one step later it is late.
         let expiry = expiry.map(|at| at + Span::from_micros(1));
-        expiry.into_iter().chain(self.slots.next_rise(now)).min()
+        let turn = self.slots.next_turn(self.times.median(), now);
+        let rise = self.slots.next_rise(now);
+        [expiry, turn, rise].into_iter().flatten().min()
     }
 
     fn expire(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Action> {
@@ -270,21 +276,23 @@
 
     fn start_all(&mut self, now: Time) -> Vec<Action> {
         let mut actions = Vec::new();
-        while self.admits(Length::Short, now) {
-            let lengths = if self.admits(Length::Long, now) {
-                queue::Lengths::Any
+        let latency = self.times.median();
+        self.slots.advance(latency, now);
+        loop {
+            let room = self.slots.room(latency, now);
+            let entry = if room.any {
+                self.queue.pop(room, now)
             } else {
-                queue::Lengths::ShortOnly
+                None
             };
-            let Some(entry) = self.queue.pop(lengths, now) else {
-                break;
+            let Some(entry) = entry else {
+                return actions;
             };
             self.slots.start(entry.length);
             actions.push(Action::Start(entry.key));
             let run = Running { entry, since: now };
             self.running.insert(run.entry.key, run);
         }
-        actions
     }
 }
 
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -5,6 +5,7 @@
 //! else; the caller's account is charged all the same, so that urgency moves
 //! work forward in time but never buys a larger share.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use indexmap::IndexMap;
@@ -12,6 +13,7 @@
 use model::unit::{Span, Time};
 
 use crate::service;
+use crate::slots::Room;
 
 /// Class weight from which requests are urgent. Load: listings fill the queue
 /// while a payment arrives; harm: the payment waits a round of all callers.
@@ -132,29 +134,25 @@
 }
 
 impl Flow {
-    fn has(&self, lengths: Lengths) -> bool {
-        let mut lanes = self.lanes.iter();
-        lanes.any(|(key, lane)| !lane.keys.is_empty() && lengths.allow(key.1))
+    fn lanes(&self, room: Room) -> impl Iterator<Item = (usize, &Lane)> {
+        let lanes = self.lanes.iter().enumerate();
+        let lanes = lanes.filter(move |(_, (key, lane))| fits(room, key, lane));
+        lanes.map(|(at, (_, lane))| (at, lane))
     }
 
     /// Rank of the most urgent request, the heaviest class and then the oldest first.
-    fn first_urgent(&self, lengths: Lengths) -> Option<(std::cmp::Reverse<u32>, Key)> {
-        let lanes = self.lanes.iter();
+    fn first_urgent(&self, room: Room) -> Option<(Reverse<u32>, Key)> {
+        let lanes = self.lanes(room).filter(|(_, l)| l.weight >= URGENT_WEIGHT);
         lanes
-            .filter(|(key, lane)| lane.weight >= URGENT_WEIGHT && lengths.allow(key.1))
-            .filter_map(|(_, lane)| Some((std::cmp::Reverse(lane.weight), *lane.keys.front()?)))
+            .filter_map(|(_, l)| Some((Reverse(l.weight), *l.keys.front()?)))
             .min()
     }
 
     /// The lane whose turn it is: least service for its weight, the heavier first.
-    fn next_lane(&self, lengths: Lengths) -> Option<usize> {
-        let lanes = self.lanes.iter().enumerate();
-        lanes
-            .filter(|(_, (key, lane))| !lane.keys.is_empty() && lengths.allow(key.1))
-            .min_by_key(|(_, (_, lane))| {
-                (lane.finish.max(self.clock), std::cmp::Reverse(lane.weight))
-            })
-            .map(|(at, _)| at)
+    fn next_lane(&self, room: Room) -> Option<usize> {
+        let turn = |lane: &Lane| (lane.finish.max(self.clock), Reverse(lane.weight));
+        let lanes = self.lanes(room);
+        lanes.min_by_key(|(_, l)| turn(l)).map(|(at, _)| at)
     }
 
     fn is_idle(&self) -> bool {
@@ -162,19 +160,10 @@
     }
 }
 
-/// Which lengths of work may start now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Lengths {
-    /// Short work only.
-    ShortOnly,
-    /// Any work.
-    Any,
-}
-
-impl Lengths {
-    fn allow(self, length: service::Length) -> bool {
-        self == Self::Any || length == service::Length::Short
-    }
+fn fits(room: Room, key: &LaneKey, lane: &Lane) -> bool {
+    !lane.keys.is_empty()
+        && (room.long || key.1 == service::Length::Short)
+        && (room.ordinary || lane.weight >= URGENT_WEIGHT)
 }
 
 /// Fair queue of one backend server.
@@ -264,11 +253,11 @@
     }
 
     /// Takes the request whose turn it is.
-    pub fn pop(&mut self, lengths: Lengths, now: Time) -> Option<Entry> {
+    pub fn pop(&mut self, room: Room, now: Time) -> Option<Entry> {
         self.advance_clock();
-        let at = self.next_flow(lengths)?;
+        let at = self.next_flow(room)?;
         let (_, flow) = self.flows.get_index_mut(at)?;
-        let lane_at = flow.next_lane(lengths)?;
+        let lane_at = flow.next_lane(room)?;
         let (_, lane) = flow.lanes.get_index_mut(lane_at)?;
         let key = *lane.keys.front()?;
         let entry = self.entries.get(&key)?;
@@ -288,18 +277,18 @@
         }
     }
 
-    fn next_flow(&self, lengths: Lengths) -> Option<usize> {
+    fn next_flow(&self, room: Room) -> Option<usize> {
         let lead = self.clock + URGENT_LEAD;
         let flows = || self.flows.values().enumerate();
         // In order of arrival, not of accounts: all are near their shares, and the
         // longest wait is what callers notice.
         let urgent = flows()
             .filter(|(_, f)| f.finish <= lead)
-            .filter_map(|(at, f)| Some((f.first_urgent(lengths)?, at)))
+            .filter_map(|(at, f)| Some((f.first_urgent(room)?, at)))
             .min();
         let least = || {
             flows()
-                .filter(|(_, f)| f.has(lengths))
+                .filter(|(_, f)| f.lanes(room).next().is_some())
                 .min_by_key(|(_, f)| f.finish)
                 .map(|(at, _)| at)
         };
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -18,13 +18,25 @@
 /// Slots that long work leaves to short work.
 const KEPT_FOR_SHORT: u32 = 1;
 
+/// Work in flight beyond the slots while several proxies share them. Load: proxies
+/// that send without knowing of each other; harm without it: slots stay empty by
+/// chance while another proxy holds work back.
+const SPARE: f64 = 1.5;
+
+/// Most time that a proxy can be behind its part, in microseconds; a report of
+/// several seconds must not silence a proxy for as long.
+const MOST_DEBT: f64 = 200_000.0;
+
+/// Urgent work that may be in flight beyond the limit.
+const URGENT_EXTRA: u32 = 1;
+
 /// This proxy's part of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Share {
     /// Statements that the server works on at once.
     pub slots: u32,
-    /// Connections that the server accepts from the whole fleet.
-    pub connections: u32,
+    /// Connections that all proxies at work hold together.
+    pub shared: u32,
     /// Connections that this proxy may hold.
     pub held: u32,
     /// Time on the way to the server and back.
@@ -32,26 +44,37 @@
 }
 
 impl Share {
-    /// This proxy's part of the slots; it follows the part of the connections.
+    /// This proxy's part; that of the slots follows that of the connections.
     fn part(&self) -> f64 {
-        let part = f64::from(self.held) / f64::from(self.connections.max(1));
-        (f64::from(self.slots) * part).max(1.0)
+        (f64::from(self.held) / f64::from(self.shared.max(1))).min(1.0)
     }
 
-    /// Work to have in flight when the server takes `latency` per statement.
+    /// Work to have in flight on average when a statement takes `latency`.
     ///
     /// Load: a saturated server a round trip away. Harm without the part on the
     /// way: a slot stays empty between an answer and the next request, which cost
     /// 14 % of the capacity at 5 ms of service and 1 ms of round trip. When the
     /// server slows, the way matters less and the limit falls to the slots.
-    fn wanted(&self, latency: Span) -> u32 {
+    fn wanted(&self, latency: Span) -> f64 {
         let way = self.round_trip.as_micros() as f64;
         let service = (latency.as_micros() as f64 - way).max(way.max(1.0));
-        let wanted = self.part() * (1.0 + way / service);
-        wanted.ceil() as u32
+        let whole = (f64::from(self.slots) * (1.0 + way / service)).ceil();
+        let part = self.part();
+        part * (whole + SPARE * (1.0 - part))
     }
 }
 
+/// What may start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Room {
+    /// Whether anything may.
+    pub any: bool,
+    /// Whether work that is not urgent may.
+    pub ordinary: bool,
+    /// Whether long work may.
+    pub long: bool,
+}
+
 /// Limit on the work in flight.
 ///
 /// Invariant: at least one statement may be in flight.
@@ -61,6 +84,13 @@
     busy: u32,
     long: u32,
     returned: Option<Time>,
+    /// Time in flight beyond this proxy's part, in microseconds.
+    ///
+    /// Load: more proxies than slots. Harm without it: each has one statement in
+    /// flight all the time, and most of them wait inside the server, also the
+    /// urgent ones. A proxy that is ahead of its part pauses its ordinary work.
+    debt: f64,
+    at: Time,
 }
 
 impl Slots {
@@ -71,9 +101,19 @@
             busy: 0,
             long: 0,
             returned: None,
+            debt: 0.0,
+            at: Time::default(),
         }
     }
 
+    /// Accounts for the time since the last call.
+    pub fn advance(&mut self, latency: Span, now: Time) {
+        let passed = now.since(self.at).as_micros() as f64;
+        let ahead = f64::from(self.busy) - self.share.wanted(latency);
+        self.debt = (self.debt + ahead * passed).clamp(0.0, MOST_DEBT);
+        self.at = now;
+    }
+
     /// Work in flight.
     pub fn busy(&self) -> u32 {
         self.busy
@@ -81,7 +121,8 @@
 
     /// Work that may be in flight at `now`, by the usual latency of a statement.
     pub fn limit(&self, latency: Span, now: Time) -> u32 {
-        let limit = self.share.wanted(latency).min(self.share.held).max(1);
+        let wanted = self.share.wanted(latency).ceil() as u32;
+        let limit = wanted.min(self.share.held).max(1);
         let Some(returned) = self.returned else {
             return limit;
         };
@@ -93,14 +134,26 @@
         (ramp as u32).clamp(1, limit)
     }
 
-    /// Whether work of this length may start at `now`.
+    /// What may start at `now`.
     ///
     /// Load: a few reports among many short statements; harm: reports hold all
     /// slots and every short statement waits for one to end.
-    pub fn admits(&self, length: service::Length, latency: Span, now: Time) -> bool {
-        let long_limit = (self.share.part() as u32).saturating_sub(KEPT_FOR_SHORT);
-        let room = self.busy < self.limit(latency, now);
-        room && (length == service::Length::Short || self.long < long_limit.max(1))
+    pub fn room(&self, latency: Span, now: Time) -> Room {
+        let slots = f64::from(self.share.slots) * self.share.part();
+        let long_limit = (slots as u32).saturating_sub(KEPT_FOR_SHORT).max(1);
+        let limit = self.limit(latency, now);
+        Room {
+            any: self.busy < (limit + URGENT_EXTRA).min(self.share.held.max(1)),
+            ordinary: self.busy < limit && self.debt <= 0.0,
+            long: self.long < long_limit,
+        }
+    }
+
+    /// When ordinary work may go on, if it pauses.
+    pub fn next_turn(&self, latency: Span, now: Time) -> Option<Time> {
+        let rate = self.share.wanted(latency) - f64::from(self.busy);
+        let pause = (self.debt / rate).ceil() as u64;
+        (self.debt > 0.0 && rate > 0.0).then(|| now + Span::from_micros(pause))
     }
 
     /// Counts a request that was sent.
--- a/crates/policy/tests/queue.rs
+++ b/crates/policy/tests/queue.rs
@@ -11,7 +11,7 @@
 const ONE_SLOT: Limits = Limits {
     share: slots::Share {
         slots: 1,
-        connections: 1,
+        shared: 1,
         held: 1,
         round_trip: Span::from_millis(0),
     },
--- a/crates/proxy/src/cx.rs
+++ b/crates/proxy/src/cx.rs
@@ -235,7 +235,7 @@
     Limits {
         share: Share {
             slots: settings.slots,
-            connections: settings.connections,
+            shared: settings.connections,
             held: (settings.connections / FIRST_SHARE).max(2),
             round_trip: FIRST_ROUND_TRIP,
         },
--- a/crates/proxy/src/share/task.rs
+++ b/crates/proxy/src/share/task.rs
@@ -298,7 +298,7 @@
     Limits {
         share: Share {
             slots: settings.slots,
-            connections: settings.connections,
+            shared: settings.connections,
             held,
             round_trip: ROUND_TRIP,
         },
--- a/crates/proxy/tests/admit.rs
+++ b/crates/proxy/tests/admit.rs
@@ -12,7 +12,7 @@
 const ONE_SLOT: Limits = Limits {
     share: Share {
         slots: 1,
-        connections: 1,
+        shared: 1,
         held: 1,
         round_trip: Span::from_millis(0),
     },
--- a/crates/proxy/tests/share.rs
+++ b/crates/proxy/tests/share.rs
@@ -28,7 +28,7 @@
     Limits {
         share: slots::Share {
             slots: 3,
-            connections: 20,
+            shared: 20,
             held: 3,
             round_trip: Span::from_millis(1),
         },
