Take the part of the slots from the connections of the proxies at work

Cause: idle proxies hold their floors too, so that a proxy's part of all connections says less than its part of the work. Requests that wait for a slot now count as demand. Not measured in the proxy.

--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -106,6 +106,9 @@
     pub keep: u32,
     /// Lent connections that it cannot close now, being in use; at most `keep`.
     pub busy: u32,
+    /// Whether it has work for this server, so that it takes part in its slots.
+    #[serde(default)]
+    pub active: bool,
     /// How long, from when this was sent, the loan behind `keep` is valid at least.
     pub remaining: Span,
 }
@@ -132,6 +135,9 @@
     pub lasts: Span,
     /// Whether proxies ask for more than the pool holds.
     pub pressed: bool,
+    /// Connections that the proxies at work may hold together, the floors included.
+    #[serde(default)]
+    pub shared: u32,
 }
 
 /// The lender that a proxy should ask: highest random weight over the live ones.
--- a/crates/policy/src/share/borrower.rs
+++ b/crates/policy/src/share/borrower.rs
@@ -14,6 +14,8 @@
     pub open: u32,
     /// Connections that are in use.
     pub busy: u32,
+    /// Whether there is work for this server.
+    pub active: bool,
 }
 
 /// A vote that was sent.
@@ -45,6 +47,7 @@
     bound: Option<Bound>,
     held: Held,
     pressed: bool,
+    shared: u32,
 }
 
 impl Borrower {
@@ -62,6 +65,7 @@
             bound: None,
             held: Held::default(),
             pressed: false,
+            shared: 0,
         }
     }
 
@@ -89,6 +93,17 @@
         self.pressed
     }
 
+    /// Connections that all proxies at work may hold together, to take this proxy's
+    /// part of the slots from; without a lender, the floors of all proxies.
+    pub fn shared(&self, now: Time) -> u32 {
+        let allowed = self.allowed(now);
+        if now < self.held.until {
+            self.shared.max(allowed)
+        } else {
+            (self.terms.floor() * self.terms.proxies).max(allowed)
+        }
+    }
+
     /// Takes over changed terms.
     pub fn set_terms(&mut self, terms: Terms) {
         self.terms = terms;
@@ -115,6 +130,7 @@
             want,
             keep,
             busy: demand.busy.saturating_sub(floor).min(keep),
+            active: demand.active,
             remaining: self.held.until.since(now),
         }
     }
@@ -162,6 +178,7 @@
                 until: self.sent + usable,
             };
             self.pressed = loan.pressed;
+            self.shared = loan.shared;
         }
     }
 }
--- a/crates/policy/src/share/lender.rs
+++ b/crates/policy/src/share/lender.rs
@@ -12,6 +12,7 @@
     seq: u64,
     amount: u32,
     want: u32,
+    active: bool,
     until: Time,
 }
 
@@ -109,14 +110,18 @@
             seq: ask.seq,
             amount: amount.max(kept),
             want: ask.want,
+            active: ask.active,
             until: now + self.terms.loan,
         };
         self.records.insert(ask.from.clone(), record);
         let wanted: u32 = self.records.values().map(|r| r.want).sum();
+        let active = self.records.values().filter(|r| r.active);
+        let shared: u32 = active.map(|r| r.amount + self.terms.floor()).sum();
         Some(Loan {
             amount,
             lasts: self.terms.loan,
             pressed: wanted > self.terms.pool(),
+            shared,
         })
     }
 
--- a/crates/policy/tests/world/mod.rs
+++ b/crates/policy/tests/world/mod.rs
@@ -137,6 +137,7 @@
         let demand = Demand {
             want: p.want,
             open: p.open,
+            active: p.open > 0,
             busy: p.busy.unwrap_or(p.open).min(p.open),
         };
         let ask = p.borrower.ask(&lender, demand, p.now(real));
--- a/crates/proxy/src/cx.rs
+++ b/crates/proxy/src/cx.rs
@@ -232,11 +232,13 @@
 
 /// Limits for a backend server until this proxy is told its share.
 pub(crate) fn first_limits(settings: &Settings) -> Limits {
+    let held = (settings.connections / FIRST_SHARE).max(2);
     Limits {
         share: Share {
             slots: settings.slots,
-            shared: settings.connections,
-            held: (settings.connections / FIRST_SHARE).max(2),
+            // Without word of another proxy, the slots are this one's.
+            shared: held,
+            held,
             round_trip: FIRST_ROUND_TRIP,
         },
         queue: settings.queue,
--- a/crates/proxy/src/share/task.rs
+++ b/crates/proxy/src/share/task.rs
@@ -34,7 +34,8 @@
     settings: Settings,
     pool: Option<pool::Handle>,
     asked: Option<Time>,
-    allowed: Option<u32>,
+    /// What pool and admission were last told: connections allowed and shared.
+    told: Option<(u32, u32)>,
     peak: u32,
     peak_at: Time,
 }
@@ -91,7 +92,7 @@
             Request::Pool(instance, pool) => {
                 if let Some(server) = self.servers.get_mut(&instance) {
                     server.pool = Some(pool.clone());
-                    server.allowed = None;
+                    server.told = None;
                 }
                 self.pools.insert(instance, pool);
             }
@@ -138,8 +139,10 @@
         self.follow_fleet();
         let mut batches: IndexMap<ProxyId, Asks> = IndexMap::new();
         let instances: Vec<InstanceId> = self.servers.keys().cloned().collect();
+        let loads = self.setup.admit.loads().await;
         for instance in instances {
-            if let Some((lender, ask)) = self.ask(&instance).await {
+            let queued = loads.get(&instance).map_or(0, |load| load.queued);
+            if let Some((lender, ask)) = self.ask(&instance, queued).await {
                 batches.entry(lender).or_default().push(ask);
             }
         }
@@ -174,7 +177,7 @@
                 server.borrower.set_terms(terms);
                 server.lender.set_terms(terms);
                 server.settings = settings;
-                server.allowed = None;
+                server.told = None;
             }
             return;
         }
@@ -185,7 +188,7 @@
             settings,
             pool: self.pools.get(&instance).cloned(),
             asked: None,
-            allowed: None,
+            told: None,
             peak: 0,
             peak_at: now,
         };
@@ -193,15 +196,18 @@
     }
 
     /// The next request about a backend server, when one is due.
-    async fn ask(&mut self, instance: &InstanceId) -> Option<(ProxyId, share::Ask)> {
+    async fn ask(&mut self, instance: &InstanceId, queued: u32) -> Option<(ProxyId, share::Ask)> {
         let now = self.now();
         let lender = share::choose(instance, self.live.keys())?.clone();
         let leaving = self.leaving;
         let server = self.servers.get_mut(instance)?;
-        let usage = match &server.pool {
+        let mut usage = match &server.pool {
             Some(pool) => pool.usage().await,
             None => pool::Usage::default(),
         };
+        // What waits for a slot counts as well: the part of the slots follows the
+        // part of the connections, and a proxy with a queue needs more of them.
+        usage.waiting += queued.min(server.settings.connections);
         // Requests that wait for a connection are worth an early question.
         let interval = match usage.waiting {
             0 => terms(&server.settings).interval(),
@@ -250,15 +256,16 @@
         let now = self.now();
         for (instance, server) in &mut self.servers {
             let allowed = server.borrower.allowed(now);
-            if server.allowed == Some(allowed) {
+            let shared = server.borrower.shared(now);
+            if server.told == Some((allowed, shared)) {
                 continue;
             }
-            tracing::debug!(%instance, allowed, "connection share");
-            server.allowed = Some(allowed);
+            tracing::debug!(%instance, allowed, shared, "connection share");
+            server.told = Some((allowed, shared));
             if let Some(pool) = &server.pool {
                 pool.set_limit(allowed);
             }
-            let limits = limits(&server.settings, allowed);
+            let limits = limits(&server.settings, allowed, shared);
             self.setup.admit.set_limits(instance, limits);
         }
     }
@@ -282,6 +289,7 @@
             want,
             open: usage.open,
             busy: usage.busy,
+            active: self.peak > 0 && !leaving,
         }
     }
 }
@@ -294,11 +302,11 @@
     }
 }
 
-fn limits(settings: &Settings, held: u32) -> Limits {
+fn limits(settings: &Settings, held: u32, shared: u32) -> Limits {
     Limits {
         share: Share {
             slots: settings.slots,
-            shared: settings.connections,
+            shared,
             held,
             round_trip: ROUND_TRIP,
         },
