--- a/crates/load/src/bed.rs
+++ b/crates/load/src/bed.rs
@@ -2,6 +2,7 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
+use model::config::Fleet;
 use model::id::{DataCentre, ProxyId};
 use proxy::config::Config;
 use proxy::run::Embedded;
@@ -52,10 +53,13 @@
     /// `proxies` proxies, one data centre after the other.
     pub async fn start(spec: standin::Spec, proxies: usize) -> Result<Self, BedError> {
         let stand_ins = standin::Fleet::start(spec.clone())?;
-        publish(&stand_ins, &spec.data_centres[0].name).await?;
+        let mut fleet = stand_ins.document();
+        // The floors of all proxies and the majority that lends the rest follow from it.
+        fleet.defaults.proxies = u32::try_from(proxies.max(1)).unwrap_or(u32::MAX);
+        publish(&stand_ins, &spec.data_centres[0].name, &fleet).await?;
         let mut bed = Self {
             proxies: Vec::new(),
-            document: write_document(&stand_ins)?,
+            document: write_document(&fleet)?,
             stand_ins,
         };
         for at in 0..proxies {
@@ -113,18 +117,20 @@
     IpAddr::V4(Ipv4Addr::new(127, 0, byte(centre + 1), byte(at + 10)))
 }
 
-async fn publish(stand_ins: &standin::Fleet, centre: &DataCentre) -> Result<(), BedError> {
+async fn publish(
+    stand_ins: &standin::Fleet,
+    centre: &DataCentre,
+    fleet: &Fleet,
+) -> Result<(), BedError> {
     let endpoints = stand_ins.store_url(centre).into_iter().collect();
     let client = store::Client::new(endpoints)?;
     let base = client.load_config().await?;
-    client
-        .save_config(&base, &stand_ins.document(), "bed")
-        .await?;
+    client.save_config(&base, fleet, "bed").await?;
     Ok(())
 }
 
-fn write_document(stand_ins: &standin::Fleet) -> Result<tempfile::NamedTempFile, BedError> {
+fn write_document(fleet: &Fleet) -> Result<tempfile::NamedTempFile, BedError> {
     let mut file = tempfile::NamedTempFile::new()?;
-    serde_json::to_writer(&mut file, &stand_ins.document()).map_err(std::io::Error::from)?;
+    serde_json::to_writer(&mut file, fleet).map_err(std::io::Error::from)?;
     Ok(file)
 }
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -47,6 +47,10 @@
     pub platform: IndexMap<DataCentre, SocketAddr>,
 }
 
+/// Proxies that a configuration of stand-ins allows for, unless it is changed: two of
+/// them are a majority, which lends out connections.
+const PROXIES: u32 = 3;
+
 /// Everything on the fleet's thread.
 pub(crate) struct World {
     pub(crate) spec: Spec,
@@ -143,6 +147,7 @@
             .callers
             .insert("app".parse().expect("a plain identifier"), caller);
         fleet.defaults.slots = u32::try_from(self.spec.slots).unwrap_or(u32::MAX);
+        fleet.defaults.proxies = PROXIES;
         fleet.defaults.connections = u32::try_from(self.spec.connections).unwrap_or(u32::MAX);
         fleet
     }
