Give a lender its authority by a key in the store, not by votes

Cause: votes of a majority of proxies were an agreement of our own; what has to be agreed goes through the platform's service. One key for each data centre, held under a lease of 2 s, names the lender of its backend servers; the lender counts from when it sent a renewal, the store from when it heard it. A new reign still confirms loans and lends nothing new until older ones have lapsed.

A lost answer has a directed test now.

--- a/crates/load/src/bed.rs
+++ b/crates/load/src/bed.rs
@@ -54,7 +54,7 @@
     pub async fn start(spec: standin::Spec, proxies: usize) -> Result<Self, BedError> {
         let stand_ins = standin::Fleet::start(spec.clone())?;
         let mut fleet = stand_ins.document();
-        // The floors of all proxies and the majority that lends the rest follow from it.
+        // The connections that each proxy may always hold follow from it.
         fleet.defaults.proxies = u32::try_from(proxies.max(1)).unwrap_or(u32::MAX);
         publish(&stand_ins, &spec.data_centres[0].name, &fleet).await?;
         let mut bed = Self {
--- a/crates/load/src/saturation.rs
+++ b/crates/load/src/saturation.rs
@@ -31,6 +31,12 @@
                 .value_parser(clap::value_parser!(u64).range(1..=20))
                 .default_value("1"),
         )
+        .arg(
+            Arg::new("no-lender")
+                .long("no-lender")
+                .help("Leave the proxies their guaranteed connections only")
+                .action(clap::ArgAction::SetTrue),
+        )
         .arg(
             Arg::new("seed")
                 .long("seed")
@@ -59,7 +65,13 @@
             .expect("clap fills in the default")
     };
     let length = Span::from_millis(number("seconds") * 1_000);
-    let runs = simulated(length, number("proxies") as usize, number("seed"));
+    let proxies = number("proxies") as usize;
+    let fleet = if args.get_flag("no-lender") {
+        simulate::Fleet::floors(proxies)
+    } else {
+        simulate::Fleet::lent(proxies)
+    };
+    let runs = simulated(length, fleet, number("seed"));
     Ok(tables(&runs))
 }
 
@@ -78,12 +90,12 @@
 }
 
 /// Runs in virtual time.
-pub fn simulated(length: Span, proxies: usize, seed: u64) -> Vec<Run> {
+pub fn simulated(length: Span, fleet: simulate::Fleet, seed: u64) -> Vec<Run> {
     let mut runs = Vec::new();
     for scenario in scenarios() {
         let arrivals = scenario.arrivals(length, seed);
         for discipline in Name::ALL {
-            let outcomes = simulate::run(&scenario, &arrivals, discipline, proxies);
+            let outcomes = simulate::run(&scenario, &arrivals, discipline, fleet);
             runs.push(Run {
                 scenario: scenario.name,
                 discipline,
--- a/crates/load/src/saturation/simulate.rs
+++ b/crates/load/src/saturation/simulate.rs
@@ -39,14 +39,47 @@
     outcomes: Vec<Outcome>,
 }
 
-/// Runs the arrivals through `proxies` equal proxies and returns what became of each.
-pub fn run(scenario: &Scenario, arrivals: &[Arrival], name: Name, proxies: usize) -> Vec<Outcome> {
-    let held = (workload::CONNECTIONS / proxies as u32).max(1);
+/// Equal proxies and their shares of each server's connections.
+#[derive(Clone, Copy, Debug)]
+pub struct Fleet {
+    /// Proxies.
+    pub proxies: usize,
+    /// Connections that each may hold.
+    pub held: u32,
+    /// Connections that each believes are held by all.
+    pub shared: u32,
+}
+
+impl Fleet {
+    /// All connections are lent out, in equal parts.
+    pub fn lent(proxies: usize) -> Self {
+        let held = (workload::CONNECTIONS / proxies as u32).max(1);
+        let shared = held * proxies as u32;
+        Self {
+            proxies,
+            held,
+            shared,
+        }
+    }
+
+    /// Nobody lends: each has its floor, out of nine proxies at most.
+    pub fn floors(proxies: usize) -> Self {
+        Self {
+            proxies,
+            held: 1,
+            shared: 9,
+        }
+    }
+}
+
+/// Runs the arrivals through a fleet and returns what became of each.
+pub fn run(scenario: &Scenario, arrivals: &[Arrival], name: Name, fleet: Fleet) -> Vec<Outcome> {
+    let proxies = fleet.proxies;
     let setup = Setup {
         servers: scenario.servers,
         callers: scenario.demand.len(),
-        held,
-        shared: held * proxies as u32,
+        held: fleet.held,
+        shared: fleet.shared,
     };
     let server = |at| Server {
         busy: 0,
--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -1,18 +1,18 @@
 //! Shares of a backend server's connections among the proxies.
 //!
-//! Each proxy may always hold a floor. The rest forms a pool, which one proxy,
-//! the lender, lends on demand for a limited time. Proxies may disagree on who
-//! the lender is, so being chosen is not enough: a lender lends only while a
-//! majority of all possible proxies has voted for it, and a proxy's vote is bound
-//! to one lender at a time.
+//! Each proxy may always hold a floor. The rest forms a pool, which one proxy, the
+//! lender, lends on demand for a limited time. Proxies may disagree on who the lender
+//! is, so its authority comes from the platform's store: a key that it holds under a
+//! lease. With the store out of reach the authority ends, loans lapse, and the floors
+//! remain.
 //!
-//! Clocks of different processes are never compared. Every promise is counted by
-//! its maker from a later moment than by its receiver:
+//! Clocks of different processes are never compared. Every promise is counted by its
+//! maker from a later moment than by its receiver:
 //!
-//! - a vote binds the voter from when it sent the vote; the lender counts it from
-//!   the stamp that the vote echoes, which the lender made before;
-//! - a loan counts at the lender from when it answered, and at the borrower from
-//!   when it sent the request.
+//! - the store counts the lease from when it heard the renewal; the lender from when
+//!   it sent it;
+//! - a loan counts at the lender from when it answered, and at the borrower from when
+//!   it sent the request.
 //!
 //! A lender that begins its reign confirms loans that borrowers hold already and
 //! lends nothing new until every loan of an earlier reign has lapsed.
@@ -32,12 +32,8 @@
 /// A tenth of a 3 s loan covers drift by far and pauses of up to 300 ms.
 const MARGIN_DIVISOR: u64 = 10;
 
-/// Part of the loan's span for which a vote binds, as a divisor. With half of it,
-/// borrowers of a lost lender reach the next one before their loans lapse.
-const BOUND_DIVISOR: u64 = 2;
-
-/// Part of the loan's span between two requests, as a divisor. Two lost messages
-/// in a row cost neither vote nor loan.
+/// Part of the loan's span between two requests, as a divisor. Several lost messages
+/// in a row cost no loan.
 const INTERVAL_DIVISOR: u64 = 6;
 
 /// What all proxies know about one backend server's connections.
@@ -67,16 +63,6 @@
         self.connections - self.floor() * self.proxies.max(1)
     }
 
-    /// Votes that a lender needs.
-    pub fn quorum(&self) -> usize {
-        self.proxies as usize / 2 + 1
-    }
-
-    /// For how long a vote binds the voter.
-    pub fn bound(&self) -> Span {
-        Span::from_micros(self.loan.as_micros() / BOUND_DIVISOR)
-    }
-
     /// Time between two requests of a borrower.
     pub fn interval(&self) -> Span {
         Span::from_micros(self.loan.as_micros() / INTERVAL_DIVISOR)
@@ -98,8 +84,6 @@
     pub seq: u64,
     /// Newest stamp that the proxy got from this lender.
     pub stamp: Option<Stamp>,
-    /// A vote: the proxy names no other lender for this long from when it sent this.
-    pub vote: Option<Span>,
     /// Lent connections that the proxy would use.
     pub want: u32,
     /// Lent connections that it holds and will not exceed until answered.
@@ -120,9 +104,9 @@
     pub instance: InstanceId,
     /// The request that is answered.
     pub seq: u64,
-    /// To be echoed in the next vote.
+    /// To be echoed in the next request.
     pub stamp: Stamp,
-    /// The new loan; `None` while the lender has no majority, which changes nothing.
+    /// The new loan; `None` while the lender may not lend, which changes nothing.
     pub loan: Option<Loan>,
 }
 
@@ -140,17 +124,14 @@
     pub shared: u32,
 }
 
-/// The lender that a proxy should ask: highest random weight over the live ones.
-pub fn choose<'a>(
-    instance: &InstanceId,
-    live: impl IntoIterator<Item = &'a ProxyId>,
-) -> Option<&'a ProxyId> {
+/// Margin of the lender's authority before its lease in the store runs out, as a
+/// divisor of the lease's span. It covers clocks that run at different speeds.
+pub const LEASE_MARGIN_DIVISOR: u64 = 10;
+
+/// The proxy that should lend for `place`: highest random weight over the live ones.
+pub fn choose<'a>(place: &str, live: impl IntoIterator<Item = &'a ProxyId>) -> Option<&'a ProxyId> {
     let weight = |proxy: &&ProxyId| {
-        let both = [
-            instance.as_str().as_bytes(),
-            b"/",
-            proxy.as_str().as_bytes(),
-        ];
+        let both = [place.as_bytes(), b"/", proxy.as_str().as_bytes()];
         (fnv(&both.concat()), (*proxy).clone())
     };
     live.into_iter().max_by_key(weight)
--- a/crates/policy/src/share/borrower.rs
+++ b/crates/policy/src/share/borrower.rs
@@ -18,13 +18,6 @@
     pub active: bool,
 }
 
-/// A vote that was sent.
-#[derive(Clone, Debug)]
-struct Bound {
-    lender: ProxyId,
-    until: Time,
-}
-
 #[derive(Clone, Copy, Debug, Default)]
 struct Held {
     amount: u32,
@@ -39,12 +32,10 @@
     instance: InstanceId,
     me: ProxyId,
     terms: Terms,
-    started: Time,
     seq: u64,
     sent: Time,
     asked: Option<ProxyId>,
     stamp: Option<(ProxyId, Stamp)>,
-    bound: Option<Bound>,
     held: Held,
     pressed: bool,
     shared: u32,
@@ -57,12 +48,10 @@
             instance,
             me,
             terms,
-            started: now,
             seq: 0,
             sent: now,
             asked: None,
             stamp: None,
-            bound: None,
             held: Held::default(),
             pressed: false,
             shared: 0,
@@ -126,7 +115,6 @@
             from: self.me.clone(),
             seq: self.seq,
             stamp: self.stamp_of(lender),
-            vote: self.vote(lender, now),
             want,
             keep,
             busy: demand.busy.saturating_sub(floor).min(keep),
@@ -135,29 +123,6 @@
         }
     }
 
-    /// The vote for `lender`, unless one is still bound elsewhere.
-    ///
-    /// Failure: a proxy restarts and has forgotten its vote; it would then help two
-    /// lenders to a majority at once. It does not vote until a vote of the process
-    /// before it must have lapsed.
-    fn vote(&mut self, lender: &ProxyId, now: Time) -> Option<Span> {
-        let bound = self.terms.bound();
-        if now < self.started + bound {
-            return None;
-        }
-        let elsewhere = |b: &Bound| b.lender != *lender && now < b.until;
-        if self.bound.as_ref().is_some_and(elsewhere) {
-            return None;
-        }
-        let until = now + bound;
-        let until = self.bound.as_ref().map_or(until, |b| b.until.max(until));
-        self.bound = Some(Bound {
-            lender: lender.clone(),
-            until,
-        });
-        Some(bound)
-    }
-
     fn stamp_of(&self, lender: &ProxyId) -> Option<Stamp> {
         let (from, stamp) = self.stamp.as_ref()?;
         (from == lender).then_some(*stamp)
--- a/crates/policy/src/share/lender.rs
+++ b/crates/policy/src/share/lender.rs
@@ -16,7 +16,7 @@
     until: Time,
 }
 
-/// Lends the pool of one backend server while a majority votes for it.
+/// Lends the pool of one backend server while the store gives it the authority.
 ///
 /// Invariant: once a reign has settled, the unexpired records add up to the pool at
 /// most.
@@ -26,20 +26,21 @@
     terms: Terms,
     /// The longest loan that any lender may still have outstanding.
     longest: Span,
-    votes: IndexMap<ProxyId, Time>,
-    /// Since when the majority has held without a gap.
+    /// When the authority ends, unless it is renewed before.
+    authority: Time,
+    /// Since when it has held without a gap.
     reign: Option<Time>,
     records: IndexMap<ProxyId, Record>,
 }
 
 impl Lender {
-    /// A lender without votes.
+    /// A lender without authority.
     pub fn new(instance: InstanceId, terms: Terms) -> Self {
         Self {
             instance,
             terms,
             longest: terms.loan,
-            votes: IndexMap::new(),
+            authority: Time::default(),
             reign: None,
             records: IndexMap::new(),
         }
@@ -51,10 +52,30 @@
         self.terms = terms;
     }
 
-    /// Whether a majority votes for this lender.
+    /// Renews the authority up to `until`, by the lease's renewal that was sent its
+    /// span before that, less the margin.
+    ///
+    /// Failure: this lender was cut off from the store, another one lent the same pool,
+    /// and the key came back. A gap begins a new reign, which lends nothing until the
+    /// loans of the other have lapsed; its own records have lapsed by then as well.
+    pub fn authorise(&mut self, until: Time, now: Time) {
+        if until <= now {
+            return;
+        }
+        if !self.reigns(now) {
+            self.reign = Some(now);
+        }
+        self.authority = self.authority.max(until);
+    }
+
+    /// Gives the authority up.
+    pub fn resign(&mut self) {
+        self.authority = Time::default();
+    }
+
+    /// Whether this lender may lend.
     pub fn reigns(&self, now: Time) -> bool {
-        let valid = self.votes.values().filter(|until| now < **until);
-        valid.count() >= self.terms.quorum()
+        now < self.authority
     }
 
     /// Answers a request; `None` for one that came late or twice.
@@ -63,8 +84,8 @@
         if known.is_some_and(|r| ask.seq <= r.seq) {
             return None;
         }
-        self.count(ask, now);
-        let loan = self.reign.and_then(|since| self.lend(ask, since, now));
+        let reign = self.reign.filter(|_| self.reigns(now));
+        let loan = reign.and_then(|since| self.lend(ask, since, now));
         Some(Answer {
             instance: self.instance.clone(),
             seq: ask.seq,
@@ -73,27 +94,6 @@
         })
     }
 
-    /// Counts a vote and notices the end or the beginning of a reign.
-    ///
-    /// Failure: this lender lost its majority, another one lent the same pool, and
-    /// the majority came back. The new reign lends nothing until the loans of the
-    /// other have lapsed; its own records have lapsed by then as well.
-    fn count(&mut self, ask: &Ask, now: Time) {
-        if !self.reigns(now) {
-            self.reign = None;
-        }
-        self.votes.retain(|_, until| now < *until);
-        if let (Some(Stamp(stamped)), Some(bound)) = (ask.stamp, ask.vote) {
-            let until = stamped + bound;
-            if now < until {
-                self.votes.insert(ask.from.clone(), until);
-            }
-        }
-        if self.reign.is_none() && self.reigns(now) {
-            self.reign = Some(now);
-        }
-    }
-
     fn lend(&mut self, ask: &Ask, since: Time, now: Time) -> Option<Loan> {
         self.records.retain(|_, r| now < r.until);
         let settled = now >= since + self.longest;
--- a/crates/policy/tests/world/mod.rs
+++ b/crates/policy/tests/world/mod.rs
@@ -2,7 +2,7 @@
 
 use model::id::{InstanceId, ProxyId};
 use model::unit::{Span, Time};
-use policy::share::{Answer, Ask, Borrower, Demand, Lender, Terms};
+use policy::share::{Answer, Ask, Borrower, Demand, LEASE_MARGIN_DIVISOR, Lender, Terms};
 
 /// Proxies alive at once.
 pub(crate) const PROXIES: usize = 7;
@@ -13,6 +13,9 @@
     loan: Span::from_millis(3_000),
 };
 
+/// Span of the lender's lease in the store, in milliseconds.
+const LEASE: u64 = 2_000;
+
 /// Longest pause that the margin of a loan covers, less the clocks' drift.
 const COVERED_PAUSE: u64 = 200;
 
@@ -29,6 +32,19 @@
     body: Body,
 }
 
+/// A renewal under way to the store, or its answer under way back.
+#[derive(Clone, Debug)]
+struct Renewal {
+    from: ProxyId,
+    sent: Time,
+}
+
+/// The key that names the lender, and until when its lease lasts.
+struct Holder {
+    lender: ProxyId,
+    until: u64,
+}
+
 struct Proxy {
     id: ProxyId,
     offset: u64,
@@ -92,6 +108,10 @@
     proxies: Vec<Proxy>,
     messages: Vec<Message>,
     held: Vec<Message>,
+    holder: Option<Holder>,
+    renewals: Vec<Renewal>,
+    renewed: Vec<Renewal>,
+    store_down: bool,
     /// Proxies whose bit differs cannot reach each other.
     sides: u16,
 }
@@ -105,6 +125,10 @@
             proxies: (0..PROXIES).map(|at| Proxy::new(at, 0, 0)).collect(),
             messages: Vec::new(),
             held: Vec::new(),
+            holder: None,
+            renewals: Vec::new(),
+            renewed: Vec::new(),
+            store_down: false,
             sides: 0,
         };
         world.rounds(14);
@@ -120,6 +144,61 @@
         p.borrower.allowed(p.now(self.real))
     }
 
+    /// A proxy that takes itself for the lender renews its lease, or asks for the key.
+    pub(crate) fn renew(&mut self, proxy: usize) {
+        let p = &self.proxies[proxy];
+        if p.paused.is_none() && p.named == proxy {
+            let (from, sent) = (p.id.clone(), p.now(self.real));
+            self.renewals.push(Renewal { from, sent });
+        }
+    }
+
+    /// The store hears one renewal.
+    pub(crate) fn hear(&mut self, at: usize) {
+        if self.renewals.is_empty() {
+            return;
+        }
+        let renewal = self.renewals.remove(at % self.renewals.len());
+        let real = self.real;
+        let taken = |h: &Holder| h.lender != renewal.from && real < h.until;
+        if self.store_down || self.holder.as_ref().is_some_and(taken) {
+            return;
+        }
+        self.holder = Some(Holder {
+            lender: renewal.from.clone(),
+            until: real + LEASE,
+        });
+        self.renewed.push(renewal);
+    }
+
+    /// A proxy hears that its renewal took effect.
+    pub(crate) fn confirm(&mut self, at: usize) {
+        if self.renewed.is_empty() {
+            return;
+        }
+        let renewal = self.renewed.remove(at % self.renewed.len());
+        let real = self.real;
+        let proxies = self.proxies.iter_mut();
+        for p in proxies.filter(|p| p.id == renewal.from && p.paused.is_none()) {
+            let usable = Span::from_millis(LEASE - LEASE / LEASE_MARGIN_DIVISOR);
+            p.lender.authorise(renewal.sent + usable, p.now(real));
+        }
+    }
+
+    pub(crate) fn store(&mut self, down: bool) {
+        self.store_down = down;
+    }
+
+    pub(crate) fn renew_all(&mut self) {
+        (0..PROXIES).for_each(|p| self.renew(p));
+        while !self.renewals.is_empty() {
+            self.hear(0);
+        }
+        while !self.renewed.is_empty() {
+            self.confirm(0);
+        }
+    }
+
     pub(crate) fn advance(&mut self, ms: u64) {
         self.real += ms;
         let real = self.real;
@@ -219,11 +298,19 @@
     /// Every proxy asks, and what is not under way yet arrives.
     pub(crate) fn round(&mut self) {
         let late = std::mem::take(&mut self.messages);
+        self.renew_all();
         (0..PROXIES).for_each(|p| self.ask(p));
         self.deliver_all();
         self.messages = late;
     }
 
+    /// A round in which the oldest answer of the store, kept back before, stays so.
+    pub(crate) fn round_but_confirmations_of(&mut self, at: usize) {
+        let late = self.renewed.remove(at);
+        self.round();
+        self.renewed.insert(at, late);
+    }
+
     /// Every proxy asks; the messages whose bits are set in `late` stay under way.
     pub(crate) fn round_but(&mut self, late: u64) {
         let old = std::mem::take(&mut self.messages);
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -7,7 +7,7 @@
 
 use axum::Router;
 use compio::net::TcpListener;
-use model::id::GroupId;
+use model::id::{GroupId, ProxyId};
 use peer::auth::Key;
 use peer::server::Routes;
 use policy::adopt::Record;
@@ -160,8 +160,7 @@
     while let Ok(told) = told.recv_async().await {
         match told {
             Told::Peers(running) => {
-                let addresses = running.iter().map(|news| (news.id.clone(), news.address));
-                cx.share.peers(addresses.collect());
+                cx.share.peers(running.iter().map(live).collect());
                 cx.peers(peers(&cx, running));
             }
             Told::View(view) => cx.peer_view(view),
@@ -170,6 +169,14 @@
     }
 }
 
+fn live(news: &News) -> (ProxyId, share::Live) {
+    let live = share::Live {
+        data_centre: news.data_centre.clone(),
+        address: news.address,
+    };
+    (news.id.clone(), live)
+}
+
 /// The running proxies with their places; one in an undeclared data centre has none.
 fn peers(cx: &Cx, running: Vec<News>) -> Vec<Peer> {
     let fleet = &cx.fleet.current().fleet;
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -81,6 +81,7 @@
             fleet: fleet.clone(),
             admit: admit.clone(),
             client: control.client().clone(),
+            store: store.clone(),
         });
         let services = Services {
             admit,
--- a/crates/proxy/src/share.rs
+++ b/crates/proxy/src/share.rs
@@ -1,12 +1,14 @@
 //! Shares of the backend servers' connections: the face of the task that borrows and
 //! lends them.
 
+mod authority;
 mod task;
 
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use indexmap::IndexMap;
-use model::id::{InstanceId, ProxyId};
+use model::id::{DataCentre, InstanceId, ProxyId};
 use peer::server::Call;
 use policy::share::{Answer, Ask};
 
@@ -31,12 +33,28 @@
     pub admit: admit::Handle,
     /// Sends requests to peers.
     pub client: peer::Client,
+    /// Holds the keys that name the lenders.
+    pub store: store::Client,
+}
+
+/// A live proxy.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Live {
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Where it hears peers.
+    pub address: SocketAddr,
 }
 
 enum Request {
     Pool(InstanceId, pool::Handle),
-    Peers(IndexMap<ProxyId, SocketAddr>),
+    Peers(IndexMap<ProxyId, Live>),
     Answered(ProxyId, Answers),
+    Authority {
+        data_centre: DataCentre,
+        hold: u64,
+        until: Instant,
+    },
     Leave,
     Shares(flume::Sender<IndexMap<InstanceId, u32>>),
 }
@@ -73,8 +91,8 @@
         let _ = self.tx.send(Request::Pool(instance.clone(), pool));
     }
 
-    /// The live proxies, this one included, and where they hear peers.
-    pub fn peers(&self, live: IndexMap<ProxyId, SocketAddr>) {
+    /// The live proxies, this one included.
+    pub fn peers(&self, live: IndexMap<ProxyId, Live>) {
         let _ = self.tx.send(Request::Peers(live));
     }
 
--- a/crates/proxy/src/share/task.rs
+++ b/crates/proxy/src/share/task.rs
@@ -1,11 +1,10 @@
 //! The task that borrows for this proxy and lends to the others.
 
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use futures_util::future::{self, Either};
 use indexmap::IndexMap;
-use model::id::{InstanceId, ProxyId};
+use model::id::{DataCentre, InstanceId, ProxyId};
 use model::settings::Settings;
 use model::unit::{Span, Time};
 use peer::server::Call;
@@ -13,7 +12,7 @@
 use policy::share::{self, Borrower, Demand, Lender, Terms};
 use policy::slots::Share;
 
-use super::{Answers, Asks, PATH, Request, Setup};
+use super::{Answers, Asks, Live, PATH, Request, Setup, authority};
 use crate::pool;
 
 /// Time between two looks at the pools. Short against a loan, so that one that lapses
@@ -29,6 +28,7 @@
 
 /// Everything about one backend server.
 struct Server {
+    data_centre: DataCentre,
     borrower: Borrower,
     lender: Lender,
     settings: Settings,
@@ -40,12 +40,21 @@
     peak_at: Time,
 }
 
+/// A hold of the key of one data centre.
+struct Hold {
+    number: u64,
+    _stop: flume::Sender<()>,
+}
+
 struct Task {
     setup: Setup,
     started: Instant,
     servers: IndexMap<InstanceId, Server>,
     pools: IndexMap<InstanceId, pool::Handle>,
-    live: IndexMap<ProxyId, SocketAddr>,
+    live: IndexMap<ProxyId, Live>,
+    /// Keys that this proxy holds or tries to take; dropping the sender ends the hold.
+    holds: IndexMap<DataCentre, Hold>,
+    next_hold: u64,
     leaving: bool,
     tx: flume::WeakSender<Request>,
 }
@@ -63,6 +72,8 @@
         servers: IndexMap::new(),
         pools: IndexMap::new(),
         live: IndexMap::new(),
+        holds: IndexMap::new(),
+        next_hold: 0,
         leaving: false,
         tx,
     };
@@ -97,6 +108,11 @@
                 self.pools.insert(instance, pool);
             }
             Request::Peers(live) => self.live = live,
+            Request::Authority {
+                data_centre,
+                hold,
+                until,
+            } => self.authorise(&data_centre, hold, until),
             Request::Answered(from, answers) => self.take(&from, &answers),
             Request::Leave => self.leaving = true,
             Request::Shares(tx) => {
@@ -137,6 +153,7 @@
             return;
         }
         self.follow_fleet();
+        self.follow_lenders();
         let mut batches: IndexMap<ProxyId, Asks> = IndexMap::new();
         let instances: Vec<InstanceId> = self.servers.keys().cloned().collect();
         let loads = self.setup.admit.loads().await;
@@ -159,17 +176,84 @@
         let mut named = IndexMap::new();
         for (group, spec) in &fleet.groups {
             let settings = fleet.settings(group);
-            for instance in spec.instances.keys() {
-                named.insert(instance.clone(), settings.clone());
+            for (instance, spec) in &spec.instances {
+                let place = spec.data_centre.clone();
+                named.insert(instance.clone(), (place, settings.clone()));
             }
         }
         self.servers.retain(|id, _| named.contains_key(id));
-        for (instance, settings) in named {
-            self.follow_server(instance, settings);
+        for (instance, (data_centre, settings)) in named {
+            self.follow_server(instance, data_centre, settings);
+        }
+    }
+
+    /// The proxy that should lend what stands in a data centre: one of that data
+    /// centre, or any while it has none. Proxies may disagree; the key in the store
+    /// settles who lends.
+    fn lender(&self, data_centre: &DataCentre) -> Option<&ProxyId> {
+        let near = |(_, live): &(&ProxyId, &Live)| live.data_centre == *data_centre;
+        let locals = self.live.iter().filter(near).map(|(id, _)| id);
+        let chosen = share::choose(data_centre.as_str(), locals);
+        chosen.or_else(|| share::choose(data_centre.as_str(), self.live.keys()))
+    }
+
+    /// Takes the keys that this proxy should hold and gives the others back.
+    fn follow_lenders(&mut self) {
+        let mut mine: Vec<DataCentre> = Vec::new();
+        for server in self.servers.values() {
+            let place = &server.data_centre;
+            let chosen = self.lender(place) == Some(&self.setup.me);
+            if chosen && !self.leaving && !mine.contains(place) {
+                mine.push(place.clone());
+            }
+        }
+        for server in self.servers.values_mut() {
+            // Before the key goes: from then on another proxy may lend.
+            if !mine.contains(&server.data_centre) {
+                server.lender.resign();
+            }
+        }
+        self.holds.retain(|place, _| mine.contains(place));
+        for place in mine {
+            if !self.holds.contains_key(&place) {
+                self.hold(place);
+            }
+        }
+    }
+
+    fn hold(&mut self, data_centre: DataCentre) {
+        let (stop, stopped) = flume::bounded(1);
+        self.next_hold += 1;
+        let setup = authority::Setup {
+            store: self.setup.store.clone(),
+            me: self.setup.me.clone(),
+            data_centre: data_centre.clone(),
+            hold: self.next_hold,
+            tx: self.tx.clone(),
+        };
+        compio::runtime::spawn(authority::hold(setup, stopped)).detach();
+        let hold = Hold {
+            number: self.next_hold,
+            _stop: stop,
+        };
+        self.holds.insert(data_centre, hold);
+    }
+
+    /// Failure: a renewal is reported after this proxy gave the key back; another one
+    /// may hold it by now, so that reports of an ended hold are void.
+    fn authorise(&mut self, data_centre: &DataCentre, hold: u64, until: Instant) {
+        if self.holds.get(data_centre).is_none_or(|h| h.number != hold) {
+            return;
+        }
+        let now = self.now();
+        let until = Time::default() + Span::from(until.saturating_duration_since(self.started));
+        let servers = self.servers.values_mut();
+        for server in servers.filter(|s| s.data_centre == *data_centre) {
+            server.lender.authorise(until, now);
         }
     }
 
-    fn follow_server(&mut self, instance: InstanceId, settings: Settings) {
+    fn follow_server(&mut self, instance: InstanceId, data_centre: DataCentre, settings: Settings) {
         let now = self.now();
         let terms = terms(&settings);
         if let Some(server) = self.servers.get_mut(&instance) {
@@ -183,6 +267,7 @@
         }
         let me = self.setup.me.clone();
         let server = Server {
+            data_centre,
             borrower: Borrower::new(instance.clone(), me, terms, now),
             lender: Lender::new(instance.clone(), terms),
             settings,
@@ -198,7 +283,8 @@
     /// The next request about a backend server, when one is due.
     async fn ask(&mut self, instance: &InstanceId, queued: u32) -> Option<(ProxyId, share::Ask)> {
         let now = self.now();
-        let lender = share::choose(instance, self.live.keys())?.clone();
+        let place = self.servers.get(instance)?.data_centre.clone();
+        let lender = self.lender(&place)?.clone();
         let leaving = self.leaving;
         let server = self.servers.get_mut(instance)?;
         let mut usage = match &server.pool {
@@ -228,7 +314,7 @@
             self.take(&lender, &answers);
             return;
         }
-        let Some(address) = self.live.get(&lender).copied() else {
+        let Some(address) = self.live.get(&lender).map(|live| live.address) else {
             return;
         };
         let (client, tx) = (self.setup.client.clone(), self.tx.clone());
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -47,8 +47,7 @@
     pub platform: IndexMap<DataCentre, SocketAddr>,
 }
 
-/// Proxies that a configuration of stand-ins allows for, unless it is changed: two of
-/// them are a majority, which lends out connections.
+/// Proxies that a configuration of stand-ins allows for, unless it is changed.
 const PROXIES: u32 = 3;
 
 /// Everything on the fleet's thread.
--- a/crates/store/src/kv.rs
+++ b/crates/store/src/kv.rs
@@ -7,6 +7,7 @@
 use crate::calls::Kind;
 use crate::client::Client;
 use crate::error::Error;
+use crate::lease::LeaseId;
 use crate::wire;
 
 /// Tries of one compare-and-swap whose answers were lost.
@@ -146,9 +147,35 @@
         expected: Revision,
         value: Vec<u8>,
     ) -> Result<Outcome, Error> {
+        self.swap_with(key, expected, value, None).await
+    }
+
+    /// Like [`Client::swap`]; the key goes when the lease lapses.
+    pub async fn swap_leased(
+        &self,
+        key: &str,
+        expected: Revision,
+        value: Vec<u8>,
+        lease: LeaseId,
+    ) -> Result<Outcome, Error> {
+        self.swap_with(key, expected, value, Some(lease)).await
+    }
+
+    async fn swap_with(
+        &self,
+        key: &str,
+        expected: Revision,
+        value: Vec<u8>,
+        lease: Option<LeaseId>,
+    ) -> Result<Outcome, Error> {
+        let lease = lease.map(|lease| wire::Int(lease.0));
         let req = wire::TxnRequest {
             compare: vec![wire::Compare::unchanged(key, expected.0)],
-            success: vec![put(key, value.clone())],
+            success: vec![wire::Operation::RequestPut(wire::PutRequest {
+                key: wire::Blob(key.into()),
+                value: wire::Blob(value.clone()),
+                lease,
+            })],
             failure: vec![wire::Operation::RequestRange(wire::RangeRequest {
                 key: wire::Blob(key.into()),
                 range_end: None,
