Give the stand-ins time to give up silent connections between two faults

Conclusion: 7 s between two of those faults, more than the 5 s of the stand-ins' keep-alive; four of each kind.

--- a/crates/load/src/failover/strike.rs
+++ b/crates/load/src/failover/strike.rs
@@ -15,10 +15,11 @@
 const FAULT: Duration = Duration::from_millis(3_500);
 /// Time that a fault lasts which must not change the primary.
 const QUIET_FAULT: Duration = Duration::from_millis(1_500);
-/// Time between two of those.
-const QUIET_PAUSE: Duration = Duration::from_millis(1_500);
+/// Time between two of those; the stand-ins give up silent connections within it, so
+/// that each fault meets a server with all its connections to give.
+const QUIET_PAUSE: Duration = Duration::from_millis(5_500);
 /// How often each of those is switched on.
-const QUIET_TIMES: u32 = 5;
+const QUIET_TIMES: u32 = 4;
 /// A pause of the primary that callers may notice and proxies must sit out.
 const STALL: Duration = Duration::from_millis(300);
 
