Count no order to follow as a sign of the primary's life

Proxies now hear from each other that some reach it, and replace it only once a majority of replicas has not heard it for 2 s; meanwhile the repair of replicas orders them to follow it again, and the stand-in took each order for a sign of life. Ruled out: the links (both replicas said Unheard 407 ms), the claim (none was tried). Measured: the new test failed before (heard 0 ms ago after 20 ms) and passes now. Conclusion: following the same primary under the same term leaves heard_ms as it is.

--- a/crates/standin/src/group/server.rs
+++ b/crates/standin/src/group/server.rs
@@ -168,10 +168,14 @@
             if term < state.fenced {
                 return Err(refused(state.fenced));
             }
+            let role = Role::Replica(address);
+            // Following the same primary again is no sign of life from it.
+            if state.role != role || state.term != term {
+                state.heard = Instant::now();
+            }
             state.fenced = term;
             state.term = term;
-            state.role = Role::Replica(address);
-            state.heard = Instant::now();
+            state.role = role;
         }
         self.pull();
         Ok(())
--- a/crates/standin/tests/group.rs
+++ b/crates/standin/tests/group.rs
@@ -163,6 +163,28 @@
     assert_eq!(fleet.control().lost(&names[0]).unwrap().len(), 1);
 }
 
+// A primary is cut off from its group. Proxies order the replicas again and again
+// to follow it; if each order counted as a sign of life, no replica would ever say
+// that it has not heard its primary, and nobody would replace it.
+#[test]
+fn an_order_to_follow_is_no_sign_of_life() {
+    let fleet = Fleet::start(Spec::small()).unwrap();
+    let names = ids(&fleet);
+    let mut replica = connect(&fleet, 1);
+    let reach = standin::link::Reach::SameDataCentre;
+    fleet.control().isolate(&names[0], Some(reach)).unwrap();
+    let address = fleet.addresses().instances[0].address;
+    let follow = format!("SELECT * FROM replication_follow(1, '{address}')");
+    let heard = |status: Vec<String>| status[5].parse::<u64>().unwrap();
+    let mut before = heard(one(&mut replica, &follow));
+    for _ in 0..5 {
+        std::thread::sleep(Duration::from_millis(20));
+        let now = heard(one(&mut replica, &follow));
+        assert!(now > before, "heard {now} ms ago, {before} ms before");
+        before = now;
+    }
+}
+
 /// Two inserts before one `Sync`, then the same with a failing second one.
 #[test]
 fn pipelined_statements_commit_together() {
