--- a/crates/load/src/failover.rs
+++ b/crates/load/src/failover.rs
@@ -9,6 +9,8 @@
 use clap::{Arg, ArgMatches, Command, value_parser};
 use futures_util::future;
 use miette::IntoDiagnostic as _;
+use model::id::GroupId;
+use standin::ControlError;
 
 use crate::bed::{Bed, BedError};
 use crate::report::Table;
@@ -74,34 +76,49 @@
 }
 
 async fn job(spec: standin::Spec, sessions: u32, count: u32) -> Result<summary::Result, BedError> {
-    let group = spec.groups[0].clone();
-    let bed = Bed::start(spec, PROXIES).await?;
-    let quiet = strike::quiet_length();
-    let plan = Plan {
-        entries: bed.entries(),
+    let bed = Bed::start(spec.clone(), PROXIES).await?;
+    let plan = |group: &GroupId, entries, length| Plan {
+        entries,
         group: group.clone(),
         sessions,
         reads: READS,
         age: None,
         pause: PAUSE,
-        length: WARM_UP + strike::CYCLE * count + quiet,
+        length: WARM_UP + length,
         seed: SEED,
     };
-    workload::prepare(&plan).await?;
+    let bench = strike::Bench::new(bed.stand_ins(), &spec.groups[0]);
+    let strikes = plan(&spec.groups[0], bed.entries(), strike::CYCLE * count);
+    let strikes = part(&strikes, bench.strikes(count)).await?;
+    // Another group, so that its sessions begin with an empty table; and no callers in
+    // the data centre that will be cut off: they can only wait there, and a run of
+    // sessions that all wait would show the cut as a gap of the writes.
+    let group = &spec.groups[1 % spec.groups.len()];
+    let bench = strike::Bench::new(bed.stand_ins(), group);
+    let spared = bench.spared()?;
+    let sites = spec.data_centres.len();
+    let entries = bed.entries().into_iter().enumerate();
+    let entries = entries.filter(|(at, _)| Some(at % sites) != spared);
+    let entries = entries.map(|(_, entry)| entry).collect();
+    let quiet = plan(group, entries, strike::quiet_length());
+    let quiet = part(&quiet, bench.quiet(spared)).await?;
+    Ok(summary::Result { strikes, quiet })
+}
+
+/// Runs sessions while `conduct` switches faults on, and checks what they were told.
+async fn part<T>(
+    plan: &Plan,
+    conduct: impl Future<Output = Result<T, ControlError>>,
+) -> Result<summary::Part<T>, BedError> {
+    workload::prepare(plan).await?;
     let conduct = async {
         compio::time::sleep(WARM_UP).await;
-        let bench = strike::Bench::new(bed.stand_ins(), &group);
-        let strikes = bench.strikes(count).await?;
-        let quiet = bench.quiet().await?;
-        Ok::<_, BedError>((strikes, quiet))
+        conduct.await
     };
-    let (seen, conducted) = future::join(workload::run(&plan), conduct).await;
-    let (strikes, quiet) = conducted?;
-    let audit = workload::audit(&plan, &seen).await?;
-    Ok(summary::Result {
-        gaps: strikes.iter().map(|s| summary::gap(&seen, s)).collect(),
-        strikes,
-        quiet,
+    let (seen, faults) = future::join(workload::run(plan), conduct).await;
+    let audit = workload::audit(plan, &seen).await?;
+    Ok(summary::Part {
+        faults: faults?,
         seen,
         audit,
     })
--- a/crates/load/src/failover/strike.rs
+++ b/crates/load/src/failover/strike.rs
@@ -183,15 +183,23 @@
         })
     }
 
+    /// A data centre with an instance but without the primary.
+    pub(super) fn spared(&self) -> Done<Option<usize>> {
+        let home = self.homes[self.primary()?.0];
+        Ok(self.homes.iter().copied().rfind(|site| *site != home))
+    }
+
     /// Switches on each fault that must not change the primary.
-    pub(super) async fn quiet(&self) -> Done<Vec<Calm>> {
+    ///
+    /// `spared` is the data centre to cut off.
+    pub(super) async fn quiet(&self, spared: Option<usize>) -> Done<Vec<Calm>> {
         let mut calms = Vec::new();
         for quiet in QUIETS {
             let before = self.primary()?.1;
             let mut spans = Vec::new();
             for _ in 0..QUIET_TIMES {
                 let start = Instant::now();
-                self.switch_on(quiet)?;
+                self.switch_on(quiet, spared)?;
                 compio::time::sleep(QUIET_FAULT).await;
                 self.control.heal()?;
                 compio::time::sleep(QUIET_PAUSE).await;
@@ -208,7 +216,7 @@
         Ok(calms)
     }
 
-    fn switch_on(&self, quiet: Quiet) -> Done<()> {
+    fn switch_on(&self, quiet: Quiet, spared: Option<usize>) -> Done<()> {
         let (primary, _) = self.primary()?;
         let id = &self.instances[primary];
         match quiet {
@@ -221,11 +229,7 @@
                 }
             }
             Quiet::OpenSilent => self.control.silence_open(id),
-            Quiet::Partition => {
-                let home = self.homes[primary];
-                let other = self.homes.iter().find(|site| **site != home);
-                other.map_or(Ok(()), |site| self.control.partition(*site))
-            }
+            Quiet::Partition => spared.map_or(Ok(()), |site| self.control.partition(site)),
         }
     }
 }
--- a/crates/load/src/failover/summary.rs
+++ b/crates/load/src/failover/summary.rs
@@ -13,7 +13,7 @@
 use crate::workload::Seen;
 
 /// Longest time without an acknowledged write that began or went on after a fault.
-pub(super) fn gap(seen: &Seen, strike: &Strike) -> Option<Duration> {
+fn gap(seen: &Seen, strike: &Strike) -> Option<Duration> {
     longest(seen, strike.at, strike.until)
 }
 
@@ -26,15 +26,45 @@
     ledger::longest_gap(moments).map(|(_, gap)| gap)
 }
 
-/// Everything that one deployment's run gave.
-pub(super) struct Result {
-    pub(super) strikes: Vec<Strike>,
-    pub(super) gaps: Vec<Option<Duration>>,
-    pub(super) quiet: Vec<Calm>,
+/// What one run of sessions saw, and the faults that were on meanwhile.
+pub(super) struct Part<T> {
+    pub(super) faults: T,
     pub(super) seen: Seen,
     pub(super) audit: Audit,
 }
 
+impl<T> Part<T> {
+    /// Answers that broke a promise.
+    fn broken(&self) -> u64 {
+        self.audit.total() + self.seen.wrong_reads
+    }
+
+    fn counts(&self) -> [(&'static str, u64); 10] {
+        let seen = &self.seen;
+        [
+            ("writes acknowledged", seen.writes(Answer::Acknowledged)),
+            ("writes that did not run", seen.writes(Answer::DidNotRun)),
+            ("writes of unknown outcome", seen.writes(Answer::Unknown)),
+            (
+                "errors outside the documented families",
+                seen.odd_errors.values().sum(),
+            ),
+            ("reads answered", seen.reads),
+            ("reads failed", seen.failed_reads.values().sum()),
+            ("wrong reads", seen.wrong_reads),
+            ("lost writes", self.audit.lost),
+            ("doubled writes", self.audit.doubled),
+            ("false refusals", self.audit.false_refusals),
+        ]
+    }
+}
+
+/// Everything that one deployment's runs gave.
+pub(super) struct Result {
+    pub(super) strikes: Part<Vec<Strike>>,
+    pub(super) quiet: Part<Vec<Calm>>,
+}
+
 fn two(latency: &Latency) -> [String; 3] {
     [
         latency.count().to_string(),
@@ -59,7 +89,7 @@
 impl Result {
     /// Answers that broke a promise.
     pub(super) fn broken(&self) -> u64 {
-        self.audit.total() + self.seen.wrong_reads
+        self.strikes.broken() + self.quiet.broken()
     }
 
     /// The tables for people and programs.
@@ -81,16 +111,15 @@
             ],
         );
         let mut row = |name: &str, keep: &dyn Fn(Loss) -> bool| {
-            let chosen = || {
-                self.strikes
-                    .iter()
-                    .zip(&self.gaps)
-                    .filter(|(s, _)| keep(s.loss))
-            };
-            let gaps = collect(chosen().filter_map(|(_, gap)| gap.map(Span::from)));
+            let chosen = || self.strikes.faults.iter().filter(|s| keep(s.loss));
+            let gaps = collect(
+                chosen()
+                    .filter_map(|s| gap(&self.strikes.seen, s))
+                    .map(Span::from),
+            );
             let [count, median, worst] = two(&gaps);
-            let replaced = chosen().filter(|(s, _)| s.replaced).count().to_string();
-            let settled = chosen().filter(|(s, _)| s.settled).count().to_string();
+            let replaced = chosen().filter(|s| s.replaced).count().to_string();
+            let settled = chosen().filter(|s| s.settled).count().to_string();
             let faults = chosen().count().to_string();
             table.row([
                 name.to_owned(),
@@ -115,7 +144,8 @@
         let title = format!("stages of the gap as the proxies logged them, {deployment}");
         let mut table = Table::new(&title, &["stage", "count", "median", "worst"]);
         for phase in decisions::PHASES {
-            let spans = self.strikes.iter().filter_map(|s| first(&s.stages, phase));
+            let spans = self.strikes.faults.iter();
+            let spans = spans.filter_map(|s| first(&s.stages, phase));
             let [count, median, worst] = two(&collect(spans));
             table.row([phase.to_string(), count, median, worst]);
         }
@@ -125,11 +155,11 @@
     fn quiet_table(&self, deployment: Deployment) -> Table {
         let title = format!("faults that must not change the primary, {deployment}");
         let mut table = Table::new(&title, &["fault", "times", "changes", "worst gap"]);
-        for calm in &self.quiet {
+        for calm in &self.quiet.faults {
             let gaps = calm
                 .spans
                 .iter()
-                .filter_map(|(a, b)| longest(&self.seen, *a, *b));
+                .filter_map(|(a, b)| longest(&self.quiet.seen, *a, *b));
             let worst = gaps.max().unwrap_or_default();
             table.row([
                 format!("{:?}", calm.quiet),
@@ -142,25 +172,12 @@
     }
 
     fn answer_table(&self, deployment: Deployment) -> Table {
-        let mut table = Table::new(&format!("answers, {deployment}"), &["figure", "count"]);
-        let seen = &self.seen;
-        let rows = [
-            ("writes acknowledged", seen.writes(Answer::Acknowledged)),
-            ("writes that did not run", seen.writes(Answer::DidNotRun)),
-            ("writes of unknown outcome", seen.writes(Answer::Unknown)),
-            (
-                "errors outside the documented families",
-                seen.odd_errors.values().sum(),
-            ),
-            ("reads answered", seen.reads),
-            ("reads failed", seen.failed_reads.values().sum()),
-            ("wrong reads", seen.wrong_reads),
-            ("lost writes", self.audit.lost),
-            ("doubled writes", self.audit.doubled),
-            ("false refusals", self.audit.false_refusals),
-        ];
-        for (name, count) in rows {
-            table.row([name.to_owned(), count.to_string()]);
+        let title = format!("answers, {deployment}");
+        let mut table = Table::new(&title, &["figure", "losses", "other faults"]);
+        for ((name, losses), (_, others)) in
+            self.strikes.counts().into_iter().zip(self.quiet.counts())
+        {
+            table.row([name.to_owned(), losses.to_string(), others.to_string()]);
         }
         table
     }
--- a/crates/policy/src/outcome.rs
+++ b/crates/policy/src/outcome.rs
@@ -72,6 +72,18 @@
         self.kind
     }
 
+    /// What was taken for a read turns out to write.
+    ///
+    /// Failure: a read calls a function that writes, which its text does not show. The
+    /// server refuses it, and it is sent again as a write; judged as a read, it would
+    /// be repeated after a lost connection. A request marked as not repeatable is never
+    /// taken for a read in the first place.
+    pub const fn reclassify(&mut self) {
+        if matches!(self.kind, Kind::Read) {
+            self.kind = Kind::Write;
+        }
+    }
+
     /// Bytes are about to leave: from here on they may have.
     pub const fn sending(&mut self) {
         self.state = State::Sent;
--- a/crates/policy/tests/failover/fake/fault.rs
+++ b/crates/policy/tests/failover/fake/fault.rs
@@ -21,6 +21,10 @@
     Pause(usize),
     /// A proxy is gone, and a new one takes its place in the end.
     Kill(usize),
+    /// A proxy takes itself for the only one, and so coordinates whatever others do.
+    Alone(usize),
+    /// An instance is declared to be leaving.
+    Leaving(usize),
     /// The store takes no request.
     StoreDown,
     /// Percent of the store's answers that are lost after taking effect.
@@ -84,6 +88,10 @@
                 _ => {}
             }
         }
+        for at in 0..SITES {
+            self.leave(at, self.faults.contains(&Fault::Leaving(at)));
+        }
+        self.membership();
         for at in 0..self.proxies.len() {
             let paused = self.faults.contains(&Fault::Pause(at));
             if self.proxies[at].paused && !paused {
--- a/crates/policy/tests/failover/fake/proxy.rs
+++ b/crates/policy/tests/failover/fake/proxy.rs
@@ -11,6 +11,7 @@
 use policy::status::Status;
 use rand::Rng as _;
 
+use super::fault::Fault;
 use super::{Message, SITES, STORE_SITE, Who, World};
 
 pub(crate) struct Proxy {
@@ -53,11 +54,15 @@
         self.membership();
     }
 
-    /// Declares an instance to be leaving, in force on every proxy.
-    pub(crate) fn leave(&mut self, instance: usize) {
+    /// Declares whether an instance is leaving, in force on every proxy.
+    pub(crate) fn leave(&mut self, instance: usize, leaving: bool) {
+        let declared = &self.fleet.groups[&self.group].instances[instance];
+        if declared.leaving == leaving {
+            return;
+        }
         let fleet = Arc::make_mut(&mut self.fleet);
         let group = fleet.groups.get_mut(&self.group).unwrap();
-        group.instances[instance].leaving = true;
+        group.instances[instance].leaving = leaving;
         for at in 0..self.proxies.len() {
             self.input(at, Input::Configure(self.fleet.clone()));
         }
@@ -80,7 +85,7 @@
         self.fleet.place(&centre).unwrap()
     }
 
-    fn membership(&mut self) {
+    pub(crate) fn membership(&mut self) {
         let live = self.proxies.iter().filter(|p| p.alive);
         let live: Vec<_> = live
             .map(|p| Peer {
@@ -89,7 +94,9 @@
             })
             .collect();
         for at in 0..self.proxies.len() {
-            self.input(at, Input::Peers(live.clone()));
+            let alone = self.faults.contains(&Fault::Alone(at));
+            let known = if alone { Vec::new() } else { live.clone() };
+            self.input(at, Input::Peers(known));
         }
     }
 
--- a/crates/policy/tests/failover/model.rs
+++ b/crates/policy/tests/failover/model.rs
@@ -57,7 +57,9 @@
         2 => prop_oneof![
             (0..PROXIES).prop_map(Fault::Pause),
             (0..PROXIES).prop_map(Fault::Kill),
+            (0..PROXIES).prop_map(Fault::Alone),
         ],
+        1 => site.prop_map(Fault::Leaving),
         2 => prop_oneof![
             Just(Fault::StoreDown),
             (10..100_u32).prop_map(Fault::LoseAnswers),
@@ -70,15 +72,18 @@
     ]
 }
 
-fn op() -> impl Strategy<Value = Op> {
+/// Transitions that the state allows, so that hardly any are drawn in vain.
+fn op(faults: usize) -> impl Strategy<Value = Op> {
     let proxy = 0..PROXIES;
     let session = 0..3_usize;
+    let begin = if faults < AT_ONCE { 3 } else { 0 };
+    let end = if faults > 0 { 2 } else { 0 };
     prop_oneof![
         4 => prop_oneof![2..60_u64, 100..700_u64, 700..2_000_u64].prop_map(Op::Traffic),
         2 => (proxy.clone(), session.clone()).prop_map(|(p, s)| Op::Write(p, s)),
         2 => (proxy, session, marks()).prop_map(|(p, s, m)| Op::Read(p, s, m)),
-        3 => fault().prop_map(Op::Begin),
-        2 => Just(Op::End),
+        begin => fault().prop_map(Op::Begin),
+        end => Just(Op::End),
     ]
 }
 
@@ -98,8 +103,8 @@
         seed.prop_map(|seed| Self { seed, faults: 0 }).boxed()
     }
 
-    fn transitions(_: &Self) -> BoxedStrategy<Op> {
-        op().boxed()
+    fn transitions(state: &Self) -> BoxedStrategy<Op> {
+        op(state.faults).boxed()
     }
 
     fn apply(mut state: Self, op: &Op) -> Self {
--- a/crates/policy/tests/failover/stories.rs
+++ b/crates/policy/tests/failover/stories.rs
@@ -117,7 +117,7 @@
 #[test]
 fn a_leaving_primary_hands_over() {
     let mut world = world(14);
-    world.leave(0);
+    world.begin(Fault::Leaving(0));
     world.traffic(1_500);
     assert_ne!(world.leader(), 0);
     let refused = world.oracle.callers.told.refused;
@@ -192,7 +192,9 @@
 #[test]
 fn two_coordinators_promote_one_primary() {
     let mut world = world(6);
-    world.cut(1, 2);
+    for at in 0..3 {
+        world.begin(Fault::Alone(at));
+    }
     world.begin(Fault::FreezeLeader);
     world.run(3_000);
     world.traffic(500);
--- a/crates/policy/tests/outcome.rs
+++ b/crates/policy/tests/outcome.rs
@@ -18,6 +18,8 @@
     },
     /// The server refuses, having run nothing.
     Refused { time_left: bool },
+    /// The server refuses what was taken for a read, having run nothing.
+    Writes { time_left: bool },
     /// The server runs it, but no majority confirms.
     Unconfirmed,
 }
@@ -57,6 +59,7 @@
                 time_left
             }),
             any::<bool>().prop_map(|time_left| Step::Refused { time_left }),
+            any::<bool>().prop_map(|time_left| Step::Writes { time_left }),
             Just(Step::Unconfirmed),
         ]
         .boxed()
@@ -112,6 +115,14 @@
                 run.send();
                 run.outcome.refused(time_left)
             }
+            Step::Writes { time_left } => {
+                run.send();
+                if run.truth.kind == Kind::Read && run.truth.executions == 0 {
+                    run.truth.kind = Kind::Write;
+                    run.outcome.reclassify();
+                }
+                run.outcome.refused(time_left)
+            }
             Step::Unconfirmed => {
                 run.send();
                 run.truth.executions += 1;
--- a/crates/proxy/src/caller/answer.rs
+++ b/crates/proxy/src/caller/answer.rs
@@ -32,8 +32,6 @@
     pub(super) completed: u32,
     /// Whether the last command was a rollback.
     pub(super) rolled_back: bool,
-    /// Whether a command reported itself as one that writes.
-    pub(super) wrote: bool,
     /// End of the server's log after the request.
     pub(super) point: Option<Point>,
 }
@@ -185,7 +183,6 @@
         let command = command.unwrap_or_default();
         self.answer.completed += 1;
         self.answer.rolled_back = command == b"ROLLBACK";
-        self.answer.wrote |= [&b"INSERT"[..], b"UPDATE", b"DELETE", b"MERGE"].contains(&command);
     }
 
     fn error(&mut self, frame: &Frame) {
--- a/crates/proxy/src/caller/execute.rs
+++ b/crates/proxy/src/caller/execute.rs
@@ -37,6 +37,8 @@
     pool: pool::Handle,
     target: Target,
     permit: Option<Permit>,
+    /// When the request was sent, or was ready to be.
+    sent: Instant,
 }
 
 /// Under which conditions a request goes out.
@@ -194,6 +196,7 @@
                         .failed(&attempt.target.instance, Failure::ReadOnly);
                     // What was taken for a read needs the primary after all.
                     req.profile.effect = pg::classify::Effect::Write;
+                    outcome.reclassify();
                     let verdict = outcome.refused(has_time(deadline));
                     self.settle(attempt);
                     verdict
@@ -274,6 +277,7 @@
                 pool,
                 target: target.clone(),
                 permit: Some(permit),
+                sent: Instant::now(),
             }),
             Err(e) => {
                 if matches!(e, PoolError::Connect(_)) {
@@ -322,7 +326,9 @@
         deadline: Instant,
     ) -> Ended {
         let writes = req.profile.effect == pg::classify::Effect::Write;
-        let hold = writes && req.profile.begins.is_none() && req.mode != Mode::Flush;
+        // A request that both begins and ends a transaction commits it.
+        let commits = req.profile.begins.is_none() || req.profile.ends;
+        let hold = writes && commits && req.mode != Mode::Flush;
         let reign = Reign::new(&self.group.routes, &attempt.target);
         let way = Way {
             deadline,
@@ -407,6 +413,10 @@
         let writes = req.profile.effect == pg::classify::Effect::Write;
         let status = attempt.conn.status();
         let failed = answer.failed.is_some();
+        // Waiting for a route, a slot or a connection says nothing about the server:
+        // counted as its time, one slow moment would keep requests away from it.
+        let took = Span::from(attempt.sent.elapsed());
+        self.group.routes.finished(&attempt.target.instance, took);
         if status != Status::Idle || req.mode == Mode::Flush {
             drop(attempt.permit.take());
             self.link.push(&held);
@@ -424,8 +434,6 @@
             return self.finish(req.mode, &[]).await;
         }
         let target = attempt.target.clone();
-        let took = Span::from(req.profile.arrived.elapsed());
-        self.group.routes.finished(&target.instance, took);
         if writes && answer.needs_confirmation(status) {
             self.settle(attempt);
             return self.confirm(req, &target, answer, &held, deadline).await;
@@ -497,7 +505,10 @@
     ) -> Result<Verdict, Closed> {
         let inside_row = attempt.conn.inside_row() && outcome.has_begun();
         match stop {
-            Stop::Caller => return Err(Closed),
+            Stop::Caller => {
+                self.group.routes.released(&attempt.target.instance);
+                return Err(Closed);
+            }
             Stop::Server(failure) => {
                 self.group.routes.failed(&attempt.target.instance, failure);
                 attempt.pool.purge();
@@ -507,7 +518,9 @@
                 routes.failed(&attempt.target.instance, Failure::Silent);
                 attempt.pool.purge();
             }
-            Stop::Deadline | Stop::TooLarge => {}
+            Stop::Deadline | Stop::TooLarge => {
+                self.group.routes.released(&attempt.target.instance);
+            }
         }
         // Half a row has gone out: no message could follow it.
         if inside_row {
@@ -630,6 +643,7 @@
             pool: pinned.pool,
             target: pinned.target,
             permit: None,
+            sent: pinned.touched,
         };
         let verdict = self.stopped(&attempt, &mut outcome, stop, Instant::now())?;
         // A commit was under way: the transaction is over, whatever became of it.
--- a/crates/proxy/src/filter.rs
+++ b/crates/proxy/src/filter.rs
@@ -101,7 +101,12 @@
 type Filter = fn(&mut Profile, &Scene<'_>) -> Result<(), Report>;
 
 /// Every filter, in order.
-const CHAIN: &[Filter] = &[session_marks, shared_connections, no_function_calls];
+const CHAIN: &[Filter] = &[
+    session_marks,
+    marked_once,
+    shared_connections,
+    no_function_calls,
+];
 
 /// Passes a request through the chain.
 pub(crate) fn apply(profile: &mut Profile, scene: &Scene<'_>) -> Result<(), Report> {
@@ -114,6 +119,15 @@
     Ok(())
 }
 
+/// A caller that marks a request as not repeatable says that it has an effect, whatever
+/// its text looks like: a function called by a view, for one, is not to be seen in it.
+fn marked_once(profile: &mut Profile, _: &Scene<'_>) -> Result<(), Report> {
+    if profile.marks.once == Some(true) {
+        profile.effect = Effect::Write;
+    }
+    Ok(())
+}
+
 fn shared_connections(profile: &mut Profile, _: &Scene<'_>) -> Result<(), Report> {
     match profile.refusal {
         Some(why) => Err(Report::error(report::UNSUPPORTED, why.to_string())),
--- a/crates/proxy/tests/failures.rs
+++ b/crates/proxy/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod env;
 
-use std::io::Write as _;
+use std::io::{Read as _, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc;
@@ -252,6 +252,49 @@
     );
 }
 
+fn message(tag: u8, body: &[u8]) -> Vec<u8> {
+    let len = u32::try_from(body.len() + 4).unwrap().to_be_bytes();
+    [&[tag], &len[..], body].concat()
+}
+
+/// The messages that run one statement in the extended protocol.
+fn extended(sql: &str) -> Vec<u8> {
+    let parse = [&[0], sql.as_bytes(), &[0, 0, 0]].concat();
+    let execute = message(b'E', &[0, 0, 0, 0, 0]);
+    [message(b'P', &parse), message(b'B', &[0; 8]), execute].concat()
+}
+
+// A driver pipelines BEGIN, a payment and COMMIT with one Sync while no replica can
+// be reached, so no majority holds the payment. Nothing may say that it is done.
+#[test]
+fn a_pipelined_commit_is_not_acknowledged_alone() {
+    let env = Env::start();
+    env.connect(0).batch_execute(TABLE).unwrap();
+    let mut stream = TcpStream::connect(env.address(0)).unwrap();
+    stream
+        .write_all(b"\0\0\0\x1e\0\x03\0\0user\0app\0database\0g1\0\0")
+        .unwrap();
+    for replica in &env.instances()[1..] {
+        env.control().kill(replica).unwrap();
+    }
+    let batch = [
+        extended("BEGIN"),
+        extended("INSERT INTO payment VALUES (1, 'a') /*deadline='1s'*/"),
+        extended("COMMIT"),
+        message(b'S', &[]),
+        message(b'X', &[]),
+    ];
+    stream.write_all(&batch.concat()).unwrap();
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).unwrap();
+    let answer = String::from_utf8_lossy(&answer).into_owned();
+    assert!(!answer.contains("COMMIT"), "{answer:?}");
+    assert!(
+        answer.contains("40003") || answer.contains("57P03"),
+        "{answer:?}"
+    );
+}
+
 /// A proxy as a process of its own; it ends with the test, however that ends.
 struct Process(Child);
 
--- a/crates/proxy/tests/group/main.rs
+++ b/crates/proxy/tests/group/main.rs
@@ -104,6 +104,27 @@
     });
 }
 
+// A data centre does not reach the primary while the others do. Its writes are refused at
+// once as not run, with the name of a proxy that reaches the primary, which stays.
+#[test]
+fn a_proxy_that_does_not_reach_the_primary_names_one_that_does() {
+    block_on(async {
+        let bed = Bed::start(&Spec::small());
+        bed.write(2).await.unwrap();
+        for (from, to) in [(0, 2), (2, 0)] {
+            bed.fleet.control().cut(from, to).unwrap();
+        }
+        compio::time::sleep(Duration::from_millis(1_500)).await;
+        let refusal = bed.handles[2].route_write(None, bed::deadline()).await;
+        assert!(
+            matches!(refusal, Err(Refusal::Elsewhere { .. })),
+            "{refusal:?}"
+        );
+        let point = bed.write(1).await.unwrap();
+        assert_eq!(point.term, Term(1));
+    });
+}
+
 // Two of three instances are gone: a write is refused as not run, and the caller is told
 // when to come back.
 #[test]
