Split the running of a request by its stages

It keeps route, slot, connection and further attempts; attempt, send, settle, within (a transaction) and observe hold the rest.

--- a/crates/load/src/latency/thread_time.rs
+++ b/crates/load/src/latency/thread_time.rs
@@ -18,9 +18,14 @@
     newest.map(|task| running(&task.path())).unwrap_or_default()
 }
 
-/// The first figure of `schedstat` is the time on a processor in nanoseconds.
+/// Clock ticks in a second, by which Linux counts a thread's time towards processes.
+const TICKS: u32 = 100;
+
+/// User and system time are the 12th and 13th figure after the name in `stat`.
 fn running(task: &path::Path) -> Duration {
-    let text = fs::read_to_string(task.join("schedstat")).unwrap_or_default();
-    let first = text.split_whitespace().next().and_then(|n| n.parse().ok());
-    Duration::from_nanos(first.unwrap_or(0))
+    let text = fs::read_to_string(task.join("stat")).unwrap_or_default();
+    let rest = text.rsplit_once(')').map_or("", |(_, rest)| rest);
+    let figures = rest.split_whitespace().skip(11).take(2);
+    let ticks: u32 = figures.filter_map(|n| n.parse::<u32>().ok()).sum();
+    Duration::from_secs(1) * ticks / TICKS
 }
--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -1,18 +1,23 @@
 //! One caller connection: login, then requests until it ends.
 
 mod answer;
+mod attempt;
 mod batch;
 mod execute;
 mod link;
 mod local;
 mod login;
+mod observe;
 mod prepared;
 mod render;
 mod reply;
 mod request;
+mod send;
 mod session;
+mod settle;
 mod transaction;
 mod watch;
+mod within;
 
 use std::pin::pin;
 use std::rc::Rc;
