--- a/crates/load/src/latency.rs
+++ b/crates/load/src/latency.rs
@@ -12,11 +12,12 @@
 use miette::IntoDiagnostic as _;
 use model::unit::Span;
 use proxy::config::Config;
-use proxy::run::Embedded;
+use proxy::run::Server;
 
 use crate::client::{Client, ClientError, Login};
 use crate::report::{Latency, Table};
 use forwarder::Forwarder;
+use thread_time::Clock;
 
 /// Rounds in which the ways take turns, so that a disturbance hits all of them.
 const ROUNDS: u32 = 4;
@@ -63,6 +64,8 @@
 /// Runs the measurement and returns its figures.
 pub fn run(args: &ArgMatches) -> miette::Result<Vec<Table>> {
     let get = |name| *args.get_one::<u32>(name).expect("it has a default");
+    let service = *args.get_one::<Span>("service").expect("it has a default");
+    let spec = spec(service);
     let runtime = compio::runtime::Runtime::new().into_diagnostic()?;
     runtime.block_on(async {
         let mut tables = Vec::new();
@@ -70,11 +73,11 @@
         for (sql, name) in [(READ, "read"), (WRITE, "write")] {
             for connections in [1, get("connections")] {
                 let title = format!("{name}, {connections} connections");
-                tables.push(compare(&title, sql, connections, round).await?);
+                tables.push(compare(&title, &spec, sql, connections, round).await?);
             }
         }
         if get("idle") > 0 {
-            tables.push(memory::measure(get("idle")).await?);
+            tables.push(memory::measure(&spec, get("idle")).await?);
         }
         Ok(tables)
     })
@@ -84,20 +87,18 @@
 struct Way {
     name: &'static str,
     login: Login,
-    /// Thread whose processor time counts, if the way has one of its own.
-    thread: Option<&'static str>,
+    /// Clock of the thread between caller and server, if there is one.
+    clock: Option<Clock>,
     latency: Latency,
     busy: Duration,
     time: Duration,
 }
 
 impl Way {
-    fn new(name: &'static str, address: SocketAddr, thread: Option<&'static str>) -> Self {
-        let direct = thread != Some(PROXY_THREAD);
-        let (user, database) = if direct {
-            ("pomelo", "pomelo")
-        } else {
-            ("app", "g1")
+    fn new(name: &'static str, address: SocketAddr, clock: Option<Clock>) -> Self {
+        let (user, database) = match name {
+            PROXY => ("app", "g1"),
+            _ => ("pomelo", "pomelo"),
         };
         let login = Login {
             address,
@@ -109,7 +110,7 @@
         Self {
             name,
             login,
-            thread,
+            clock,
             latency: Latency::default(),
             busy: Duration::ZERO,
             time: Duration::ZERO,
@@ -117,27 +118,34 @@
     }
 }
 
-const PROXY_THREAD: &str = "proxy";
+const PROXY: &str = "proxy";
 
 /// A server with more slots than the connections need: the ways differ, not the server.
-pub(crate) fn spec() -> standin::Spec {
+fn spec(service: Span) -> standin::Spec {
     standin::Spec {
+        service,
         slots: 64,
         connections: 200,
         ..standin::Spec::small()
     }
 }
 
-async fn compare(title: &str, sql: &str, n: u32, round: Duration) -> miette::Result<Table> {
-    let stand_ins = standin::Fleet::start(spec()).into_diagnostic()?;
+async fn compare(
+    title: &str,
+    spec: &standin::Spec,
+    sql: &str,
+    n: u32,
+    round: Duration,
+) -> miette::Result<Table> {
+    let stand_ins = standin::Fleet::start(spec.clone()).into_diagnostic()?;
     let (cfg, _file) = config(&stand_ins).into_diagnostic()?;
-    let proxy = Embedded::start(cfg)?;
+    let proxy = Proxy::start(cfg).into_diagnostic()?;
     let primary = stand_ins.addresses().instances[0].address;
     let forwarder = Forwarder::start(primary).into_diagnostic()?;
     let mut ways = [
         Way::new("direct", primary, None),
-        Way::new("forwarder", forwarder.address(), Some(forwarder::THREAD)),
-        Way::new("proxy", proxy.address(), Some(PROXY_THREAD)),
+        Way::new("forwarder", forwarder.address(), Some(forwarder.clock())),
+        Way::new(PROXY, proxy.address, Some(proxy.clock.clone())),
     ];
     prepare(&ways[2].login).await.into_diagnostic()?;
     for _ in 0..ROUNDS {
@@ -161,6 +169,30 @@
     Ok((cfg, file))
 }
 
+/// A proxy on a thread of its own, with the thread's clock. It ends with the process.
+struct Proxy {
+    address: SocketAddr,
+    clock: Clock,
+}
+
+impl Proxy {
+    fn start(cfg: Config) -> std::io::Result<Self> {
+        let (tx, rx) = flume::bounded(1);
+        std::thread::Builder::new().spawn(move || {
+            let runtime = compio::runtime::Runtime::new()?;
+            runtime.block_on(async {
+                let bound = Server::bind(cfg).await;
+                let server = bound.map_err(std::io::Error::other)?;
+                let _ = tx.send((server.address(), Clock::start()));
+                server.serve(future::pending()).await;
+                Ok::<_, std::io::Error>(())
+            })
+        })?;
+        let (address, clock) = rx.recv().map_err(|_| std::io::ErrorKind::BrokenPipe)?;
+        Ok(Self { address, clock })
+    }
+}
+
 async fn prepare(login: &Login) -> Result<(), ClientError> {
     let mut client = Client::connect(login).await?;
     client
@@ -182,8 +214,12 @@
         }
         clients.push(client);
     }
-    let busy = || way.thread.map(thread_time::of).unwrap_or_default();
-    let (before, start) = (busy(), Instant::now());
+    let clock = way.clock.clone();
+    let busy = async || match &clock {
+        Some(clock) => clock.read().await,
+        None => Duration::ZERO,
+    };
+    let (before, start) = (busy().await, Instant::now());
     let runs = clients
         .into_iter()
         .map(|client| repeat(client, sql, start + round));
@@ -191,7 +227,7 @@
         way.latency.merge(&latency);
     }
     way.time += start.elapsed();
-    way.busy += busy().saturating_sub(before);
+    way.busy += busy().await.saturating_sub(before);
     Ok(())
 }
 
@@ -222,7 +258,7 @@
     let per_core = |way: &Way| way.latency.count() as f64 / way.busy.as_secs_f64();
     for way in ways {
         let of_forwarder = per_core(way) / per_core(&ways[1]);
-        let has_thread = way.thread.is_some();
+        let has_thread = way.clock.is_some();
         let shown = |figure: f64, digits: usize| match has_thread {
             true => format!("{figure:.digits$}"),
             false => "-".to_owned(),
--- a/crates/load/src/latency/forwarder.rs
+++ b/crates/load/src/latency/forwarder.rs
@@ -7,14 +7,14 @@
 use compio::io::{AsyncRead as _, AsyncWriteExt as _};
 use compio::net::{TcpListener, TcpStream};
 
-/// Name of the forwarder's thread.
-pub(super) const THREAD: &str = "forwarder";
+use super::thread_time::Clock;
 
 const BUFFER: usize = 16 << 10;
 
 /// A running forwarder. Its thread ends with the process.
 pub(super) struct Forwarder {
     address: SocketAddr,
+    clock: Clock,
 }
 
 impl Forwarder {
@@ -22,24 +22,29 @@
     pub(super) fn start(target: SocketAddr) -> io::Result<Self> {
         let (tx, rx) = flume::bounded(1);
         thread::Builder::new()
-            .name(THREAD.to_owned())
+            .name("forwarder".to_owned())
             .spawn(move || {
                 let runtime = compio::runtime::Runtime::new()?;
                 runtime.block_on(serve(target, &tx))
             })?;
-        let address = rx.recv().map_err(|_| io::ErrorKind::BrokenPipe)?;
-        Ok(Self { address })
+        let (address, clock) = rx.recv().map_err(|_| io::ErrorKind::BrokenPipe)?;
+        Ok(Self { address, clock })
     }
 
     /// Where it listens.
     pub(super) fn address(&self) -> SocketAddr {
         self.address
     }
+
+    /// The clock of its thread.
+    pub(super) fn clock(&self) -> Clock {
+        self.clock.clone()
+    }
 }
 
-async fn serve(target: SocketAddr, started: &flume::Sender<SocketAddr>) -> io::Result<()> {
+async fn serve(target: SocketAddr, started: &flume::Sender<(SocketAddr, Clock)>) -> io::Result<()> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
-    let _ = started.send(listener.local_addr()?);
+    let _ = started.send((listener.local_addr()?, Clock::start()));
     loop {
         let (caller, _) = listener.accept().await?;
         let server = TcpStream::connect(target).await?;
--- a/crates/load/src/latency/memory.rs
+++ b/crates/load/src/latency/memory.rs
@@ -24,8 +24,8 @@
 }
 
 /// Opens idle connections in steps and reads the process's memory at each.
-pub(super) async fn measure(most: u32) -> miette::Result<Table> {
-    let stand_ins = standin::Fleet::start(super::spec()).into_diagnostic()?;
+pub(super) async fn measure(spec: &standin::Spec, most: u32) -> miette::Result<Table> {
+    let stand_ins = standin::Fleet::start(spec.clone()).into_diagnostic()?;
     let (mut cfg, _document) = super::config(&stand_ins).into_diagnostic()?;
     cfg.listen = free_address().into_diagnostic()?;
     let settings = tempfile::NamedTempFile::new().into_diagnostic()?;
--- a/crates/load/src/latency/thread_time.rs
+++ b/crates/load/src/latency/thread_time.rs
@@ -1,31 +1,37 @@
-//! Processor time of a thread of this process, as Linux counts it.
+//! Processor time of a thread, asked of a task that runs on it.
 
 use std::time::Duration;
-use std::{fs, path};
 
-/// Processor time of the newest thread with this name.
-pub(super) fn of(name: &str) -> Duration {
-    let tasks = fs::read_dir("/proc/self/task")
-        .into_iter()
-        .flatten()
-        .flatten();
-    let named = tasks.filter(|task| {
-        let comm = fs::read_to_string(task.path().join("comm"));
-        comm.is_ok_and(|comm| comm.trim_end() == name)
-    });
-    let newest =
-        named.max_by_key(|task| task.file_name().to_string_lossy().parse().unwrap_or(0u64));
-    newest.map(|task| running(&task.path())).unwrap_or_default()
-}
+use rustix::time::{ClockId, clock_gettime};
+
+/// Asks a thread for its processor time.
+#[derive(Clone)]
+pub(super) struct Clock(flume::Sender<flume::Sender<Duration>>);
 
-/// Clock ticks in a second, by which Linux counts a thread's time towards processes.
-const TICKS: u32 = 100;
+impl Clock {
+    /// Starts the task that answers, on the current thread's runtime.
+    pub(super) fn start() -> Self {
+        let (tx, rx) = flume::unbounded::<flume::Sender<Duration>>();
+        compio::runtime::spawn(async move {
+            while let Ok(asker) = rx.recv_async().await {
+                let _ = asker.send(now());
+            }
+        })
+        .detach();
+        Self(tx)
+    }
+
+    /// Processor time of the thread so far.
+    pub(super) async fn read(&self) -> Duration {
+        let (tx, rx) = flume::bounded(1);
+        let _ = self.0.send(tx);
+        rx.recv_async().await.unwrap_or_default()
+    }
+}
 
-/// User and system time are the 12th and 13th figure after the name in `stat`.
-fn running(task: &path::Path) -> Duration {
-    let text = fs::read_to_string(task.join("stat")).unwrap_or_default();
-    let rest = text.rsplit_once(')').map_or("", |(_, rest)| rest);
-    let figures = rest.split_whitespace().skip(11).take(2);
-    let ticks: u32 = figures.filter_map(|n| n.parse::<u32>().ok()).sum();
-    Duration::from_secs(1) * ticks / TICKS
+fn now() -> Duration {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or(0);
+    Duration::new(seconds, nanos)
 }
