--- a/crates/load/src/latency.rs
+++ b/crates/load/src/latency.rs
@@ -45,6 +45,14 @@
             "16",
             "Connections in the throughput part",
         ))
+        .arg(
+            Arg::new("service")
+                .long("service")
+                .value_name("SPAN")
+                .default_value("0us")
+                .value_parser(value_parser!(Span))
+                .help("Time that the server takes for every statement"),
+        )
         .arg(number(
             "idle",
             "10000",
