Pause before telling the group's controller that the store is out of reach

Cause: with the store refusing at once, or none configured, the controller asks again on each unknown answer; a proxy with one idle caller took 0.91 of a core (idle process, 3 s, by /proc). Found by perf: Group::step and serialising leadership records, 16,000 rounds a second. Ruled out: the caller's task (0.00 before its group starts) and timers.

--- a/crates/proxy/src/group/task.rs
+++ b/crates/proxy/src/group/task.rs
@@ -20,6 +20,13 @@
 /// centres last for seconds at least.
 const ELSEWHERE: Span = Span::from_millis(1_000);
 
+/// Time for which an unknown answer of the store is kept back.
+///
+/// Failure: the store is down and refuses at once. The controller asks again on hearing
+/// so, and without the pause the two of them would take a whole processor for as long
+/// as the outage lasts. 50 ms cost a change of primary little.
+const STORE_PAUSE: Duration = Duration::from_millis(50);
+
 /// Answers that come back to the task.
 enum Inner {
     Instance(Answer),
@@ -351,6 +358,9 @@
                 StoreAsk::Read => read(&store, &key).await,
                 StoreAsk::Swap { expected, record } => swap(&store, &key, expected, &record).await,
             };
+            if answer == StoreAnswer::Unknown {
+                compio::time::sleep(STORE_PAUSE).await;
+            }
             let _ = tx.send((query, answer));
         })
         .detach();
