Trace a change of primary, with its calls to the store

Each stage from the claim on is a span of one trace, and the publishing call to the store carries the trace's context. Detection is not traced: its decision still bears the change before. Reading the whole configuration is no longer copied for each group's task. Not measured.

--- a/crates/policy/src/decision.rs
+++ b/crates/policy/src/decision.rs
@@ -43,16 +43,23 @@
     FirstAck,
 }
 
-impl fmt::Display for Phase {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
+impl Phase {
+    /// Stable name, used in logs and traces.
+    pub const fn name(self) -> &'static str {
+        match self {
             Self::Detect => "detect",
             Self::Claim => "claim",
             Self::Fence => "fence",
             Self::Promote => "promote",
             Self::Publish => "publish",
             Self::FirstAck => "first_ack",
-        })
+        }
+    }
+}
+
+impl fmt::Display for Phase {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
     }
 }
 
--- a/crates/proxy/src/cx.rs
+++ b/crates/proxy/src/cx.rs
@@ -121,16 +121,17 @@
         Some(made)
     }
 
-    fn start_group(&self, id: &GroupId, spec: &Group, fleet: &Fleet) -> Option<GroupCx> {
+    fn start_group(&self, id: &GroupId, spec: &Group, fleet: &Arc<Fleet>) -> Option<GroupCx> {
         let place: Place = fleet.place(&self.cfg.data_centre)?;
         let routes = group::spawn(group::Setup {
             group: id.clone(),
             me: self.me.clone(),
             place,
             address: self.cfg.address,
-            fleet: Arc::new(fleet.clone()),
+            fleet: fleet.clone(),
             store: self.store.clone(),
             tell: self.tell.clone(),
+            tracer: self.tracer.clone(),
             seed: rand::random(),
         });
         routes.peers(self.live.borrow().clone());
--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -21,6 +21,8 @@
 use policy::route::{Failure, ReadNeed, Refusal, Target, Unconfirmed};
 use policy::status::Observed;
 
+use crate::trace::Tracer;
+
 /// A message to a group task.
 enum Request {
     Write {
@@ -84,6 +86,8 @@
     pub store: store::client::Client,
     /// Views that other proxies are to be told.
     pub tell: flume::Sender<(Audience, PeerView)>,
+    /// Starts the spans of changes of primary.
+    pub tracer: Tracer,
     /// Source of the controller's randomness.
     pub seed: u64,
 }
--- a/crates/proxy/src/group/task.rs
+++ b/crates/proxy/src/group/task.rs
@@ -6,12 +6,15 @@
 use model::id::InstanceId;
 use model::position::{Revision, Term};
 use model::unit::{Span, Time};
+use policy::decision::{Decision, Phase, What};
 use policy::group::{self, Group};
 use policy::lead::{self, Record};
 use policy::message::{Action, Ask, Event, Query, StoreAnswer, StoreAsk, Ticket, Versioned};
 use policy::route::{Refusal, Target, Unconfirmed};
 use policy::spec::{Me, Spec};
 
+use crate::trace::{Side, Tracer};
+
 use super::client::Login;
 use super::link::{Answer, Link, Question};
 use super::{Request, Setup, Snapshot, Told};
@@ -47,6 +50,8 @@
     links: IndexMap<InstanceId, Link>,
     callers: IndexMap<Ticket, Caller>,
     tickets: u64,
+    /// The change of primary that is under way.
+    trace: Option<u64>,
     /// Who waits for a primary of a later term than this.
     waiting: Vec<(Term, flume::Sender<()>)>,
     instances: flume::Sender<Answer>,
@@ -74,6 +79,7 @@
         links: IndexMap::new(),
         callers: IndexMap::new(),
         tickets: 0,
+        trace: None,
         waiting: Vec::new(),
         instances,
         stores,
@@ -282,7 +288,7 @@
                     let _ = tx.send(result);
                 }
             }
-            Action::Decided(decision) => super::log::decision(&decision),
+            Action::Decided(decision) => self.decided(&decision),
         }
     }
 
@@ -350,10 +356,43 @@
         }
     }
 
+    /// Logs a decision, and traces the stage of a change of primary that it ends.
+    fn decided(&mut self, decision: &Decision) {
+        super::log::decision(decision);
+        let trace = decision.trace.0;
+        // A trace begins with the claim of a term. What comes before it still bears the
+        // trace of the change before, or none.
+        let early = matches!(decision.phase, Some((Phase::Detect, _)));
+        if trace == 0 || early {
+            return;
+        }
+        if let Some((phase, took)) = decision.phase {
+            let mut span = self.tracer().within(phase.name(), Side::Internal, trace);
+            span.began_before(took.as_duration());
+            span.set("group", &decision.group);
+            span.set("term", &decision.term);
+        }
+        let over = matches!(
+            decision.what,
+            What::FirstAck | What::Abandoned | What::Cleared(_)
+        );
+        self.trace = (!over).then_some(trace);
+    }
+
+    fn tracer(&self) -> &Tracer {
+        &self.setup.tracer
+    }
+
     fn ask_store(&self, query: Query, ask: StoreAsk) {
         let key = lead::key(&self.setup.group);
-        let (store, tx) = (self.setup.store.clone(), self.stores.clone());
+        let trace = self.trace;
+        let span = trace.map(|trace| self.tracer().within("store", Side::Client, trace));
+        let span = span.unwrap_or_default();
+        let store = self.setup.store.traced(span.context());
+        let tx = self.stores.clone();
         compio::runtime::spawn(async move {
+            let mut span = span;
+            span.set("key", &key);
             let answer = match ask {
                 StoreAsk::Read => read(&store, &key).await,
                 StoreAsk::Swap { expected, record } => swap(&store, &key, expected, &record).await,
--- a/crates/proxy/src/trace.rs
+++ b/crates/proxy/src/trace.rs
@@ -8,7 +8,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Instant, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 use model::id::ProxyId;
 use model::trace::Context;
@@ -102,6 +102,16 @@
         inner.map_or(0, |inner| inner.dropped.load(Ordering::Relaxed))
     }
 
+    /// Begins a span of work that no request caused, such as a change of primary. All
+    /// proxies that take part in it know the same trace.
+    pub fn within(&self, name: &'static str, side: Side, trace: u64) -> Span {
+        let Some(inner) = &self.inner else {
+            return Span::default();
+        };
+        let cx = Context::new(trace.into(), rand::random(), true);
+        inner.begin(name, side, cx, None)
+    }
+
     /// Begins the span of a request that came in, under its sender's context if it has one.
     pub fn incoming(&self, name: &'static str, parent: Option<Context>) -> Span {
         let Some(inner) = &self.inner else {
@@ -160,11 +170,16 @@
     /// Begins a span inside this one that started at an earlier moment.
     pub fn child_since(&self, name: &'static str, side: Side, began: Instant) -> Self {
         let mut child = self.child(name, side);
-        if let Some(open) = &mut child.open {
-            let start = open.ended.start.checked_sub(began.elapsed());
+        child.began_before(began.elapsed());
+        child
+    }
+
+    /// Moves the span's beginning back by the time that the work has taken already.
+    pub fn began_before(&mut self, took: Duration) {
+        if let Some(open) = &mut self.open {
+            let start = open.ended.start.checked_sub(took);
             open.ended.start = start.unwrap_or(open.ended.start);
         }
-        child
     }
 
     /// Adds an attribute. Never a statement's text or a secret.
--- a/crates/proxy/tests/group/bed.rs
+++ b/crates/proxy/tests/group/bed.rs
@@ -51,6 +51,7 @@
                 fleet: document.clone(),
                 store: store::client::Client::new(vec![url]).unwrap(),
                 tell,
+                tracer: proxy::trace::Tracer::off(),
                 seed: at as u64,
             }));
             outboxes.push(outbox);
--- a/crates/proxy/tests/trace.rs
+++ b/crates/proxy/tests/trace.rs
@@ -59,7 +59,9 @@
         collector,
         sample_per_million: 0,
     };
-    let settings = env.settings().traces(traces).build();
+    let (_, platform) = env.fleet.addresses().platform.first().unwrap();
+    let store = vec![format!("http://{platform}")];
+    let settings = env.settings().traces(traces).store(store).build();
     env.proxies
         .push(Embedded::start(settings).expect("the proxy starts"));
     env
@@ -92,6 +94,34 @@
     assert!(found.iter().all(|span| span["traceId"] == TRACE));
 }
 
+/// A primary dies, and an operator wants to see where the time went. Each stage from
+/// the claim of the term on is a span, and so are its calls to the store, all in one trace.
+#[test]
+fn a_change_of_primary_is_traced_stage_by_stage() {
+    let (url, spans) = receiver();
+    let env = traced(url);
+    let mut client = env.connect(0);
+    client.simple_query("CREATE TABLE t (x INT)").unwrap();
+    env.control().kill(&env.instances()[0]).unwrap();
+    // The first may have reached the dying server: its outcome is then unknown.
+    let written = (0..20).any(|_| client.simple_query("INSERT INTO t VALUES (1)").is_ok());
+    assert!(written, "a new primary takes writes");
+    let mut found: Vec<Value> = Vec::new();
+    let missing = |found: &[Value]| {
+        let named = |name: &&str| !found.iter().any(|span| span["name"] == *name);
+        let hops = ["claim", "fence", "promote", "first_ack", "store"];
+        hops.iter().copied().filter(named).collect::<Vec<_>>()
+    };
+    while !missing(&found).is_empty() {
+        match spans.recv_timeout(PATIENCE) {
+            Ok(span) => found.push(span),
+            Err(_) => panic!("{:?} missing in {found:?}", missing(&found)),
+        }
+    }
+    let trace = &found[0]["traceId"];
+    assert!(found.iter().all(|span| span["traceId"] == *trace));
+}
+
 /// The collector is down. Requests must neither fail nor wait for it.
 #[test]
 fn a_collector_that_is_down_holds_nothing_up() {
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use model::trace;
+
 use crate::calls::{Calls, Kind};
 use crate::error::Error;
 
@@ -15,6 +17,8 @@
 #[derive(Clone)]
 pub struct Client {
     inner: Rc<Inner>,
+    /// Sent along with each request, so that the platform's spans join the trace.
+    trace: Option<trace::Context>,
 }
 
 struct Inner {
@@ -47,9 +51,19 @@
         };
         Ok(Self {
             inner: Rc::new(inner),
+            trace: None,
         })
     }
 
+    /// The same client, whose requests belong to a trace.
+    #[must_use]
+    pub fn traced(&self, trace: Option<trace::Context>) -> Self {
+        Self {
+            inner: self.inner.clone(),
+            trace,
+        }
+    }
+
     /// The counters of this client's calls.
     pub fn calls(&self) -> &Calls {
         &self.inner.calls
@@ -148,7 +162,11 @@
         self.inner.calls.add(kind);
         let url = format!("{}{path}", self.inner.endpoints[at]);
         let request = self.http().post(&url);
-        let request = request.map_err(|_| Error::Address(url.clone()))?;
+        let mut request = request.map_err(|_| Error::Address(url.clone()))?;
+        if let Some(cx) = self.trace {
+            let traced = request.header(trace::HEADER, cx.to_string());
+            request = traced.map_err(Error::Connection)?;
+        }
         let sent = request.body(body).send().await;
         let response = sent.map_err(Error::from_http)?;
         match response.status().as_u16() {
