Replace a primary that only the proxies beside it reach

Cause: proxies in the primary's own data centre told the others that they reach it, so that a primary cut off from its group stayed for 2 s and more although no write on it could be acknowledged. Their word now only keeps it while a majority of the instances hears it; and where other proxies reach it, twice the usual silence of the majority is enough, not five times.

--- a/crates/policy/src/suspect.rs
+++ b/crates/policy/src/suspect.rs
@@ -30,7 +30,7 @@
 /// A primary that proxies reach but no majority of instances hears is replaced after this
 /// many times the usual silence: it cannot have a write confirmed, but a short cut among
 /// the instances heals by itself.
-const ISOLATED_FACTOR: u64 = 5;
+const ISOLATED_FACTOR: u64 = 2;
 
 /// How an instance answers this proxy.
 #[derive(Clone, Copy, Debug, Default)]
@@ -164,13 +164,24 @@
         if !self.reach.lost(self.now, after) {
             return Verdict::Doubt;
         }
-        if let Some(peer) = self.reaching().next() {
+        // Proxies beside the primary share its side of a cut. When no majority of the
+        // instances hears it, nothing that they write there could be acknowledged.
+        if let Some(peer) = self.reaching().find(|h| !self.beside(h)) {
             return Verdict::Forward(peer.view.proxy.clone());
         }
         if self.unheard(after).len() >= self.spec.majority() {
             return Verdict::Replace(Cause::Unreachable);
         }
-        Verdict::Doubt
+        match self.reaching().next() {
+            Some(peer) => Verdict::Forward(peer.view.proxy.clone()),
+            None => Verdict::Doubt,
+        }
+    }
+
+    /// Whether the peer runs in the primary's data centre.
+    fn beside(&self, heard: &Heard) -> bool {
+        let primary = self.spec.members.get(self.primary);
+        primary.is_some_and(|m| m.place.data_centre == heard.view.place.data_centre)
     }
 
     /// Replicas that have not heard the primary for `after`, by their own recent word.
--- a/crates/policy/tests/failover/fake/fault.rs
+++ b/crates/policy/tests/failover/fake/fault.rs
@@ -11,12 +11,15 @@
     Freeze(usize),
     /// A data centre reaches no other.
     Isolate(usize),
+    /// An instance reaches nobody but the proxies of its own data centre.
+    Shut(usize),
     /// Two data centres do not reach each other.
     Cut(usize, usize),
     /// The same for whichever instance leads when the fault begins.
     DownLeader,
     FreezeLeader,
     IsolateLeader,
+    ShutLeader,
     /// A proxy does nothing, and then takes in at once all that came meanwhile.
     Pause(usize),
     /// A proxy is gone, and a new one takes its place in the end.
@@ -45,6 +48,7 @@
             Fault::DownLeader => Fault::Down(leader),
             Fault::FreezeLeader => Fault::Freeze(leader),
             Fault::IsolateLeader => Fault::Isolate(leader),
+            Fault::ShutLeader => Fault::Shut(leader),
             fault => fault,
         };
         self.faults.push(fault);
--- a/crates/policy/tests/failover/fake/mod.rs
+++ b/crates/policy/tests/failover/fake/mod.rs
@@ -230,12 +230,22 @@
         self.flights = later;
         due.sort_by_key(|f| f.due);
         for flight in due {
-            if self.open(flight.from, flight.to) {
+            if self.open(flight.from, flight.to) && !self.shut_out(&flight) {
                 self.receive(flight);
             }
         }
     }
 
+    /// Whether a message is for an instance that only its own data centre reaches.
+    fn shut_out(&self, flight: &Flight) -> bool {
+        let at = match &flight.message {
+            Message::Ask(_, _, at, _) => *at,
+            Message::Exec(exec) => exec.instance,
+            _ => return false,
+        };
+        flight.from != at && self.faults.contains(&Fault::Shut(at))
+    }
+
     fn receive(&mut self, flight: Flight) {
         let held = match &flight.message {
             Message::Ask(_, _, at, _) => self.instances[*at].frozen,
@@ -282,7 +292,8 @@
             };
             let both = [at, primary].iter().all(|i| self.instances[*i].runs());
             let most = self.rng.random_range(0..=self.copy) as usize;
-            if both && self.open(at, primary) {
+            let shut = |at| self.faults.contains(&Fault::Shut(at));
+            if both && self.open(at, primary) && !shut(at) && !shut(primary) {
                 let source = self.instances[primary].clone();
                 self.instances[at].copy(self.now, &source, most);
             }
--- a/crates/policy/tests/failover/model.rs
+++ b/crates/policy/tests/failover/model.rs
@@ -47,6 +47,7 @@
             Just(Fault::DownLeader),
             Just(Fault::FreezeLeader),
             Just(Fault::IsolateLeader),
+            Just(Fault::ShutLeader),
         ],
         2 => prop_oneof![
             site.clone().prop_map(Fault::Down),
--- a/crates/policy/tests/failover/stories.rs
+++ b/crates/policy/tests/failover/stories.rs
@@ -160,6 +160,23 @@
     finish(&mut world);
 }
 
+// The primary reaches none of its replicas, but the proxies beside it reach the primary and
+// go on sending it writes. None of these can be acknowledged, so it is replaced as soon
+// as one that nobody reaches; users of those proxies write to the new one as well.
+#[test]
+fn a_primary_that_only_its_own_proxies_reach_is_replaced() {
+    let mut world = world(15);
+    world.begin(Fault::ShutLeader);
+    world.write(0, 0);
+    world.run(800);
+    assert!(newest(&world) > Term(1));
+    let acked = world.oracle.acked.len();
+    world.write(0, 1);
+    world.run(300);
+    assert_eq!(world.oracle.acked.len(), acked + 1);
+    finish(&mut world);
+}
+
 // The coordinating proxy dies or is paused right after a step, while a primary is gone.
 // Another one claims the next term and finishes; when the paused one goes on where it
 // stopped, its orders are of an older term and change nothing.
