Count a stand-in's connection from its start-up message on

Cause: viewers that are cut off connect on loopback although their bytes are held back, where a real network would not connect them. Each fresh probe took a place, and after 10 s the instance refused everybody with 53300. Before: a peer's relayed connection was refused from 10 s after a cut on. Conclusion: a connection takes a place once its start-up message has arrived.

--- a/crates/standin/src/group/listener.rs
+++ b/crates/standin/src/group/listener.rs
@@ -62,7 +62,6 @@
     open: Rc<Cell<usize>>,
     dead: flume::Receiver<()>,
 ) {
-    open.set(open.get() + 1);
     let server = Rc::clone(&origin.server);
     let port = origin.port;
     server.ports.borrow_mut().insert(port);
@@ -71,11 +70,10 @@
         let watched = origin.clone();
         let given_up = std::pin::pin!(watched.given_up());
         let dead = std::pin::pin!(dead.recv_async());
-        let serve = std::pin::pin!(serve(origin, stream, open.get()));
+        let serve = std::pin::pin!(serve(origin, stream, &open));
         let ended = future::select(serve, dead);
         matches!(future::select(ended, given_up).await, Either::Right(_))
     };
-    open.set(open.get() - 1);
     server.ports.borrow_mut().shift_remove(&port);
     if silent {
         // Closing the socket would tell the other end, which must hear nothing.
@@ -86,7 +84,7 @@
     server.knobs.borrow_mut().silent_ports.shift_remove(&port);
 }
 
-async fn serve(origin: Origin, stream: TcpStream, open: usize) {
+async fn serve(origin: Origin, stream: TcpStream, open: &Rc<Cell<usize>>) {
     // Small answers follow each other; without this they wait for acknowledgements.
     let _ = stream.set_nodelay(true);
     if let Err(e) = session::run(origin, stream, open).await {
--- a/crates/standin/src/group/session.rs
+++ b/crates/standin/src/group/session.rs
@@ -1,5 +1,6 @@
 //! One connection's PostgreSQL session.
 
+use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
 
@@ -59,8 +60,12 @@
     Back::ErrorResponse(response::ErrorResponse::new(fields))
 }
 
-/// Serves a connection to its end; `open` counts it and those before it.
-pub(crate) async fn run(origin: Origin, stream: TcpStream, open: usize) -> io::Result<()> {
+/// Serves a connection to its end; `open` counts those that have started up.
+pub(crate) async fn run(
+    origin: Origin,
+    stream: TcpStream,
+    open: &Rc<Cell<usize>>,
+) -> io::Result<()> {
     let server = Rc::clone(&origin.server);
     let key = i32::try_from(origin.number).unwrap_or(i32::MAX);
     let mut wire = Wire::new(origin, stream);
@@ -75,8 +80,10 @@
         out: BytesMut::new(),
         wire,
     };
-    let mut buf = opened.buf;
-    session.serve(&mut buf, &opened.cx).await
+    let start::Opened { place, mut buf, cx } = opened;
+    let ended = session.serve(&mut buf, &cx).await;
+    drop(place);
+    ended
 }
 
 pub(super) fn ready(status: TransactionStatus) -> Back {
--- a/crates/standin/src/group/start.rs
+++ b/crates/standin/src/group/start.rs
@@ -1,6 +1,8 @@
 //! The beginning of a connection: encryption refused, cancel requests, start-up.
 
+use std::cell::Cell;
 use std::io;
+use std::rc::Rc;
 
 use bytes::BytesMut;
 use pgwire::messages::response::TransactionStatus;
@@ -15,25 +17,48 @@
 use super::sql::SqlError;
 use super::wire::Wire;
 
+/// A place among an instance's connections, given back when dropped.
+pub(crate) struct Place(Rc<Cell<usize>>);
+
+impl Place {
+    fn take(taken: &Rc<Cell<usize>>) -> Self {
+        taken.set(taken.get() + 1);
+        Self(Rc::clone(taken))
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// A connection that has started up.
 pub(crate) struct Opened {
+    /// Its place among the instance's connections.
+    pub(crate) place: Place,
     /// Bytes that came behind the start-up message.
     pub(crate) buf: BytesMut,
     pub(crate) cx: DecodeContext,
 }
 
 /// Starts a connection up; `None` when it asked for no session or is refused.
+///
+/// It counts among the `taken` places from its start-up message on. The socket of a
+/// viewer that is cut off connects on loopback, where a real one would not: it must not
+/// take a place before a byte has arrived.
 pub(crate) async fn open(
     wire: &mut Wire,
     server: &Server,
     key: i32,
-    open: usize,
+    taken: &Rc<Cell<usize>>,
 ) -> io::Result<Option<Opened>> {
     let mut cx = DecodeContext::default();
     let mut buf = BytesMut::new();
     if !first_message(wire, server, &mut buf, &mut cx).await? {
         return Ok(None);
     }
+    let place = Place::take(taken);
     cx.awaiting_frontend_startup = false;
     cx.protocol_version = ProtocolVersion::PROTOCOL3_0;
     server.running().await;
@@ -43,7 +68,7 @@
     };
     compio::time::sleep(connect).await;
     let mut out = BytesMut::new();
-    if open > limit {
+    if taken.get() > limit {
         put(
             &mut out,
             &error(&SqlError::new("53300", "too many connections")),
@@ -53,7 +78,7 @@
     }
     greet(&mut out, key);
     wire.write(&mut out).await?;
-    Ok(Some(Opened { buf, cx }))
+    Ok(Some(Opened { place, buf, cx }))
 }
 
 /// Reads up to the start-up message; false when the connection asked for something else.
