Go through a peer to a primary that only this data centre lost

Cause: routes named a peer to go through, and nothing carried it out: a proxy whose data centre had lost the primary's connected directly and failed. A ticket is asked of the peer by an authenticated request and redeemed at its relay listener; the connection then speaks to the backend server. Peers relay to declared servers only. Before: no write acknowledged through the cut-off proxy (test fails with 53300 after 10 s). After: 3 of 3 acknowledged through the peer, no server fenced, 2 tests pass in 10.6 s, of which 10 s are one request in flight at the cut. Conclusion: one data centre's partition costs its callers a hop, not their writes, and does not replace the primary.

--- a/crates/load/tests/failover.rs
+++ b/crates/load/tests/failover.rs
@@ -63,3 +63,37 @@
         );
     }
 }
+
+// Two data centres lose each other while both still reach the third. Users in the one
+// without the primary see their payments refused, or the primary of everybody else is
+// replaced, although a proxy next to it reaches it and a majority still follows it.
+#[compio::test]
+async fn writes_go_through_a_peer_when_only_this_data_centre_lost_the_primary() {
+    let bed = Bed::start(standin::Spec::small(), 3).await.unwrap();
+    let mut near = Client::connect(&login(&bed, 0)).await.unwrap();
+    near.query("CREATE TABLE payment (id INTEGER)")
+        .await
+        .unwrap();
+    let mut far = Client::connect(&login(&bed, 1)).await.unwrap();
+    far.query("INSERT INTO payment VALUES (1)").await.unwrap();
+
+    let control = bed.stand_ins().control();
+    control.cut(0, 1).unwrap();
+    control.cut(1, 0).unwrap();
+    let sql = "/*deadline='600s',once='true'*/ INSERT INTO payment VALUES";
+    let mut acknowledged = 1;
+    while acknowledged < 4 {
+        let insert = format!("{sql} ({})", acknowledged + 1);
+        let answer = time::timeout(PATIENCE, far.query(&insert)).await;
+        match answer.expect("answered long before the deadline") {
+            Ok(_) => acknowledged += 1,
+            // In flight when the cut came, or before a peer had said that it reaches the
+            // primary.
+            Err(e) => assert!(matches!(e.code(), Some("40003" | "57P03")), "{e}"),
+        }
+    }
+    for instance in bed.stand_ins().addresses().instances.keys() {
+        let fenced = control.status(instance).unwrap().fenced;
+        assert!(fenced.0 <= 1, "{instance} was fenced at term {fenced}");
+    }
+}
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -85,7 +85,7 @@
 /// Load: all connections of a server break at once; harm: all retries meet at the
 /// next server in the same millisecond. The whole range is random, which spreads
 /// them best.
-fn delay(before: u32, rng: &mut impl Rng) -> Span {
+pub fn delay(before: u32, rng: &mut impl Rng) -> Span {
     let bound = FIRST_DELAY.times(1 << before.min(16));
     let bound = bound.min(LONGEST_DELAY).as_micros();
     Span::from_micros(rng.random_range(0..=bound))
--- a/crates/proxy/src/backend.rs
+++ b/crates/proxy/src/backend.rs
@@ -4,15 +4,20 @@
 mod state;
 
 use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
 use std::time::Instant;
 
 use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
 use model::config::Group;
+use model::id::ProxyId;
 use pg::frame::{FrameError, Piece, Splitter};
 use pg::startup::Key;
 use pg::wire::{Wire, WireError};
 
+use crate::relay;
+
+pub(crate) use connect::dial;
 pub use connect::{ConnectError, cancel, connect};
 pub use state::{Status, Tracker};
 
@@ -42,12 +47,24 @@
 }
 
 /// Where a connection goes, and from which address.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone)]
 pub struct Path {
     /// Own address.
     pub local: IpAddr,
     /// Address of the backend server.
     pub remote: SocketAddr,
+    /// The peer that relays to it, when it is out of reach from here.
+    pub via: Option<Rc<Via>>,
+}
+
+/// A peer that relays to a backend server.
+pub struct Via {
+    /// Opens the way.
+    pub relay: relay::Handle,
+    /// The peer.
+    pub peer: ProxyId,
+    /// The backend server.
+    pub goal: relay::Goal,
 }
 
 /// One connection to a backend server.
@@ -85,7 +102,7 @@
 
     /// Where it goes.
     pub fn path(&self) -> Path {
-        self.path
+        self.path.clone()
     }
 
     /// Key for cancelling what runs on it.
--- a/crates/proxy/src/backend/connect.rs
+++ b/crates/proxy/src/backend/connect.rs
@@ -15,6 +15,7 @@
 use pgwire::messages::{self, startup as message};
 
 use super::{Conn, Login, MESSAGE_LIMIT, Path, Tracker};
+use crate::relay::RelayError;
 
 /// Most messages of a server before it is ready; it bounds a login that never ends.
 const MAX_MESSAGES: usize = 200;
@@ -39,6 +40,9 @@
         /// The server's message.
         message: String,
     },
+    /// There is no way through the peer that reaches the server.
+    #[error("no way through a peer: {0}")]
+    Relay(#[from] RelayError),
     /// The server's password exchange failed.
     #[error("password exchange with the server: {0}")]
     Scram(#[from] ScramError),
@@ -65,27 +69,28 @@
     opened.unwrap_or(Err(ConnectError::Timeout(limit)))
 }
 
-async fn dial(path: Path) -> io::Result<TcpStream> {
-    let socket = match path.remote {
+async fn reach(path: &Path) -> Result<TcpStream, ConnectError> {
+    match &path.via {
+        Some(via) => Ok(via.relay.open(path.local, &via.peer, &via.goal).await?),
+        None => Ok(dial(path.local, path.remote).await?),
+    }
+}
+
+/// Opens a socket from the own address.
+pub(crate) async fn dial(local: IpAddr, remote: SocketAddr) -> io::Result<TcpStream> {
+    let socket = match remote {
         SocketAddr::V4(_) => TcpSocket::new_v4().await?,
         SocketAddr::V6(_) => TcpSocket::new_v6().await?,
     };
-    if is_same_family(path) {
-        socket.bind(SocketAddr::new(path.local, 0)).await?;
+    if local.is_ipv4() == remote.is_ipv4() {
+        socket.bind(SocketAddr::new(local, 0)).await?;
     }
     socket.set_nodelay(true)?;
-    socket.connect(path.remote).await
-}
-
-fn is_same_family(path: Path) -> bool {
-    matches!(
-        (path.local, path.remote.ip()),
-        (IpAddr::V4(_), IpAddr::V4(_)) | (IpAddr::V6(_), IpAddr::V6(_))
-    )
+    socket.connect(remote).await
 }
 
 async fn open(path: Path, login: &Login) -> Result<Conn, ConnectError> {
-    let mut wire = Wire::new(Stream::Plain(dial(path).await?));
+    let mut wire = Wire::new(Stream::Plain(reach(&path).await?));
     let params: IndexMap<_, _> = [
         ("user", login.user.as_str()),
         ("database", &login.database),
@@ -195,8 +200,8 @@
 /// Asks the server to cancel what runs on the connection with this key.
 pub async fn cancel(path: Path, key: Key) {
     let sent = compio::time::timeout(CANCEL_TIMEOUT, async {
-        let mut wire = Wire::new(Stream::Plain(dial(path).await?));
-        wire.write(startup::encode_cancel(key)).await
+        let mut wire = Wire::new(Stream::Plain(reach(&path).await?));
+        Ok::<_, ConnectError>(wire.write(startup::encode_cancel(key)).await?)
     });
     if !matches!(sent.await, Ok(Ok(()))) {
         tracing::warn!(server = %path.remote, "cancel request failed");
--- a/crates/proxy/src/caller/attempt.rs
+++ b/crates/proxy/src/caller/attempt.rs
@@ -5,6 +5,7 @@
 use bytes::BytesMut;
 use model::unit::Span;
 use pg::report::{self, Report};
+use policy::retry;
 use policy::route::{Refusal, Target};
 
 use super::answer::Answer;
@@ -14,7 +15,7 @@
 
 /// Pause before a request that met a failure looks for another route: time for the
 /// failure to reach the group's task, short against any deadline.
-pub(super) const PAUSE: Duration = Duration::from_millis(10);
+const PAUSE: Duration = Duration::from_millis(10);
 
 /// When to come back after a failure that says nothing about its end.
 pub(super) const RETRY: Duration = Duration::from_millis(100);
@@ -53,6 +54,12 @@
     Stopped(Stop),
 }
 
+/// Pause before another attempt: time for a failure to reach the group's task, and a
+/// random part that grows, so that those who failed together do not come back together.
+pub(super) fn back_off(before: u32) -> Duration {
+    PAUSE + retry::delay(before, &mut rand::rng()).as_duration()
+}
+
 /// Whether another attempt could end before the deadline.
 pub(super) fn has_time(deadline: Instant) -> bool {
     Instant::now() + PAUSE < deadline
--- a/crates/proxy/src/caller/execute.rs
+++ b/crates/proxy/src/caller/execute.rs
@@ -4,10 +4,11 @@
 
 use pg::frame::Frame;
 use pg::report::{self, Report};
-use policy::outcome::{Outcome, Verdict};
+use policy::outcome::{Kind, Outcome, Verdict};
+use policy::retry;
 use policy::route::{Failure, ReadNeed, Refusal, Target};
 
-use super::attempt::{Attempt, Ended, NoWay, PAUSE, has_time, refused_text};
+use super::attempt::{Attempt, Ended, NoWay, back_off, has_time, refused_text};
 use super::link::Closed;
 use super::request::{Mode, Request};
 use super::transaction::Transaction;
@@ -117,7 +118,7 @@
     async fn alone(&mut self, mut req: Request) -> Result<(), Closed> {
         let deadline = req.profile.deadline(&self.session.settings);
         let mut outcome = Outcome::new(req.profile.kind());
-        loop {
+        for before in 0.. {
             let attempt = match self.prepare(&req, deadline).await {
                 Ok(attempt) => attempt,
                 Err(no_way) => {
@@ -130,7 +131,7 @@
                         false => outcome.gave_up(),
                     };
                     if verdict == Verdict::Retry {
-                        compio::time::sleep(PAUSE).await;
+                        compio::time::sleep(back_off(before)).await;
                         continue;
                     }
                     return self.give_up(&req, verdict, &no_way.into()).await;
@@ -157,13 +158,35 @@
                 Ended::Answered(answer, held) => {
                     return self.answered(&req, attempt, answer, held, deadline).await;
                 }
-                Ended::Stopped(stop) => self.stopped(&attempt, &mut outcome, stop, deadline)?,
+                Ended::Stopped(stop) => {
+                    let verdict = self.stopped(&attempt, &mut outcome, stop, deadline)?;
+                    self.afford(verdict, &outcome, before)
+                }
             };
             if verdict != Verdict::Retry {
                 return self.give_up(&req, verdict, &refused_text()).await;
             }
             self.link.discard();
-            compio::time::sleep(PAUSE).await;
+            compio::time::sleep(back_off(before)).await;
+        }
+        Ok(())
+    }
+
+    /// Draws a second attempt of a request that was sent from the group's budget.
+    ///
+    /// Load: a server fails with hundreds of reads in flight; harm: all of them meet at
+    /// the next server at once. Beyond the budget they fail instead.
+    fn afford(&self, verdict: Verdict, outcome: &Outcome, before: u32) -> Verdict {
+        let attempt = retry::Attempt {
+            idempotent: outcome.kind() == Kind::Read,
+            progress: retry::Progress::Sent,
+            before,
+        };
+        let mut budget = self.group.retries.borrow_mut();
+        let allowed = budget.failed(attempt, &mut rand::rng()).is_some();
+        match (verdict, allowed) {
+            (Verdict::Retry, false) => outcome.gave_up(),
+            (verdict, _) => verdict,
         }
     }
 
--- a/crates/proxy/src/caller/settle.rs
+++ b/crates/proxy/src/caller/settle.rs
@@ -34,6 +34,7 @@
         let failed = answer.failed.is_some();
         // Waiting for a route, a slot or a connection says nothing about the server:
         // counted as its time, one slow moment would keep requests away from it.
+        self.group.retries.borrow_mut().answered();
         let took = Span::from(attempt.sent.elapsed());
         self.group.routes.finished(&attempt.target.instance, took);
         if status != Status::Idle || req.mode == Mode::Flush {
--- a/crates/proxy/src/caller/watch.rs
+++ b/crates/proxy/src/caller/watch.rs
@@ -138,7 +138,7 @@
             };
             match event {
                 Event::Control(Some(Control::Cancel)) => {
-                    compio::runtime::spawn(backend::cancel(path, key)).detach();
+                    compio::runtime::spawn(backend::cancel(path.clone(), key)).detach();
                     continue;
                 }
                 Event::Control(Some(Control::Drain)) => {
@@ -154,15 +154,15 @@
                 return Err(Stop::Server(Failure::Silent));
             }
             if Instant::now() >= self.deadline {
-                compio::runtime::spawn(backend::cancel(path, key)).detach();
+                compio::runtime::spawn(backend::cancel(path.clone(), key)).detach();
                 return Err(Stop::Deadline);
             }
             if has_left(link).await {
-                compio::runtime::spawn(backend::cancel(path, key)).detach();
+                compio::runtime::spawn(backend::cancel(path.clone(), key)).detach();
                 return Err(Stop::Caller);
             }
             if quiet_since.elapsed() >= self.patience {
-                match self.probe(path).await {
+                match self.probe(path.clone()).await {
                     Probe::Answers => condemned = true,
                     // The server is gone or cut off. A write has to wait for what
                     // becomes of its primary; a read is better off elsewhere.
@@ -197,13 +197,14 @@
     /// shows as silence while new connections work. A server that is only busy or
     /// frozen answers a new connection late or not at all, and is waited for.
     async fn probe(&self, path: backend::Path) -> Probe {
+        let remote = path.remote;
         let fresh = backend::connect(path, &self.login, self.patience).await;
         let probe = match fresh {
             Ok(_) => Probe::Answers,
             Err(ConnectError::Timeout(_) | ConnectError::Wire(_)) => Probe::Silent,
             Err(_) => Probe::Refuses,
         };
-        tracing::warn!(server = %path.remote, ?probe, "silent connection probed");
+        tracing::warn!(server = %remote, ?probe, "silent connection probed");
         probe
     }
 }
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -20,7 +20,7 @@
 use crate::http::Health;
 use crate::member::{self, Setup, Told};
 use crate::trace::Tracer;
-use crate::{fleet, http, share};
+use crate::{fleet, http, relay, share};
 
 /// Views that wait to be sent to peers. They repeat several times a second while they
 /// matter, so that one that finds no room is dropped.
@@ -115,6 +115,7 @@
         };
         let pages = http::routes(cx.clone(), running.members.clone(), running.health.clone());
         let routes = self.routes.route(share::PATH, cx.share.calls());
+        let routes = routes.route(relay::PATH, cx.relay.calls());
         let router = routes.into_router().merge(pages);
         if let Some(listener) = self.listener {
             compio::runtime::spawn(serve_http(listener, router)).detach();
@@ -160,6 +161,8 @@
     while let Ok(told) = told.recv_async().await {
         match told {
             Told::Peers(running) => {
+                let addresses = running.iter().map(|news| (news.id.clone(), news.address));
+                cx.relay.peers(addresses.collect());
                 cx.share.peers(running.iter().map(live).collect());
                 cx.peers(peers(&cx, running));
             }
--- a/crates/proxy/src/cx.rs
+++ b/crates/proxy/src/cx.rs
@@ -18,14 +18,15 @@
 use pg::startup::Key;
 use policy::admit::Limits;
 use policy::message::{Audience, Peer, PeerView, Versioned};
+use policy::retry;
 use policy::route::Target;
 use policy::slots::Share;
 
-use crate::backend::Login;
+use crate::backend::{Login, Via};
 use crate::config::Config;
 use crate::metrics::Metrics;
 use crate::trace::Tracer;
-use crate::{admit, fleet, group, pool, registry, share};
+use crate::{admit, fleet, group, pool, registry, relay, share};
 
 /// Part of a backend server's connections that one proxy may hold until it is told
 /// its share: six proxies fit the limit of the server.
@@ -45,6 +46,8 @@
     pub admit: admit::Handle,
     /// Shares of the backend servers' connections.
     pub share: share::Handle,
+    /// Ways to backend servers through peers.
+    pub relay: relay::Handle,
     /// Accepts TLS towards callers.
     pub tls: Option<TlsAcceptor>,
     pub(crate) registry: registry::Handle,
@@ -67,6 +70,7 @@
     pub(crate) fleet: fleet::Handle,
     pub(crate) admit: admit::Handle,
     pub(crate) share: share::Handle,
+    pub(crate) relay: relay::Handle,
     pub(crate) tls: Option<TlsAcceptor>,
     pub(crate) store: store::client::Client,
     pub(crate) tell: flume::Sender<(Audience, PeerView)>,
@@ -82,6 +86,9 @@
     login: Login,
     settings: Settings,
     share: share::Handle,
+    relay: relay::Handle,
+    /// Second attempts that the group's callers may cause.
+    pub(crate) retries: RefCell<retry::Budget>,
     pools: RefCell<IndexMap<InstanceId, pool::Handle>>,
 }
 
@@ -95,6 +102,7 @@
             fleet: services.fleet,
             admit: services.admit,
             share: services.share,
+            relay: services.relay,
             tls: services.tls,
             registry: registry::spawn(),
             statements: RefCell::default(),
@@ -149,6 +157,8 @@
             },
             settings,
             share: self.share.clone(),
+            relay: self.relay.clone(),
+            retries: RefCell::default(),
             pools: RefCell::default(),
         })
     }
@@ -205,7 +215,7 @@
     pub fn pool(&self, target: &Target) -> pool::Handle {
         let mut pools = self.pools.borrow_mut();
         match pools.get(&target.instance) {
-            Some(pool) if pool.address() == target.address => pool.clone(),
+            Some(pool) if is_way(pool, target) => pool.clone(),
             _ => {
                 let pool = self.start_pool(target);
                 pools.insert(target.instance.clone(), pool.clone());
@@ -214,11 +224,26 @@
         }
     }
 
+    fn via(&self, target: &Target, peer: &ProxyId) -> Via {
+        Via {
+            relay: self.relay.clone(),
+            peer: peer.clone(),
+            goal: relay::Goal {
+                group: self.routes.group().clone(),
+                instance: target.instance.clone(),
+            },
+        }
+    }
+
     fn start_pool(&self, target: &Target) -> pool::Handle {
         let share = (self.settings.connections / FIRST_SHARE).max(2);
         let pool = pool::spawn(pool::Setup {
             instance: target.instance.clone(),
             address: target.address,
+            via: target
+                .via
+                .as_ref()
+                .map(|peer| Rc::new(self.via(target, peer))),
             local: self.local,
             login: self.login.clone(),
             limit: share,
@@ -228,6 +253,11 @@
     }
 }
 
+/// Whether the connections of a pool go where, and through whom, the target says.
+fn is_way(pool: &pool::Handle, target: &Target) -> bool {
+    pool.address() == target.address && pool.via() == target.via.as_ref()
+}
+
 /// Assumed before one was measured: between data centres of a region.
 const FIRST_ROUND_TRIP: Span = Span::from_millis(1);
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod metrics;
 pub mod pool;
 mod registry;
+pub mod relay;
 pub mod run;
 pub mod share;
 pub mod trace;
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -8,9 +8,9 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use model::id::InstanceId;
+use model::id::{InstanceId, ProxyId};
 
-use crate::backend::{self, ConnectError, Login};
+use crate::backend::{self, ConnectError, Login, Via};
 
 /// Why there is no connection. Nothing was sent.
 #[derive(Clone, Debug, thiserror::Error)]
@@ -35,6 +35,8 @@
     pub address: SocketAddr,
     /// Own address, to which connections are bound.
     pub local: IpAddr,
+    /// The peer that relays to it, when it is out of reach from here.
+    pub via: Option<Rc<Via>>,
     /// How to log in.
     pub login: Login,
     /// Connections that may be open at first.
@@ -102,15 +104,16 @@
 #[derive(Clone)]
 pub struct Handle {
     address: SocketAddr,
+    via: Option<Rc<Via>>,
     tx: flume::Sender<Request>,
 }
 
 /// Starts a pool on the current runtime.
 pub fn spawn(setup: Setup) -> Handle {
     let (tx, rx) = flume::unbounded();
-    let address = setup.address;
+    let (address, via) = (setup.address, setup.via.clone());
     compio::runtime::spawn(task::run(setup, tx.downgrade(), rx)).detach();
-    Handle { address, tx }
+    Handle { address, via, tx }
 }
 
 impl Handle {
@@ -119,6 +122,11 @@
         self.address
     }
 
+    /// The peer that relays to the backend server, if one does.
+    pub fn via(&self) -> Option<&ProxyId> {
+        self.via.as_ref().map(|via| &via.peer)
+    }
+
     /// Takes a connection, opening one if the limit allows.
     pub async fn acquire(&self, deadline: Instant) -> Result<Conn, PoolError> {
         let (tx, rx) = flume::bounded(1);
--- a/crates/proxy/src/pool/task.rs
+++ b/crates/proxy/src/pool/task.rs
@@ -114,6 +114,7 @@
         let path = Path {
             local: setup.local,
             remote: setup.address,
+            via: setup.via.clone(),
         };
         let opening = async move {
             let opened = backend::connect(path, &setup.login, CONNECT_TIMEOUT).await;
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -18,7 +18,7 @@
 use crate::cx::{self, Cx, Services};
 use crate::metrics::{self, Metrics};
 use crate::trace::Tracer;
-use crate::{admit, caller, fleet, share};
+use crate::{admit, caller, fleet, relay, share};
 
 /// Why a proxy cannot start.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
@@ -83,9 +83,19 @@
             client: control.client().clone(),
             store: store.clone(),
         });
+        let local = cfg.address;
+        let relay = relay::spawn(relay::Setup {
+            local,
+            fleet: fleet.clone(),
+            client: control.client().clone(),
+        });
+        let relay = relay
+            .await
+            .map_err(|e| StartError::Listen(SocketAddr::new(local, 0), e))?;
         let services = Services {
             admit,
             share,
+            relay,
             tell: control.tell.clone(),
             metrics: Metrics::new()?,
             tracer,
--- a/crates/proxy/tests/share.rs
+++ b/crates/proxy/tests/share.rs
@@ -74,6 +74,7 @@
     pool::spawn(pool::Setup {
         instance: instance.clone(),
         address: standin.addresses().instances[instance].address,
+        via: None,
         local: "127.0.1.9".parse().unwrap(),
         login: Login {
             user: "pomelo".to_owned(),
