Wait for the replica that is about to hold the write

Cause: a read that only the primary covered waited for a replica if one was less behind than read_wait (20 ms), which at 50 ms lag none ever is; and it never waited when a far replica covered it. What matters is when the replica will hold the session's point: as long after it was written as the replica lags.

--- a/crates/policy/src/fresh.rs
+++ b/crates/policy/src/fresh.rs
@@ -65,6 +65,12 @@
         self.barriers.back().copied()
     }
 
+    /// When the primary is known to have held `point`, at the latest.
+    pub fn reached(&self, point: Point) -> Option<Time> {
+        let first = self.barriers.partition_point(|b| b.point < point);
+        self.barriers.get(first).map(|b| b.since)
+    }
+
     /// How old the data is that readers of an instance with this status see at most.
     pub fn age(&self, now: Time, status: &Status) -> Option<Span> {
         let covered = |b: &&Barrier| status.shows(b.point) == Coverage::Held;
--- a/crates/policy/src/read.rs
+++ b/crates/policy/src/read.rs
@@ -94,23 +94,19 @@
             return Pick::Forked(point);
         }
         let mut best: Option<(u64, &InstanceId, Point)> = None;
-        let mut primary = None;
         for (id, member) in &self.spec.members {
             let Some(point) = self.covered(id, member) else {
                 continue;
             };
             let cost = self.cost(id, member);
-            if self.primary == Some(id) {
-                primary = Some((id, point));
-            }
             if best.is_none_or(|(c, ..)| cost < c) {
                 best = Some((cost, id, point));
             }
         }
-        match (best, primary) {
-            (Some((_, id, _)), Some((p, _))) if id == p && self.worth_waiting() => Pick::Wait,
-            (Some((_, id, point)), _) => Pick::Go(id.clone(), point),
-            (None, _) => Pick::Wait,
+        match best {
+            Some((_, id, _)) if self.is_dear(id) && self.worth_waiting() => Pick::Wait,
+            Some((_, id, point)) => Pick::Go(id.clone(), point),
+            None => Pick::Wait,
         }
     }
 
@@ -185,32 +181,38 @@
         latency + queued + price + primary
     }
 
-    /// Whether to wait for a replica although the primary could answer: a near replica is
-    /// expected to catch up within the setting, sooner than the primary would answer.
+    /// Whether the instance serves reads at a price: the primary, or one in a far region.
+    fn is_dear(&self, id: &InstanceId) -> bool {
+        let far = |m: &Member| self.here.distance(&m.place) == Distance::FarRegion;
+        self.primary == Some(id) || self.spec.members.get(id).is_some_and(far)
+    }
+
+    /// Whether a near replica is expected to catch up before the read has waited for as
+    /// long as the setting `read_wait` allows.
+    ///
+    /// Load: sessions that read what they wrote a moment ago; harm: without the wait each
+    /// of these reads takes a slot of the primary or crosses regions, although a replica
+    /// would have had the answer a few milliseconds later.
     fn worth_waiting(&self) -> bool {
-        let limit = self.spec.settings.read_wait;
-        if self.now.since(self.arrived) >= limit {
-            return false;
+        let until = self.arrived + self.spec.settings.read_wait;
+        let members = self.spec.members.iter();
+        let near = members.filter(|(id, m)| !m.leaving && !self.is_dear(id));
+        let mut expected = near.filter_map(|(id, _)| self.expected(id));
+        self.now < until && expected.any(|at| at <= until)
+    }
+
+    /// When a replica is expected to hold what the read must see: as long after it was
+    /// written as the replica was behind when it was last seen.
+    fn expected(&self, id: &InstanceId) -> Option<Time> {
+        let seen = self.seen.get(id)?;
+        let lag = self.fresh.age(seen.asked, &seen.status)?;
+        if self.need.max_age.is_some_and(|age| lag > age) {
+            return None;
         }
-        let Some((id, member)) = self
-            .primary
-            .and_then(|p| self.spec.members.get_key_value(p))
-        else {
-            return true;
+        let written = match self.need.point {
+            Some(point) => self.fresh.reached(point).unwrap_or(self.arrived),
+            None => self.arrived,
         };
-        let cost = Span::from_micros(self.cost(id, member));
-        let near = |m: &Member| self.here.distance(&m.place) != Distance::FarRegion;
-        let mut lags = self
-            .spec
-            .members
-            .iter()
-            .filter(|(other, m)| *other != id && near(m) && !m.leaving);
-        lags.any(|(other, _)| {
-            let lag = self
-                .seen
-                .get(other)
-                .and_then(|o| self.fresh.age(self.now, &o.status));
-            lag.is_some_and(|l| l <= limit.min(cost))
-        })
+        Some(written + lag)
     }
 }
