Measure the way to each backend server instead of assuming 1 ms

Cause: the limit on work in flight allows for what is on the way, and the way was assumed to be 1 ms, also to a server 20 ms away, so that proxies of the far region paused their reads between two answers.

--- a/crates/proxy/src/admit.rs
+++ b/crates/proxy/src/admit.rs
@@ -65,6 +65,7 @@
         end: End,
     },
     Limits(InstanceId, Limits),
+    RoundTrip(InstanceId, Span),
     Returned(InstanceId),
     Loads(flume::Sender<IndexMap<InstanceId, Load>>),
 }
@@ -133,6 +134,12 @@
         let _ = self.tx.send(Request::Limits(instance.clone(), limits));
     }
 
+    /// Tells the measured time on the way to a backend server and back, which replaces
+    /// the one in its limits.
+    pub fn round_trip(&self, instance: &InstanceId, way: Span) {
+        let _ = self.tx.send(Request::RoundTrip(instance.clone(), way));
+    }
+
     /// Tells that a backend server came back; it is loaded gradually.
     pub fn returned(&self, instance: &InstanceId) {
         let _ = self.tx.send(Request::Returned(instance.clone()));
--- a/crates/proxy/src/admit/task.rs
+++ b/crates/proxy/src/admit/task.rs
@@ -18,6 +18,9 @@
 struct Lane {
     admission: Admission,
     waiting: IndexMap<Key, Answer>,
+    limits: Limits,
+    /// Time on the way there and back, once it is measured.
+    round_trip: Option<Span>,
 }
 
 struct Task {
@@ -81,6 +84,12 @@
             } => self.enter(&instance, ticket, tx),
             Request::End { instance, key, end } => self.end(&instance, key, end),
             Request::Limits(instance, limits) => self.set_limits(&instance, limits),
+            Request::RoundTrip(instance, way) => {
+                let lane = self.lane(&instance);
+                lane.round_trip = Some(way);
+                let limits = lane.limits;
+                self.set_limits(&instance, limits);
+            }
             Request::Returned(instance) => {
                 let now = self.clock.now();
                 self.lane(&instance).admission.returned(now);
@@ -96,6 +105,8 @@
         let lane = || Lane {
             admission: Admission::new(limits),
             waiting: IndexMap::new(),
+            limits,
+            round_trip: None,
         };
         self.lanes.entry(instance.clone()).or_insert_with(lane)
     }
@@ -123,9 +134,14 @@
         self.perform(instance, actions);
     }
 
-    fn set_limits(&mut self, instance: &InstanceId, limits: Limits) {
+    fn set_limits(&mut self, instance: &InstanceId, mut limits: Limits) {
         let now = self.clock.now();
-        let actions = self.lane(instance).admission.set_limits(limits, now);
+        let lane = self.lane(instance);
+        if let Some(way) = lane.round_trip {
+            limits.share.round_trip = way;
+        }
+        lane.limits = limits;
+        let actions = lane.admission.set_limits(limits, now);
         self.perform(instance, actions);
     }
 
--- a/crates/proxy/src/cx.rs
+++ b/crates/proxy/src/cx.rs
@@ -132,6 +132,7 @@
     fn start_group(&self, id: &GroupId, spec: &Group, fleet: &Arc<Fleet>) -> Option<GroupCx> {
         let place: Place = fleet.place(&self.cfg.data_centre)?;
         let routes = group::spawn(group::Setup {
+            admit: self.admit.clone(),
             group: id.clone(),
             me: self.me.clone(),
             place,
--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -4,6 +4,7 @@
 mod link;
 mod log;
 mod task;
+mod trip;
 
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -21,6 +22,7 @@
 use policy::route::{Failure, ReadNeed, Refusal, Target, Unconfirmed};
 use policy::status::Observed;
 
+use crate::admit;
 use crate::trace::Tracer;
 
 /// A message to a group task.
@@ -80,6 +82,8 @@
     pub place: Place,
     /// Address that outgoing connections are bound to.
     pub address: IpAddr,
+    /// Told of the time on the way to each instance.
+    pub admit: admit::Handle,
     /// The configuration in force.
     pub fleet: Arc<Fleet>,
     /// The platform's store, which keeps the leadership record.
--- a/crates/proxy/src/group/link.rs
+++ b/crates/proxy/src/group/link.rs
@@ -6,11 +6,13 @@
 use std::time::{Duration, Instant};
 
 use compio::runtime::JoinHandle;
+use model::id::InstanceId;
 use policy::message::{Channel, Query};
 use policy::route::Failure;
 use policy::status::Status;
 
 use super::client::{Connection, Login, Reader};
+use super::trip::Trip;
 
 /// Longest time for a question on a connection of its own, its opening included.
 const FRESH_WITHIN: Duration = Duration::from_millis(1_000);
@@ -26,7 +28,23 @@
 const FORGOTTEN_AFTER: Duration = Duration::from_millis(100);
 
 /// An answer of an instance.
-pub(super) type Answer = (Query, Result<Status, Failure>);
+pub(super) struct Answer {
+    pub(super) query: Query,
+    pub(super) result: Result<Status, Failure>,
+    /// The time on the way there and back, when it is known to have changed.
+    pub(super) trip: Option<(InstanceId, Duration)>,
+}
+
+impl Answer {
+    fn new(query: Query, result: Result<Status, Failure>) -> Self {
+        let trip = None;
+        Self {
+            query,
+            result,
+            trip,
+        }
+    }
+}
 
 /// A question to an instance.
 #[derive(Clone, Debug)]
@@ -50,6 +68,7 @@
 
 /// The connections to one instance.
 pub(super) struct Link {
+    instance: InstanceId,
     login: Rc<Login>,
     tx: flume::Sender<Answer>,
     steady: Option<Steady>,
@@ -57,8 +76,9 @@
 }
 
 impl Link {
-    pub(super) fn new(login: Login, tx: flume::Sender<Answer>) -> Self {
+    pub(super) fn new(instance: InstanceId, login: Login, tx: flume::Sender<Answer>) -> Self {
         Self {
+            instance,
             login: Rc::new(login),
             tx,
             steady: None,
@@ -96,14 +116,16 @@
     }
 
     fn ask_steady(&mut self, question: Question) {
-        let (login, tx) = (&self.login, &self.tx);
-        let steady = self.steady.get_or_insert_with(|| open(login, tx));
+        let (instance, login, tx) = (&self.instance, &self.login, &self.tx);
+        let steady = self.steady.get_or_insert_with(|| open(instance, login, tx));
         let entry = (question.query, Instant::now());
         steady.pending.borrow_mut().push_back(entry);
         if let Err(flume::SendError(question)) = steady.tx.send(question) {
             // The connection broke since the last question; the next one opens another.
             self.steady = None;
-            let _ = self.tx.send((question.query, Err(Failure::Broken)));
+            let _ = self
+                .tx
+                .send(Answer::new(question.query, Err(Failure::Broken)));
         }
     }
 
@@ -122,7 +144,7 @@
                 Ok(Err(e)) => Err(e),
                 Err(_) => Err(Failure::Silent),
             };
-            let _ = tx.send((question.query, result));
+            let _ = tx.send(Answer::new(question.query, result));
         })
         .detach();
     }
@@ -141,10 +163,11 @@
     Ok((connection, status))
 }
 
-fn open(login: &Rc<Login>, answers: &flume::Sender<Answer>) -> Steady {
+fn open(instance: &InstanceId, login: &Rc<Login>, answers: &flume::Sender<Answer>) -> Steady {
     let (tx, rx) = flume::unbounded();
     let pending = Pending::default();
-    let task = run(login.clone(), rx, answers.clone(), pending.clone());
+    let trip = (instance.clone(), Trip::new(Instant::now()));
+    let task = run(trip, login.clone(), rx, answers.clone(), pending.clone());
     Steady {
         tx,
         pending,
@@ -155,19 +178,21 @@
 /// Serves the long-lived connection until it breaks; then every question without an
 /// answer has failed.
 async fn run(
+    mut trip: (InstanceId, Trip),
     login: Rc<Login>,
     rx: flume::Receiver<Question>,
     answers: flume::Sender<Answer>,
     pending: Pending,
 ) {
-    let failure = serve(&login, &rx, &answers, &pending).await;
+    let failure = serve(&mut trip, &login, &rx, &answers, &pending).await;
     drop(rx);
     for (query, _) in pending.borrow_mut().drain(..) {
-        let _ = answers.send((query, Err(failure)));
+        let _ = answers.send(Answer::new(query, Err(failure)));
     }
 }
 
 async fn serve(
+    trip: &mut (InstanceId, Trip),
     login: &Login,
     rx: &flume::Receiver<Question>,
     answers: &flume::Sender<Answer>,
@@ -189,7 +214,7 @@
         }
         Failure::Broken
     };
-    let read = read(&mut reader, answers, pending);
+    let read = read(trip, &mut reader, answers, pending);
     futures_util::pin_mut!(write, read);
     futures_util::future::select(write, read)
         .await
@@ -197,15 +222,25 @@
         .0
 }
 
-async fn read(reader: &mut Reader, answers: &flume::Sender<Answer>, pending: &Pending) -> Failure {
+async fn read(
+    (instance, trip): &mut (InstanceId, Trip),
+    reader: &mut Reader,
+    answers: &flume::Sender<Answer>,
+    pending: &Pending,
+) -> Failure {
     loop {
         let result = reader.status().await;
         if let Err(e @ (Failure::Broken | Failure::Refused)) = result {
             return e;
         }
         let answered = pending.borrow_mut().pop_front();
-        if let Some((query, _)) = answered {
-            let _ = answers.send((query, result));
+        if let Some((query, asked)) = answered {
+            let changed = trip.note(asked.elapsed(), Instant::now());
+            let _ = answers.send(Answer {
+                query,
+                result,
+                trip: changed.map(|way| (instance.clone(), way)),
+            });
         }
     }
 }
--- a/crates/proxy/src/group/task.rs
+++ b/crates/proxy/src/group/task.rs
@@ -245,7 +245,14 @@
 
     fn inner(&mut self, inner: Inner) {
         match inner {
-            Inner::Instance((query, result)) => {
+            Inner::Instance(Answer {
+                query,
+                result,
+                trip,
+            }) => {
+                if let Some((instance, way)) = trip {
+                    self.setup.admit.round_trip(&instance, way.into());
+                }
                 if result.is_ok() {
                     let links = self.links.values_mut();
                     links.for_each(|link| link.answered(query));
@@ -311,7 +318,7 @@
         };
         let tx = &self.instances;
         let link = self.links.entry(instance.clone());
-        Some(link.or_insert_with(|| Link::new(login(), tx.clone())))
+        Some(link.or_insert_with(|| Link::new(instance.clone(), login(), tx.clone())))
     }
 
     fn sql(&self, ask: &Ask) -> String {
--- a/crates/proxy/tests/group/bed.rs
+++ b/crates/proxy/tests/group/bed.rs
@@ -10,6 +10,7 @@
 use policy::decision::{Phase, What};
 use policy::message::{Audience, Peer, PeerView};
 use policy::route::{Failure, Target};
+use proxy::admit;
 use proxy::group::{self, Handle, Setup};
 use standin::Fleet;
 use standin::Spec;
@@ -48,6 +49,15 @@
                 me,
                 place,
                 address: IpAddr::from([127, 0, at as u8 + 1, 100]),
+                admit: admit::spawn(policy::admit::Limits {
+                    share: policy::slots::Share {
+                        slots: 3,
+                        shared: 20,
+                        held: 20,
+                        round_trip: model::unit::Span::from_millis(1),
+                    },
+                    queue: 100,
+                }),
                 fleet: document.clone(),
                 store: store::client::Client::new(vec![url]).unwrap(),
                 tell,
