Let the connections bound what is on the way to a far server

Cause: the time a statement works was taken to be at least the time on the way, so that a proxy 40 ms from the primary kept one statement in flight where the server's slots would have taken twenty, and its callers queued. Conclusion: in flight beyond the slots is bounded by the connections held.

--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -39,6 +39,13 @@
 /// Urgent work that may be in flight beyond the limit.
 const URGENT_EXTRA: u32 = 1;
 
+/// Least time that a statement is taken to work, in microseconds.
+///
+/// Load: a server 20 ms away that answers in the time of the way, as far as its latency
+/// can be measured; harm: without a floor the work to have in flight would have none
+/// either. The bound that counts is then that of the connections.
+const LEAST_SERVICE: f64 = 500.0;
+
 /// This proxy's part of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Share {
@@ -66,7 +73,7 @@
     /// server slows, the way matters less and the limit falls to the slots.
     fn wanted(&self, latency: Span) -> f64 {
         let way = self.round_trip.as_micros() as f64;
-        let service = (latency.as_micros() as f64 - way).max(way.max(1.0));
+        let service = (latency.as_micros() as f64 - way).max(LEAST_SERVICE);
         let whole = (f64::from(self.slots) * (1.0 + way / service)).ceil();
         let part = self.part();
         part * (whole + SPARE + SPARE_SHARED * (1.0 - part))
