Rank by one hash everywhere

After: model::hash and message::Peer serve all; tests of placement, promotion and shares pass (29). Choice of a lender hashes another text than before, which only matters while two versions run side by side: the store's key keeps two from lending. Conclusion: one ranking for all decisions.

--- a/crates/load/src/placement.rs
+++ b/crates/load/src/placement.rs
@@ -6,7 +6,8 @@
 use indexmap::IndexMap;
 use model::id::{GroupId, ProxyId};
 use model::place::Place;
-use policy::place::{self, Homes, Proxy};
+use policy::message::Peer;
+use policy::place::{self, Homes};
 
 use crate::report::Table;
 
@@ -69,8 +70,8 @@
     ]
 }
 
-fn proxy(centre: usize, n: usize) -> Proxy {
-    Proxy {
+fn proxy(centre: usize, n: usize) -> Peer {
+    Peer {
         id: format!("proxy-{n}").parse().expect("an identifier"),
         place: place_of(centre),
     }
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -10,8 +10,9 @@
 
 use indexmap::IndexSet;
 use model::hash;
-use model::id::{DataCentre, GroupId, ProxyId};
-use model::place::Place;
+use model::id::{DataCentre, GroupId};
+
+use crate::message::Peer;
 
 /// Proxies that serve a group in each data centre which holds one of its backend servers.
 ///
@@ -20,22 +21,13 @@
 /// more than its three slots need. A fleet of nine VMs serves every group from each.
 pub const PER_DATA_CENTRE: usize = 3;
 
-/// A live proxy, as membership knows it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Proxy {
-    /// Its name.
-    pub id: ProxyId,
-    /// Where it runs.
-    pub place: Place,
-}
-
 /// Where a caller's connection is served.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Route<'a> {
     /// By the proxy that accepted it.
     Here,
     /// By one of these, the one to try first in front.
-    Through(Vec<&'a Proxy>),
+    Through(Vec<&'a Peer>),
 }
 
 /// The data centres that hold a group's backend servers.
@@ -43,7 +35,7 @@
 
 /// The live proxies that serve a group: the highest by rendezvous hash in each of its
 /// data centres, so that a proxy which comes or goes moves only its own part.
-pub fn servers<'a>(group: &GroupId, homes: &Homes, live: &'a [Proxy]) -> Vec<&'a Proxy> {
+pub fn servers<'a>(group: &GroupId, homes: &Homes, live: &'a [Peer]) -> Vec<&'a Peer> {
     let mut found = Vec::new();
     for home in homes {
         let mut there: Vec<_> = live
@@ -59,7 +51,7 @@
     found
 }
 
-fn weight(group: &GroupId, proxy: &Proxy) -> u64 {
+fn weight(group: &GroupId, proxy: &Peer) -> u64 {
     hash::of([group.as_str(), proxy.id.as_str()])
 }
 
@@ -68,14 +60,14 @@
 /// With no server known alive the connection stays here. Failure: the group's data
 /// centres are cut off, or membership has just started; it shows as a group without
 /// servers. Serving it here costs a few connections, refusing it would cost answers.
-pub fn route<'a>(group: &GroupId, homes: &Homes, me: &Proxy, live: &'a [Proxy]) -> Route<'a> {
+pub fn route<'a>(group: &GroupId, homes: &Homes, me: &Peer, live: &'a [Peer]) -> Route<'a> {
     let mut servers = servers(group, homes, live);
     if servers.is_empty() || servers.iter().any(|p| p.id == me.id) {
         return Route::Here;
     }
     // Nearest first; among equals a choice that differs between entry proxies, so that
     // the connections of one data centre spread over the group's servers.
-    let key = |p: &&Proxy| {
+    let key = |p: &&Peer| {
         let spread = hash::of([me.id.as_str(), group.as_str(), p.id.as_str()]);
         (me.place.distance(&p.place), spread)
     };
--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -23,6 +23,7 @@
 pub use borrower::{Borrower, Demand};
 pub use lender::Lender;
 
+use model::hash;
 use model::id::{InstanceId, ProxyId};
 use model::unit::{Span, Time};
 
@@ -130,20 +131,6 @@
 
 /// The proxy that should lend for `place`: highest random weight over the live ones.
 pub fn choose<'a>(place: &str, live: impl IntoIterator<Item = &'a ProxyId>) -> Option<&'a ProxyId> {
-    let weight = |proxy: &&ProxyId| {
-        let both = [place.as_bytes(), b"/", proxy.as_str().as_bytes()];
-        (fnv(&both.concat()), (*proxy).clone())
-    };
+    let weight = |proxy: &&ProxyId| (hash::of([place, proxy.as_str()]), (*proxy).clone());
     live.into_iter().max_by_key(weight)
 }
-
-/// FNV-1a with a final mix: equal in every build, unlike the standard hasher.
-fn fnv(bytes: &[u8]) -> u64 {
-    const BASIS: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0100_0000_01b3;
-    const MIX: u64 = 0xff51_afd7_ed55_8ccd;
-    let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(PRIME);
-    let hash = bytes.iter().fold(BASIS, step);
-    let hash = (hash ^ (hash >> 33)).wrapping_mul(MIX);
-    hash ^ (hash >> 33)
-}
--- a/crates/policy/tests/place.rs
+++ b/crates/policy/tests/place.rs
@@ -3,10 +3,11 @@
 use indexmap::{IndexMap, IndexSet};
 use model::id::GroupId;
 use model::place::Place;
-use policy::place::{self, Homes, PER_DATA_CENTRE, Proxy, Route};
+use policy::message::Peer;
+use policy::place::{self, Homes, PER_DATA_CENTRE, Route};
 
-fn proxy(centre: usize, n: usize) -> Proxy {
-    Proxy {
+fn proxy(centre: usize, n: usize) -> Peer {
+    Peer {
         id: format!("p{centre}-{n}").parse().unwrap(),
         place: Place {
             region: format!("region-{}", centre / 2).parse().unwrap(),
@@ -15,7 +16,7 @@
     }
 }
 
-fn fleet(centres: usize, each: usize) -> Vec<Proxy> {
+fn fleet(centres: usize, each: usize) -> Vec<Peer> {
     let centres = 0..centres;
     centres
         .flat_map(|c| (0..each).map(move |n| proxy(c, n)))
@@ -48,7 +49,7 @@
     let homes = homes(&[0, 2, 3]);
     let mut shuffled = live.clone();
     shuffled.reverse();
-    let names = |live: &[Proxy]| -> IndexSet<_> {
+    let names = |live: &[Peer]| -> IndexSet<_> {
         let servers = place::servers(&group(7), &homes, live);
         servers.into_iter().map(|p| p.id.clone()).collect()
     };
