--- a/crates/peer/tests/auth.rs
+++ b/crates/peer/tests/auth.rs
@@ -97,3 +97,18 @@
     };
     assert_eq!(window.admit(later, &fresh), Ok(()));
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(6),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// A peer of another version, or a stranger's bytes, give an error and no panic.
+    #[test]
+    fn any_body_is_decoded_or_refused(body in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = peer::codec::decode::<peer::status::Status>(&body);
+        let _ = peer::codec::decode::<Vec<(String, u64)>>(&body);
+    }
+}
