Take out settings and rules that nothing applies

Cause: cross_region and leave_within were accepted, checked and shown in the schema, and no code looked at them: an operator would have trusted a limit that does not exist. Hedging and the byte budget of the far link stood in policy without a caller, a test or a figure. Not measured. Conclusion: they come back with the code that applies them.

--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -1,6 +1,6 @@
 //! The fleet's tunable settings: one set of defaults, and patches for exceptions.
 
-use crate::unit::{Rate, Size, Span};
+use crate::unit::{Size, Span};
 
 /// When a write is acknowledged to its caller.
 #[derive(
@@ -121,14 +121,10 @@
     suspect_after: Span = Span::from_millis(400),
     /// Longest time a read waits for a replica to catch up before it goes elsewhere.
     read_wait: Span = Span::from_millis(20),
-    /// Time after which a leaving backend server gets no new work.
-    leave_within: Span = Span::from_millis(3_000),
     /// Requests of one group that a proxy keeps queued.
     queue: u32 = 2_000,
     /// Most bytes of one answer that a proxy keeps in memory.
     answer_buffer: Size = Size::from_bytes(256 << 10),
-    /// Bytes per second that one proxy may draw across regions.
-    cross_region: Rate = Rate::from_bytes_per_second(400 << 10),
     /// Validity of a lent connection, after which its borrower must have closed it.
     loan: Span = Span::from_millis(6_000),
     /// How backend servers are asked about replication.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -2,12 +2,10 @@
 
 pub mod admit;
 pub mod adopt;
-pub mod bytes;
 pub mod confirm;
 pub mod decision;
 pub mod fresh;
 pub mod group;
-pub mod hedge;
 pub mod lead;
 pub mod load;
 pub mod member;
