--- a/crates/pg/src/lib.rs
+++ b/crates/pg/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod functions;
 pub mod marks;
 pub mod report;
+mod scan;
 pub mod scram;
 pub mod startup;
 pub mod tag;
--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -3,6 +3,7 @@
 mod client;
 mod link;
 mod log;
+mod record;
 mod task;
 mod trip;
 
--- /dev/null
+++ b/crates/proxy/src/group/record.rs
@@ -0,0 +1,50 @@
+//! The leadership record in the platform's store.
+
+use model::position::Revision;
+use policy::lead::Record;
+use policy::message::{StoreAnswer, StoreAsk, Versioned};
+use store::client::Client;
+
+/// Carries out what the controller asks of the store.
+pub(super) async fn ask(client: &Client, key: &str, ask: StoreAsk) -> StoreAnswer {
+    match ask {
+        StoreAsk::Read => read(client, key).await,
+        StoreAsk::Swap { expected, record } => swap(client, key, expected, &record).await,
+    }
+}
+
+async fn read(client: &Client, key: &str) -> StoreAnswer {
+    match client.get(key).await {
+        Ok(found) => versioned(found),
+        Err(_) => StoreAnswer::Unknown,
+    }
+}
+
+async fn swap(client: &Client, key: &str, expected: Revision, record: &Record) -> StoreAnswer {
+    let Ok(value) = serde_json::to_vec(record) else {
+        return StoreAnswer::Unknown;
+    };
+    match client.swap(key, expected, value).await {
+        Ok(store::kv::Outcome::Applied(revision)) => StoreAnswer::Swapped(revision),
+        Ok(store::kv::Outcome::Conflict(found)) => versioned(found),
+        Ok(store::kv::Outcome::Unknown) | Err(_) => StoreAnswer::Unknown,
+    }
+}
+
+/// A record that cannot be read must not pass for an absent one: the group would fall
+/// back to its first instance.
+fn versioned(found: Option<store::kv::Record>) -> StoreAnswer {
+    let Some(found) = found else {
+        return StoreAnswer::Found(Versioned::default());
+    };
+    match serde_json::from_slice(&found.value) {
+        Ok(record) => StoreAnswer::Found(Versioned {
+            revision: found.revision,
+            record: Some(record),
+        }),
+        Err(error) => {
+            tracing::error!(key = found.key, %error, "leadership record unreadable");
+            StoreAnswer::Unknown
+        }
+    }
+}
--- a/crates/proxy/src/group/task.rs
+++ b/crates/proxy/src/group/task.rs
@@ -4,12 +4,12 @@
 
 use indexmap::IndexMap;
 use model::id::InstanceId;
-use model::position::{Revision, Term};
+use model::position::Term;
 use model::unit::{Span, Time};
 use policy::decision::{Decision, Phase, What};
 use policy::group::{self, Group};
-use policy::lead::{self, Record};
-use policy::message::{Action, Ask, Event, Query, StoreAnswer, StoreAsk, Ticket, Versioned};
+use policy::lead;
+use policy::message::{Action, Ask, Event, Query, StoreAnswer, StoreAsk, Ticket};
 use policy::route::{Refusal, Target, Unconfirmed};
 use policy::spec::{Me, Spec};
 
@@ -17,6 +17,7 @@
 
 use super::client::Login;
 use super::link::{Answer, Link, Question};
+use super::record;
 use super::{Request, Setup, Snapshot, Told};
 
 /// Time for which an unknown answer of the store is kept back.
@@ -377,10 +378,7 @@
         compio::runtime::spawn(async move {
             let mut span = span;
             span.set("key", &key);
-            let answer = match ask {
-                StoreAsk::Read => read(&store, &key).await,
-                StoreAsk::Swap { expected, record } => swap(&store, &key, expected, &record).await,
-            };
+            let answer = record::ask(&store, &key, ask).await;
             if answer == StoreAnswer::Unknown {
                 compio::time::sleep(STORE_PAUSE).await;
             }
@@ -389,44 +387,3 @@
         .detach();
     }
 }
-
-async fn read(client: &store::client::Client, key: &str) -> StoreAnswer {
-    match client.get(key).await {
-        Ok(found) => versioned(found),
-        Err(_) => StoreAnswer::Unknown,
-    }
-}
-
-async fn swap(
-    client: &store::client::Client,
-    key: &str,
-    expected: Revision,
-    record: &Record,
-) -> StoreAnswer {
-    let Ok(value) = serde_json::to_vec(record) else {
-        return StoreAnswer::Unknown;
-    };
-    match client.swap(key, expected, value).await {
-        Ok(store::kv::Outcome::Applied(revision)) => StoreAnswer::Swapped(revision),
-        Ok(store::kv::Outcome::Conflict(found)) => versioned(found),
-        Ok(store::kv::Outcome::Unknown) | Err(_) => StoreAnswer::Unknown,
-    }
-}
-
-/// A record that cannot be read must not pass for an absent one: the group would fall
-/// back to its first instance.
-fn versioned(found: Option<store::kv::Record>) -> StoreAnswer {
-    let Some(found) = found else {
-        return StoreAnswer::Found(Versioned::default());
-    };
-    match serde_json::from_slice(&found.value) {
-        Ok(record) => StoreAnswer::Found(Versioned {
-            revision: found.revision,
-            record: Some(record),
-        }),
-        Err(error) => {
-            tracing::error!(key = found.key, %error, "leadership record unreadable");
-            StoreAnswer::Unknown
-        }
-    }
-}
