Open status connections by the dialler that is there

Cause: group/client.rs held its own copy of the code that binds the own address and connects, beside backend::dial, and set the option that dial sets. Before: two diallers.

--- a/crates/proxy/src/group/client.rs
+++ b/crates/proxy/src/group/client.rs
@@ -5,7 +5,7 @@
 use bytes::BytesMut;
 use compio::buf::BufResult;
 use compio::io::{AsyncRead as _, AsyncWriteExt as _};
-use compio::net::{TcpSocket, TcpStream};
+use compio::net::TcpStream;
 use model::unit::Span;
 use pg::scram;
 use pgwire::messages::startup::{Authentication, Password, SASLInitialResponse, SASLResponse};
@@ -16,6 +16,8 @@
 use policy::route::Failure;
 use policy::status::{Role, Status};
 
+use crate::backend;
+
 const READ_BUFFER: usize = 2 << 10;
 
 /// Columns of a status row.
@@ -51,11 +53,12 @@
 
 impl Connection {
     pub(super) async fn open(login: &Login) -> Result<Self, Failure> {
-        let stream = connect(login).await.map_err(|e| match e.kind() {
-            std::io::ErrorKind::ConnectionRefused => Failure::Refused,
-            _ => Failure::Silent,
-        })?;
-        stream.set_nodelay(true).map_err(|_| Failure::Broken)?;
+        let stream = backend::dial(login.source, login.address)
+            .await
+            .map_err(|e| match e.kind() {
+                std::io::ErrorKind::ConnectionRefused => Failure::Refused,
+                _ => Failure::Silent,
+            })?;
         let tx = Writer(stream.clone());
         let buf = BytesMut::new();
         let mut connection = Self {
@@ -128,15 +131,6 @@
     }
 }
 
-async fn connect(login: &Login) -> std::io::Result<TcpStream> {
-    let socket = match login.address {
-        SocketAddr::V4(_) => TcpSocket::new_v4().await?,
-        SocketAddr::V6(_) => TcpSocket::new_v6().await?,
-    };
-    socket.bind(SocketAddr::new(login.source, 0)).await?;
-    socket.connect(login.address).await
-}
-
 impl Writer {
     pub(super) async fn send(&mut self, sql: &str) -> Result<(), Failure> {
         let query = simplequery::Query::new(sql.to_owned());
