--- a/crates/front/src/conn.rs
+++ b/crates/front/src/conn.rs
@@ -139,7 +139,11 @@
 
     /// Brings the connection into the state that a statement needs; a refusal of any part
     /// is the answer. Nothing of the caller has run then.
-    pub async fn set_up(&mut self, setup: Setup<'_>, limit: Duration) -> Result<Setting, ConnError> {
+    pub async fn set_up(
+        &mut self,
+        setup: Setup<'_>,
+        limit: Duration,
+    ) -> Result<Setting, ConnError> {
         let (buf, expected) = self.plan(setup);
         if expected.is_empty() {
             return Ok(Setting::Ready);
--- a/crates/front/src/coordinator.rs
+++ b/crates/front/src/coordinator.rs
@@ -85,7 +85,10 @@
     fn doubted(&self, group: &GroupId, primary: Option<&InstanceId>) -> Option<InstanceId> {
         self.directory.with(|state| {
             let doubts: Vec<_> = state.doubts(group).collect();
-            let newest = doubts.iter().find(|i| Some(**i) == primary).or(doubts.first())?;
+            let newest = doubts
+                .iter()
+                .find(|i| Some(**i) == primary)
+                .or(doubts.first())?;
             let same = doubts.iter().filter(|i| *i == newest).count();
             let proxies = state.proxies() as usize;
             let needed = proxies.div_ceil(3).max(2.min(proxies));
--- a/crates/front/src/coordinator/takeover.rs
+++ b/crates/front/src/coordinator/takeover.rs
@@ -11,7 +11,7 @@
 use model::unit::Span;
 use platform::line::Own;
 use platform::order;
-use policy::takeover::{self, Answer, Cause, Member, Role, State, Step, Token};
+use policy::takeover::{self, Answer, Cause, Hold, Member, Role, State, Step, Token};
 
 use super::{Coordinator, over};
 use crate::clock;
@@ -76,59 +76,106 @@
 }
 
 /// Replaces the primary, unless a look at the instances says otherwise.
-pub(super) async fn run(this: &Coordinator, group: group::Handle, doubted: InstanceId, cause: Cause) {
+pub(super) async fn run(
+    this: &Coordinator,
+    group: group::Handle,
+    doubted: InstanceId,
+    cause: Cause,
+) {
     let id = group.group().clone();
     let Some(first) = this.member.duty(&this.directory) else {
         return;
     };
     let begun = clock::now();
     tracing::warn!(group = %id, instance = %doubted, ?cause, token = %first, "a change of primary begins");
-    let mut links = Links {
-        group: group.clone(),
+    let links = Links {
+        group,
         conns: IndexMap::new(),
     };
-    let mut token = first;
-    let mut last_hold = None;
+    let mut change = Change {
+        doubted,
+        cause,
+        token: first,
+        hold: None,
+        links,
+    };
     while !over(begun, LIMIT) {
         if this.member.duty(&this.directory) != Some(first) {
+            // Whoever holds the duty now also lets the replicas receive again.
             tracing::warn!(group = %id, "the duty was lost during a change of primary");
             return;
         }
-        let members = look(this, &mut links).await;
-        if done(&members, &doubted) {
+        if change.go_on(this).await {
             break;
         }
-        let still = this.trigger(&group).await.is_some();
-        if !still && cause == Cause::Doubted && last_hold.is_none() {
-            break;
+    }
+    let took_ms = clock::now().since(begun).as_millis();
+    tracing::info!(group = %id, took_ms, "a change of primary ends");
+    let mut links = change.links;
+    resume(this, &mut links).await;
+    for (_, conn) in links.conns {
+        conn.close().await;
+    }
+}
+
+/// A change of primary under way.
+struct Change {
+    doubted: InstanceId,
+    cause: Cause,
+    /// Token of the next order.
+    token: Token,
+    /// Why the last look led to nothing.
+    hold: Option<Hold>,
+    links: Links,
+}
+
+impl Change {
+    /// Looks at all instances and takes the next step; says whether the change is over.
+    async fn go_on(&mut self, this: &Coordinator) -> bool {
+        let group = self.links.group.clone();
+        let members = look(this, &mut self.links).await;
+        if done(&members, &self.doubted) {
+            return true;
+        }
+        let recovered = this.trigger(&group).await.is_none();
+        if recovered && self.cause == Cause::Doubted && self.hold.is_none() {
+            return true;
         }
         let end = group.view().await.end;
-        match takeover::next_step(&members, cause, end) {
-            Step::Abandon => break,
-            Step::Pause(term, who) => pause(this, &mut links, term, &who).await,
-            Step::Hold(hold) => {
-                if last_hold != Some(hold) {
-                    tracing::warn!(group = %id, cause = %hold, ?members, "the change of primary waits");
-                }
-                last_hold = Some(hold);
-                compio::time::sleep(PAUSE).await;
+        match takeover::next_step(&members, self.cause, end) {
+            Step::Abandon => true,
+            Step::Pause(term, who) => {
+                pause(this, &mut self.links, term, &who).await;
+                false
             }
-            Step::Promote(next) => {
-                tracing::warn!(group = %id, instance = %next, %token, ?members, "an instance is made primary");
-                let led = promote(this, &mut links, &next, token).await;
-                token = token.next();
-                if led {
-                    let took_ms = clock::now().since(begun).as_millis();
-                    tracing::warn!(group = %id, instance = %next, took_ms, "the primary was replaced");
-                    group.expect_primary(&next);
-                    break;
-                }
+            Step::Hold(hold) => {
+                self.wait(hold, &members).await;
+                false
             }
+            Step::Promote(next) => self.promote(this, &next, &members).await,
         }
     }
-    resume(this, &mut links).await;
-    for (_, conn) in links.conns {
-        conn.close().await;
+
+    async fn wait(&mut self, hold: Hold, members: &[Member]) {
+        if self.hold != Some(hold) {
+            let group = self.links.group.group();
+            tracing::warn!(%group, cause = %hold, ?members, "the change of primary waits");
+        }
+        self.hold = Some(hold);
+        compio::time::sleep(PAUSE).await;
+    }
+
+    async fn promote(&mut self, this: &Coordinator, next: &InstanceId, members: &[Member]) -> bool {
+        let token = self.token;
+        self.token = token.next();
+        let group = self.links.group.clone();
+        tracing::warn!(group = %group.group(), instance = %next, %token, ?members, "an instance is made primary");
+        let led = promote(this, &mut self.links, next, token).await;
+        if led {
+            tracing::warn!(group = %group.group(), instance = %next, %token, "the primary was replaced");
+            group.expect_primary(next);
+        }
+        led
     }
 }
 
--- a/crates/front/src/directory/state.rs
+++ b/crates/front/src/directory/state.rs
@@ -78,18 +78,25 @@
     /// whether an instance is announced.
     pub fn members(&self, group: &GroupId) -> Vec<(Entry, bool)> {
         let of = self.instances.values().filter(|k| k.entry.group == *group);
-        of.map(|k| (k.entry.clone(), k.missing_since.is_none())).collect()
+        of.map(|k| (k.entry.clone(), k.missing_since.is_none()))
+            .collect()
     }
 
     /// Takes over a listing of all keys; what it lacks is deleted.
     pub fn replace(&mut self, listing: Listing, now: Time) {
         let has = |key: &str| listing.records.iter().any(|r| r.key == key);
-        let gone: Vec<_> = self.instances.keys().filter(|id| !has(&format!("{}{id}", entry::PREFIX))).cloned().collect();
+        let gone: Vec<_> = self
+            .instances
+            .keys()
+            .filter(|id| !has(&format!("{}{id}", entry::PREFIX)))
+            .cloned()
+            .collect();
         for id in gone {
             self.miss(&id, now);
         }
         self.proxies.retain(|id| has(&format!("{PROXIES}{id}")));
-        self.doubts.retain(|(group, proxy), _| has(&format!("{DOUBTS}{group}/{proxy}")));
+        self.doubts
+            .retain(|(group, proxy), _| has(&format!("{DOUBTS}{group}/{proxy}")));
         if !has(COORDINATOR) {
             self.coordinator = None;
         }
@@ -225,7 +232,9 @@
             }
         }
         self.instances.retain(|_, known| {
-            known.missing_since.is_none_or(|since| now.since(since) < REMEMBERED)
+            known
+                .missing_since
+                .is_none_or(|since| now.since(since) < REMEMBERED)
         });
         changed
     }
--- a/crates/front/src/group.rs
+++ b/crates/front/src/group.rs
@@ -322,7 +322,8 @@
             self.proved(&returned.instance, proof);
         }
         let conn = returned.conn;
-        self.pool.give_back(&returned.instance, conn, returned.took, now)
+        self.pool
+            .give_back(&returned.instance, conn, returned.took, now)
     }
 
     fn proved(&mut self, id: &InstanceId, proof: Proof) {
@@ -348,7 +349,9 @@
 
     fn entries(&mut self, entries: &[Entry], now: Time) -> Vec<Action<Conn, Reply>> {
         let ways = self.ways.clone();
-        let actions = self.pool.set_entries(entries, |e| ways.round_trip(&e.data_centre), now);
+        let actions = self
+            .pool
+            .set_entries(entries, |e| ways.round_trip(&e.data_centre), now);
         self.watch.set_entries(entries);
         self.look(now);
         actions
--- a/crates/front/src/logs.rs
+++ b/crates/front/src/logs.rs
@@ -75,7 +75,10 @@
             drop(waiting);
             out.write_all(&bytes)?;
             if left_out > 0 {
-                writeln!(out, "level=warn message=\"lines were left out\" lines={left_out}")?;
+                writeln!(
+                    out,
+                    "level=warn message=\"lines were left out\" lines={left_out}"
+                )?;
             }
             out.flush()?;
             if closed {
@@ -136,7 +139,10 @@
     let filter = tracing_subscriber::EnvFilter::builder()
         .with_default_directive(tracing::Level::INFO.into())
         .from_env_lossy();
-    tracing_subscriber::registry().with(filter).with(layer).init();
+    tracing_subscriber::registry()
+        .with(filter)
+        .with(layer)
+        .init();
     let writer = lines.clone();
     let thread = thread::Builder::new().name("logs".to_owned());
     let thread = thread.spawn(move || {
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -77,7 +77,13 @@
     }
 
     /// Keeps the place for as long as the process runs.
-    pub async fn keep(self: Rc<Self>, cx: Rc<Cx>, directory: Directory, client: Client, least: Duration) {
+    pub async fn keep(
+        self: Rc<Self>,
+        cx: Rc<Cx>,
+        directory: Directory,
+        client: Client,
+        least: Duration,
+    ) {
         let ttl = LEASE.max(least);
         let mut renew = clock::now();
         let mut lost: Option<Time> = None;
@@ -85,24 +91,12 @@
             let now = clock::now();
             if now >= renew {
                 renew = now + RENEW;
-                match self.renew(&client, ttl).await {
-                    Ok(()) => {
-                        if lost.take().is_some() {
-                            tracing::info!("the lease is renewed again");
-                        }
-                    }
-                    Err(e) => {
-                        if lost.is_none() {
-                            lost = Some(now);
-                            tracing::warn!(cause = %e, "the lease was not renewed");
-                        }
-                    }
-                }
+                let renewed = self.renew(&client, ttl).await;
+                note(&mut lost, now, renewed.err());
             }
-            if lost.is_none() && self.lease.get().is_some() {
-                if let Err(e) = self.look(&cx, &directory, &client).await {
-                    tracing::info!(cause = %e, "a key was not written");
-                }
+            let placed = lost.is_none() && self.lease.get().is_some();
+            if placed && let Err(e) = self.look(&cx, &directory, &client).await {
+                tracing::info!(cause = %e, "a key was not written");
             }
             clock::sleep_until(clock::now() + LOOK).await;
         }
@@ -127,7 +121,8 @@
 
     fn hold(&self, lease: LeaseId, asked: Time, ttl: Duration) {
         let ttl = Span::from(ttl).as_micros() - MARGIN.as_micros();
-        self.lease.set(Some((lease, asked + Span::from_micros(ttl))));
+        self.lease
+            .set(Some((lease, asked + Span::from_micros(ttl))));
     }
 
     async fn look(&self, cx: &Cx, directory: &Directory, client: &Client) -> Result<(), Error> {
@@ -204,3 +199,19 @@
         }
     }
 }
+
+/// Logs when renewals begin to fail and when they work again.
+fn note(lost: &mut Option<Time>, now: Time, failure: Option<Error>) {
+    match (failure, &lost) {
+        (Some(e), None) => {
+            *lost = Some(now);
+            tracing::warn!(cause = %e, "the lease was not renewed");
+        }
+        (None, Some(since)) => {
+            let out_ms = now.since(*since).as_millis();
+            tracing::info!(out_ms, "the lease is renewed again");
+            *lost = None;
+        }
+        _ => {}
+    }
+}
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -4,8 +4,7 @@
 use model::unit::Span;
 use platform::line;
 use prometheus::{
-    Encoder as _, Histogram, HistogramOpts, IntCounterVec, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Encoder as _, Histogram, HistogramOpts, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
 };
 use store::calls::Calls;
 
@@ -44,7 +43,10 @@
                 .buckets(BUCKETS.to_vec()),
         )?;
         let opened = IntCounterVec::new(
-            Opts::new("pomelo_connections_opened_total", "connections to instances"),
+            Opts::new(
+                "pomelo_connections_opened_total",
+                "connections to instances",
+            ),
             &["outcome"],
         )?;
         let store_calls = IntGaugeVec::new(
@@ -87,7 +89,9 @@
     pub fn render(&self, calls: &Calls, gauges: &[(&str, u64)]) -> Result<String, MetricsError> {
         for (kind, count) in calls.snapshot() {
             let count = i64::try_from(count).unwrap_or(i64::MAX);
-            self.store_calls.with_label_values(&[kind.name()]).set(count);
+            self.store_calls
+                .with_label_values(&[kind.name()])
+                .set(count);
         }
         for (what, value) in gauges {
             let value = i64::try_from(*value).unwrap_or(i64::MAX);
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -59,7 +59,9 @@
     let member = Rc::new(Member::new(cfg.proxy.clone()));
     compio::runtime::spawn(directory.clone().follow(store.clone())).detach();
     let least = cfg.least_lease_ms;
-    let keep = member.clone().keep(cx.clone(), directory.clone(), store.clone(), least);
+    let keep = member
+        .clone()
+        .keep(cx.clone(), directory.clone(), store.clone(), least);
     compio::runtime::spawn(keep).detach();
     let coordinator = Coordinator {
         cx: cx.clone(),
@@ -135,6 +137,8 @@
 /// hold addresses, which a running process keeps.
 async fn note_reloads() {
     while compio::signal::unix::signal(SIGHUP).await.is_ok() {
-        tracing::info!("asked to reload: the settings in force stay, all else comes from the store");
+        tracing::info!(
+            "asked to reload: the settings in force stay, all else comes from the store"
+        );
     }
 }
--- a/crates/front/src/session.rs
+++ b/crates/front/src/session.rs
@@ -147,7 +147,10 @@
             line::put_error(&mut buf, Code::Busy, "retry after 500 ms");
         }
         None => {
-            tracing::info!(version = routes.version, "a session was refused: no such database");
+            tracing::info!(
+                version = routes.version,
+                "a session was refused: no such database"
+            );
             line::put_error(&mut buf, Code::NoDatabase, "no route has this database");
         }
     }
@@ -212,7 +215,7 @@
             let limit = self.cx.routes().idle_transaction;
             clock::sleep_until(clock::now() + limit).await;
         } else {
-            futures_util::future::pending().await
+            futures_util::future::pending::<()>().await;
         }
     }
 
@@ -247,7 +250,9 @@
                 );
             }
         }
-        self.cx.metrics.answered(result.as_ref().err().map(|f| f.code()), took);
+        self.cx
+            .metrics
+            .answered(result.as_ref().err().map(|f| f.code()), took);
         line::put_ready(&mut buf, self.tx.state(), point);
         buf
     }
--- a/crates/front/src/session/attempt.rs
+++ b/crates/front/src/session/attempt.rs
@@ -46,7 +46,11 @@
 
     /// The transaction's end: only one that wrote can have kept anything.
     pub(super) const fn of_commit(self, wrote: bool) -> Failure {
-        if wrote { self.in_doubt() } else { self.unkept() }
+        if wrote {
+            self.in_doubt()
+        } else {
+            self.unkept()
+        }
     }
 }
 
@@ -141,7 +145,10 @@
             };
             let lent = group.ask(ask).await?;
             let instance = lent.instance.clone();
-            match self.attempt(job, access, what, lent, route.time_limit).await {
+            match self
+                .attempt(job, access, what, lent, route.time_limit)
+                .await
+            {
                 Ok(done) => return Ok(done),
                 Err(Miss::Final(failure)) => return Err(failure),
                 Err(Miss::NotRun(code)) => {
--- a/crates/front/src/session/tx.rs
+++ b/crates/front/src/session/tx.rs
@@ -198,10 +198,10 @@
         what: What<'_>,
     ) -> Result<Done, Failure> {
         let result = self.try_in_tx(job, access, what).await;
-        if result.is_err() {
-            if let Tx::Open(open) = std::mem::replace(&mut self.tx, Tx::Failed) {
-                open.drop_work().await;
-            }
+        if result.is_err()
+            && let Tx::Open(open) = std::mem::replace(&mut self.tx, Tx::Failed)
+        {
+            open.drop_work().await;
         }
         result
     }
