Ask instances through the pool in a change of primary, and let reads overtake

Reads on a silent instance waited out their time limit; statements that a full instance shed came back at once and were shed again; a doubt took 1.4 s. Change: connections for the coordinator come from the pool before all others; the doubted primary need not answer; a question goes on an open and on a new connection beside each other; a read without an answer for 300 ms is tried elsewhere while the first goes on; fewer reads in flight after a refusal. Ruled out: connections beyond the pool (the instance refuses them).

--- a/crates/front/src/conn.rs
+++ b/crates/front/src/conn.rs
@@ -321,7 +321,7 @@
     buf: &mut Vec<u8>,
     id: &StatementId,
     after: Option<Point>,
-    what: &What<'_>,
+    what: &What,
 ) -> bool {
     match what {
         What::Text(text) => match after {
@@ -339,10 +339,20 @@
 }
 
 /// What a caller's statement runs.
-#[derive(Clone, Copy, Debug)]
-pub enum What<'a> {
+#[derive(Clone, Debug)]
+pub enum What {
     /// Its own text.
-    Text(&'a str),
+    Text(Arc<str>),
     /// A prepared statement with what follows its name.
-    Prepared(&'a Shape, &'a str),
+    Prepared(Shape, Arc<str>),
+}
+
+impl What {
+    /// The statement that must be prepared for it.
+    pub fn shape(&self) -> Option<&Shape> {
+        match self {
+            Self::Text(_) => None,
+            Self::Prepared(shape, _) => Some(shape),
+        }
+    }
 }
--- a/crates/front/src/coordinator/takeover.rs
+++ b/crates/front/src/coordinator/takeover.rs
@@ -4,19 +4,20 @@
 use std::time::Duration;
 
 use futures_util::future;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use model::entry::Entry;
 use model::id::InstanceId;
 use model::position::Term;
 use model::unit::Span;
 use platform::line::Own;
 use platform::order;
+use policy::pool::{Ask, Kind};
 use policy::takeover::{self, Answer, Cause, Hold, Member, Role, State, Step, Token};
 
 use super::{Coordinator, over};
 use crate::clock;
-use crate::conn::Conn;
-use crate::group;
+use crate::conn::ConnError;
+use crate::group::{self, Lent};
 
 /// Longest time of one attempt; then the triggers are looked at anew.
 const LIMIT: Span = Span::from_millis(12_000);
@@ -25,6 +26,10 @@
 /// a slot of the instance, behind statements of some tens of milliseconds.
 const ANSWER: Duration = Duration::from_millis(500);
 
+/// The same for an instance that did not answer before: a round trip between regions.
+/// Each look waits for the slowest, and writes wait for the change.
+const SILENT_ANSWER: Duration = Duration::from_millis(80);
+
 /// Longest wait for the platform's answer to an order. It carries one out in 600 to
 /// 1,000 ms; whether it did is seen on the instance.
 const ORDER: Duration = Duration::from_millis(1_500);
@@ -35,26 +40,38 @@
 /// Pause between two looks.
 const PAUSE: Duration = Duration::from_millis(60);
 
-/// Open connections to the group's instances, kept for the whole change.
+/// Connections to the group's instances, kept for the whole change.
 struct Links {
     group: group::Handle,
-    conns: IndexMap<InstanceId, Conn>,
+    conns: IndexMap<InstanceId, Lent>,
+    /// Instances that left a question unanswered; the next looks wait less for them.
+    silent: IndexSet<InstanceId>,
 }
 
 impl Links {
     /// Sends a statement to each of the instances and gives what each answered.
+    ///
+    /// The connections come from the pool, before everything else that waits for one: an
+    /// instance whose connections are all in use accepts no further one, and a replica
+    /// that cannot be heard for that reason would hold up the whole change.
     async fn each(&mut self, entries: &[Entry], own: &Own<'_>) -> IndexMap<InstanceId, State> {
-        let group = self.group.group().clone();
         let calls = entries.iter().map(|entry| {
-            let conn = self.conns.shift_remove(&entry.id);
-            let group = &group;
+            let lent = self.conns.shift_remove(&entry.id);
+            let limit = if self.silent.contains(&entry.id) {
+                SILENT_ANSWER
+            } else {
+                ANSWER
+            };
+            let group = &self.group;
             async move {
-                let mut conn = match conn {
-                    Some(conn) => conn,
-                    None => Conn::open(entry.address, group, &entry.id, ANSWER).await?,
+                let lent = match lent {
+                    Some(lent) => Some(lent),
+                    None => group.ask(control(entry, limit)).await.ok(),
                 };
-                let state = conn.state(own, ANSWER).await?;
-                Ok::<_, crate::conn::ConnError>((conn, state))
+                let mut lent = lent.ok_or(ConnError::Silent)?;
+                let conn = lent.conn().ok_or(ConnError::Silent)?;
+                let state = conn.state(own, limit).await?;
+                Ok::<_, ConnError>((lent, state))
             }
         });
         let calls: Vec<_> = calls.collect();
@@ -62,11 +79,13 @@
         let mut states = IndexMap::new();
         for (entry, answer) in entries.iter().zip(answers) {
             match answer {
-                Ok((conn, state)) => {
-                    self.conns.insert(entry.id.clone(), conn);
+                Ok((lent, state)) => {
+                    self.conns.insert(entry.id.clone(), lent);
                     states.insert(entry.id.clone(), state);
                 }
                 Err(e) => {
+                    self.silent.insert(entry.id.clone());
+                    let group = self.group.group();
                     tracing::info!(%group, instance = %entry.id, asked = ?own, cause = %e, "an instance did not answer the coordinator");
                 }
             }
@@ -75,6 +94,18 @@
     }
 }
 
+fn control(entry: &Entry, limit: Duration) -> Ask {
+    let now = clock::now();
+    Ask {
+        kind: Kind::Control(entry.id.clone()),
+        own: None,
+        arrived: now,
+        give_up: now + Span::from(limit),
+        priority: 0,
+        avoid: None,
+    }
+}
+
 /// Replaces the primary, unless a look at the instances says otherwise.
 pub(super) async fn run(
     this: &Coordinator,
@@ -91,6 +122,7 @@
     let links = Links {
         group,
         conns: IndexMap::new(),
+        silent: IndexSet::new(),
     };
     let mut change = Change {
         doubted,
@@ -113,8 +145,8 @@
     tracing::info!(group = %id, took_ms, "a change of primary ends");
     let mut links = change.links;
     resume(this, &mut links).await;
-    for (_, conn) in links.conns {
-        conn.close().await;
+    for (_, lent) in links.conns {
+        lent.give_back();
     }
 }
 
@@ -133,7 +165,7 @@
     /// Looks at all instances and takes the next step; says whether the change is over.
     async fn go_on(&mut self, this: &Coordinator) -> bool {
         let group = self.links.group.clone();
-        let members = look(this, &mut self.links).await;
+        let members = self.look(this).await;
         if done(&members, &self.doubted) {
             return true;
         }
@@ -142,7 +174,7 @@
             return true;
         }
         let end = group.view().await.end;
-        match takeover::next_step(&members, self.cause, end) {
+        match takeover::next_step(&members, &self.doubted, self.cause, end) {
             Step::Abandon => true,
             Step::Pause(term, who) => {
                 pause(this, &mut self.links, term, &who).await;
@@ -156,6 +188,26 @@
         }
     }
 
+    /// Asks all instances. A doubted primary is not asked again and again: its answer
+    /// would be waited for in vain, and it is not needed.
+    async fn look(&mut self, this: &Coordinator) -> Vec<Member> {
+        let known = entries(this, &self.links.group);
+        let skip = (self.cause == Cause::Doubted).then_some(&self.doubted);
+        let asked: Vec<_> = known
+            .iter()
+            .map(|(entry, _)| entry.clone())
+            .filter(|entry| Some(&entry.id) != skip)
+            .collect();
+        let states = self.links.each(&asked, &Own::Status).await;
+        let member = |(entry, listed): &(Entry, bool)| Member {
+            id: entry.id.clone(),
+            listed: *listed,
+            leaving: entry.leaving,
+            state: states.get(&entry.id).copied(),
+        };
+        known.iter().map(member).collect()
+    }
+
     async fn wait(&mut self, hold: Hold, members: &[Member]) {
         if self.hold != Some(hold) {
             let group = self.links.group.group();
@@ -187,21 +239,12 @@
         .any(|m| m.id != *doubted && takeover::leads(m, newest))
 }
 
-async fn look(this: &Coordinator, links: &mut Links) -> Vec<Member> {
-    let known = this.directory.with(|s| s.members(links.group.group()));
-    let entries: Vec<_> = known.iter().map(|(entry, _)| entry.clone()).collect();
-    let states = links.each(&entries, &Own::Status).await;
-    let member = |(entry, listed): &(Entry, bool)| Member {
-        id: entry.id.clone(),
-        listed: *listed,
-        leaving: entry.leaving,
-        state: states.get(&entry.id).copied(),
-    };
-    known.iter().map(member).collect()
+fn entries(this: &Coordinator, group: &group::Handle) -> Vec<(Entry, bool)> {
+    this.directory.with(|s| s.members(group.group()))
 }
 
 async fn pause(this: &Coordinator, links: &mut Links, term: Term, who: &[InstanceId]) {
-    let known = this.directory.with(|s| s.members(links.group.group()));
+    let known = entries(this, &links.group);
     let entries: Vec<_> = known
         .into_iter()
         .map(|(entry, _)| entry)
@@ -225,7 +268,7 @@
             return false;
         }
     }
-    let known = this.directory.with(|s| s.members(&group));
+    let known = entries(this, &links.group);
     let entry: Vec<_> = known
         .into_iter()
         .map(|(entry, _)| entry)
@@ -244,20 +287,16 @@
 
 /// Lets replicas receive that were told to stop.
 async fn resume(this: &Coordinator, links: &mut Links) {
-    let members = look(this, links).await;
-    let stopped = |id: &InstanceId| {
-        let member = members.iter().find(|m| m.id == *id);
-        let state = member.and_then(|m| m.state);
+    let known = entries(this, &links.group);
+    let known: Vec<_> = known.into_iter().map(|(entry, _)| entry).collect();
+    let states = links.each(&known, &Own::Status).await;
+    let stopped = |entry: &Entry| {
+        let state = states.get(&entry.id);
         state.is_some_and(|s| s.role == Role::Replica && s.paused.0 > 0)
     };
-    let known = this.directory.with(|s| s.members(links.group.group()));
-    let entries: Vec<_> = known
-        .into_iter()
-        .map(|(entry, _)| entry)
-        .filter(|entry| stopped(&entry.id))
-        .collect();
-    if !entries.is_empty() {
-        let states = links.each(&entries, &Own::Resume).await;
+    let stopped: Vec<_> = known.into_iter().filter(stopped).collect();
+    if !stopped.is_empty() {
+        let states = links.each(&stopped, &Own::Resume).await;
         tracing::info!(group = %links.group.group(), ?states, "replicas were told to receive again");
     }
 }
--- a/crates/front/src/directory.rs
+++ b/crates/front/src/directory.rs
@@ -16,9 +16,16 @@
 use crate::cx::Cx;
 pub use state::{COORDINATOR, DOUBTS, PROXIES, State};
 
-/// Longest wait of one watch. An open connection can go silent for good, and a change of
-/// the configuration must be in force within 4 s; a watch costs one call.
-const WATCH: Duration = Duration::from_millis(2_500);
+/// Longest wait of one watch. An open connection can go silent for good, and is noticed
+/// only when the wait is over; each watch costs the operators one call.
+const WATCH: Duration = Duration::from_millis(4_000);
+
+/// Pause after a change before the next one is asked for, for each proxy that watches.
+///
+/// Load: as many proxies as watch also write, when all of them start. Harm without it:
+/// each write wakes all of them, which at 91 proxies was 33,000 calls in 48 s. The pause
+/// gathers the changes of that time; it stays below what a change may take to arrive.
+const GATHER: (Duration, Duration) = (Duration::from_millis(8), Duration::from_millis(1_000));
 
 /// First and longest pause before the store is asked again after a failure. It takes
 /// 2,000 reads a second from all proxies, which 91 of them stay under.
@@ -97,6 +104,8 @@
             self.state.borrow_mut().apply(batch, clock::now());
         }
         self.hand_out();
+        let pause = GATHER.0 * self.state.borrow().proxies();
+        compio::time::sleep(pause.min(GATHER.1)).await;
         Ok(())
     }
 
--- a/crates/front/src/group.rs
+++ b/crates/front/src/group.rs
@@ -38,7 +38,6 @@
     Shares(u32, u32),
     Probed(probe::Report),
     Note(InstanceId, Note),
-    TakeIdle(InstanceId, flume::Sender<Option<Conn>>),
     View(flume::Sender<View>),
     Primary(InstanceId),
 }
@@ -50,6 +49,8 @@
     ReadOnly,
     /// Its log was too short for a read.
     Lags,
+    /// It had no slot and no room to wait.
+    Busy,
     /// It did not answer, or the connection broke.
     Silent,
     /// A write has been without an answer for long.
@@ -180,20 +181,6 @@
         })
     }
 
-    /// Takes an idle connection to one instance, if there is one.
-    pub async fn take_idle(&self, instance: &InstanceId) -> Option<Lent> {
-        let (tx, rx) = flume::bounded(1);
-        self.send(Message::TakeIdle(instance.clone(), tx));
-        let conn = rx.recv_async().await.ok().flatten()?;
-        Some(Lent {
-            handle: self.clone(),
-            instance: instance.clone(),
-            after: None,
-            prove: false,
-            conn: Some(conn),
-        })
-    }
-
     /// Takes over the announced instances.
     pub fn set_entries(&self, entries: Vec<Entry>) {
         self.send(Message::Entries(entries));
@@ -296,14 +283,6 @@
                 self.noted(&id, note, now);
                 Vec::new()
             }
-            Message::TakeIdle(id, reply) => {
-                let conn = self.pool.take_idle(&id);
-                if let Err(flume::SendError(Some(conn))) = reply.send(conn) {
-                    let actions = self.pool.give_back(&id, Some(conn), None, now);
-                    self.act(actions);
-                }
-                Vec::new()
-            }
             Message::View(reply) => {
                 let _ = reply.send(self.view());
                 Vec::new()
@@ -363,6 +342,7 @@
                 self.disproved(id, "it refused a write");
                 self.look(now);
             }
+            Note::Busy => self.pool.refused(id, now),
             Note::Lags => self.pool.rest(id, now + probe::LAG_REST),
             Note::Silent => {
                 self.pool.rest(id, now + probe::REST);
--- a/crates/front/src/group/probe.rs
+++ b/crates/front/src/group/probe.rs
@@ -1,22 +1,34 @@
 //! Questions to instances whether they lead, beside the callers' statements.
 
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
-use model::id::InstanceId;
+use futures_util::FutureExt as _;
+use model::id::{GroupId, InstanceId};
 use model::statement::Code;
 use model::unit::{Span, Time};
 use policy::pool::Action;
 use policy::proof::Proof;
 use policy::watch::Finding;
 
-use super::{Group, Message, OPEN_LIMIT, Reply};
+use super::{Group, Message, Reply};
 use crate::clock;
 use crate::conn::{Conn, ConnError, Setting, Setup};
+use crate::metrics::Metrics;
 
 /// Longest wait for an answer. The statements that are asked need no slot, so a busy
 /// instance answers in a round trip, of 40 ms between regions.
 const LIMIT: Duration = Duration::from_millis(350);
 
+/// Wait on an open connection before a new one is tried beside it: the longest round trip
+/// with a late timer or two.
+const PATIENCE: Duration = Duration::from_millis(120);
+
+/// Longest wait for a new connection: a round trip, a handshake of some 30 ms, and a few
+/// statements before it.
+const NEW_LIMIT: Duration = Duration::from_millis(350);
+
 /// Time for which an instance that did not answer is given no reads.
 pub(super) const REST: Span = Span::from_millis(400);
 
@@ -67,35 +79,15 @@
         let metrics = self.metrics.clone();
         compio::runtime::spawn(async move {
             let lent = conn.is_some();
-            let mut conn = conn;
-            let mut found = Err(Finding::Silent);
-            if let Some(open) = &mut conn {
-                found = ask(open).await;
-            }
-            // A connection can go silent while new ones work, so only a new one counts.
-            if found == Err(Finding::Silent) {
-                conn = None;
-                let opened = Conn::open(address, &group, &id, OPEN_LIMIT).await;
-                metrics.opened(opened.is_ok());
-                match opened {
-                    Ok(mut open) => {
-                        found = ask(&mut open).await;
-                        if lent && found != Err(Finding::Silent) {
-                            conn = Some(open);
-                        } else {
-                            open.close().await;
-                        }
-                    }
-                    Err(ConnError::Refused(Code::TooManyConnections)) => {
-                        found = Err(Finding::Full);
-                    }
-                    Err(e) => {
-                        tracing::info!(%group, instance = %id, cause = %e, "a question found no connection");
-                    }
-                }
-            }
+            let asked = Question {
+                address,
+                group,
+                id,
+                metrics,
+            };
+            let (found, conn) = asked.put(conn).await;
             let report = Report {
-                instance: id,
+                instance: asked.id,
                 conn,
                 lent,
                 found,
@@ -117,7 +109,7 @@
             Err(finding) => {
                 self.watch.failed(&id, finding, now);
                 self.disproved(&id, cause(finding));
-                if finding == Finding::Silent {
+                if finding != Finding::Follows {
                     self.pool.rest(&id, now + REST);
                 }
             }
@@ -131,13 +123,82 @@
 
 const fn cause(finding: Finding) -> &'static str {
     match finding {
+        Finding::Down => "it is not there",
         Finding::Follows => "it says that it does not lead",
         Finding::Silent => "it does not answer",
         Finding::Full => "it has no connection left",
     }
 }
 
-async fn ask(conn: &mut Conn) -> Result<Proof, Finding> {
+/// A question to one instance.
+struct Question {
+    address: SocketAddr,
+    group: Rc<GroupId>,
+    id: InstanceId,
+    metrics: Metrics,
+}
+
+impl Question {
+    /// Asks on an open connection and, if no answer comes soon, on a new one as well: an
+    /// open connection can go silent for good while new ones work. Gives back a
+    /// connection that can be used further in place of the one that was lent.
+    async fn put(&self, conn: Option<Conn>) -> (Result<Proof, Finding>, Option<Conn>) {
+        let Some(mut open) = conn else {
+            let (found, new) = self.on_new(false).await;
+            return (found, new);
+        };
+        let known = {
+            let old = ask(&mut open, LIMIT).fuse();
+            let new = async {
+                compio::time::sleep(PATIENCE).await;
+                self.on_new(true).await
+            };
+            let new = new.fuse();
+            futures_util::pin_mut!(old, new);
+            futures_util::select_biased! {
+                found = old => match found {
+                    Err(Finding::Silent | Finding::Down) => Err(new.await),
+                    found => Ok(found),
+                },
+                other = new => Err(other),
+            }
+        };
+        match known {
+            Ok(found) => (found, Some(open)),
+            Err(other) => other,
+        }
+    }
+
+    async fn on_new(&self, keep: bool) -> (Result<Proof, Finding>, Option<Conn>) {
+        let opened = Conn::open(self.address, &self.group, &self.id, NEW_LIMIT).await;
+        self.metrics.opened(opened.is_ok());
+        match opened {
+            Ok(mut open) => {
+                let found = ask(&mut open, LIMIT).await;
+                let well = !matches!(found, Err(Finding::Silent | Finding::Down));
+                if keep && well {
+                    return (found, Some(open));
+                }
+                open.close().await;
+                (found, None)
+            }
+            Err(e) => {
+                tracing::info!(group = %self.group, instance = %self.id, cause = %e, "a question found no connection");
+                (Err(finding(&e)), None)
+            }
+        }
+    }
+}
+
+fn finding(e: &ConnError) -> Finding {
+    match e {
+        ConnError::Refused(Code::TooManyConnections) => Finding::Full,
+        ConnError::Silent => Finding::Silent,
+        ConnError::Stream(_) | ConnError::Refused(_) | ConnError::Line(_) => Finding::Down,
+    }
+}
+
+async fn ask(conn: &mut Conn, limit: Duration) -> Result<Proof, Finding> {
     let setup = Setup {
         values: None,
         shape: None,
@@ -145,17 +206,16 @@
         prove: true,
     };
     let asked = clock::now();
-    match conn.set_up(setup, LIMIT).await {
-        Ok(Setting::Ready) => conn.take_proof().ok_or(Finding::Silent),
+    match conn.set_up(setup, limit).await {
+        Ok(Setting::Ready) => conn.take_proof().ok_or(Finding::Down),
         Ok(Setting::Refused(Code::ReadOnly)) => Err(Finding::Follows),
         Ok(Setting::Refused(code)) => {
             tracing::info!(?code, asked = %asked, "a question to an instance was refused");
-            Err(Finding::Silent)
+            Err(Finding::Down)
         }
-        Err(ConnError::Refused(_) | ConnError::Silent) => Err(Finding::Silent),
         Err(e) => {
             tracing::info!(cause = %e, asked = %asked, "a question to an instance failed");
-            Err(Finding::Silent)
+            Err(finding(&e))
         }
     }
 }
--- a/crates/front/src/session.rs
+++ b/crates/front/src/session.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod local;
+mod read;
 mod tx;
 
 use std::rc::Rc;
@@ -20,7 +21,7 @@
 use policy::pool::Refused;
 
 use crate::clock;
-use crate::conn::Values;
+use crate::conn::{Values, What};
 use crate::cx::Cx;
 use crate::stop::Phase;
 use crate::stream::{self, Reader, StreamError, Writer};
@@ -82,6 +83,7 @@
 }
 
 /// A statement with what belongs to it.
+#[derive(Clone)]
 struct Job {
     id: StatementId,
     text: Arc<str>,
@@ -94,7 +96,8 @@
 struct Session {
     cx: Rc<Cx>,
     database: Database,
-    values: Values,
+    /// Shared with a read that goes on after another one overtook it.
+    values: Rc<Values>,
     prepared: IndexMap<Arc<str>, Shape>,
     /// The session's newest own write.
     own: Option<Point>,
@@ -113,7 +116,7 @@
     let mut session = Session {
         cx,
         database,
-        values: Values::new(),
+        values: Rc::default(),
         prepared: IndexMap::new(),
         own: None,
         tx: tx::Tx::None,
@@ -266,16 +269,15 @@
             Statement::Commit => self.commit(job).await,
             Statement::Rollback => self.roll_back().await,
             Statement::Run(access) => {
-                let text = job.text.clone();
-                let what = crate::conn::What::Text(&text);
+                let what = What::Text(job.text.clone());
                 self.run_one(job, access, what).await
             }
             Statement::Execute { name, args } => {
                 let Some(shape) = self.prepared.get(&name).cloned() else {
                     return self.not_prepared();
                 };
-                let what = crate::conn::What::Prepared(&shape, &args);
-                self.run_one(job, shape.access, what).await
+                let access = shape.access;
+                self.run_one(job, access, What::Prepared(shape, args)).await
             }
             Statement::Set { name, value } => self.set(name, value),
             Statement::Prepare { name, shape } => self.prepare(name, shape),
--- a/crates/front/src/session/attempt.rs
+++ b/crates/front/src/session/attempt.rs
@@ -4,18 +4,23 @@
 
 use futures_util::FutureExt as _;
 use model::position::Point;
+use model::route::Route;
 use model::statement::{Access, Code, TxState};
 use model::unit::{Span, Time};
-use policy::pool::Ask;
+use policy::pool::{Ask, Kind};
 
-use super::{Done, Failure, Job, Session, tx};
+use super::{Done, Failure, Job, Session};
 use crate::clock;
-use crate::conn::{self, Answer, ConnError, Setting, Setup, What};
-use crate::group::{Lent, Note};
+use crate::conn::{self, Answer, ConnError, Setting, Setup, Values, What};
+use crate::group::{self, Lent, Note};
 
 /// Attempts of one statement. An attempt is repeated only if the one before certainly did
 /// not run, or only read; each goes to another instance where there is one.
-const TRIES: u32 = 5;
+pub(super) const TRIES: u32 = 5;
+
+/// First pause before a write is tried again on an instance without a free slot; it
+/// doubles, since no other instance can take the write.
+const BUSY_PAUSE: Span = Span::from_millis(15);
 
 /// Time after which a write without an answer is reported to the group's watch. Writes
 /// take some tens of milliseconds, and a replica a region away acknowledges within 50 ms.
@@ -60,7 +65,7 @@
     lent: &mut Lent,
     job: &Job,
     after: Option<Point>,
-    what: What<'_>,
+    what: &What,
     stalls: bool,
     limit: Span,
 ) -> Result<Answer, Lost> {
@@ -70,7 +75,7 @@
             return Err(Lost);
         };
         let mut buf = Vec::new();
-        if !conn::put_statement(conn, &mut buf, &job.id, after, &what) {
+        if !conn::put_statement(conn, &mut buf, &job.id, after, what) {
             return Err(Lost);
         }
         let run = conn.run(buf, limit.as_duration()).fuse();
@@ -105,12 +110,13 @@
     match code {
         Code::ReadOnly => lent.note(Note::ReadOnly),
         Code::Behind => lent.note(Note::Lags),
+        Code::Busy => lent.note(Note::Busy),
         _ => {}
     }
 }
 
 /// How one attempt ended without a result.
-enum Miss {
+pub(super) enum Miss {
     /// It did not run; another instance may be tried.
     NotRun(Code),
     /// It only read, and its answer was lost.
@@ -119,63 +125,107 @@
     Final(Failure),
 }
 
+impl Miss {
+    /// The failure of a read, which keeps nothing in any case.
+    pub(super) fn of_read(self) -> Failure {
+        match self {
+            Self::NotRun(code) => Failure::Instance(code),
+            Self::Unanswered(lost) => lost.unkept(),
+            Self::Final(failure) => failure,
+        }
+    }
+}
+
 impl Session {
+    /// Runs a statement, inside the open transaction if there is one.
     pub(super) async fn run_one(
         &mut self,
         job: &Job,
         access: Access,
-        what: What<'_>,
+        what: What,
     ) -> Result<Done, Failure> {
         if !self.tx.is_none() {
-            return self.run_in_tx(job, access, what).await;
+            return self.run_in_tx(job, access, &what).await;
         }
         let route = self.route()?;
         let group = self.cx.group(&route.group).ok_or(Failure::NoDatabase)?;
+        match access {
+            Access::Read => self.read(job, what, &route, &group).await,
+            Access::Write => self.write(job, &what, &route, &group).await,
+        }
+    }
+
+    async fn write(
+        &mut self,
+        job: &Job,
+        what: &What,
+        route: &Route,
+        group: &group::Handle,
+    ) -> Result<Done, Failure> {
         let give_up = job.arrived + route.time_limit;
-        let mut avoid = None;
         let mut last = Failure::Instance(Code::Busy);
         for attempt in 0..TRIES {
-            let ask = Ask {
-                kind: tx::kind(access, route.guarantee),
-                own: self.own,
-                arrived: job.arrived,
-                give_up,
-                priority: route.priority,
-                avoid: avoid.take(),
-            };
+            let ask = ask(job, Kind::Write, route, self.own);
             let lent = group.ask(ask).await?;
             let instance = lent.instance.clone();
-            match self
-                .attempt(job, access, what, lent, route.time_limit)
-                .await
-            {
-                Ok(done) => return Ok(done),
-                Err(Miss::Final(failure)) => return Err(failure),
+            let sending = Sending {
+                job,
+                what,
+                values: &self.values,
+                access: Access::Write,
+                limit: route.time_limit,
+            };
+            match sending.run(lent).await {
+                Ok(done) => {
+                    self.own = self.own.max(done.point);
+                    return Ok(done);
+                }
                 Err(Miss::NotRun(code)) => {
-                    tracing::info!(id = %job.id, %instance, ?code, attempt, "a statement did not run");
+                    tracing::info!(id = %job.id, %instance, ?code, attempt, "a write did not run");
                     last = Failure::Instance(code);
+                    if code == Code::Busy {
+                        let pause = BUSY_PAUSE.times(1 << attempt);
+                        compio::time::sleep(pause.as_duration()).await;
+                    }
                 }
-                Err(Miss::Unanswered(lost)) => last = lost.unkept(),
+                Err(Miss::Unanswered(lost)) => return Err(lost.in_doubt()),
+                Err(Miss::Final(failure)) => return Err(failure),
             }
-            avoid = Some(instance);
             if clock::now() >= give_up {
                 break;
             }
         }
         Err(last)
     }
+}
 
-    async fn attempt(
-        &mut self,
-        job: &Job,
-        access: Access,
-        what: What<'_>,
-        mut lent: Lent,
-        limit: Span,
-    ) -> Result<Done, Miss> {
+/// A request for a connection on behalf of a statement.
+pub(super) fn ask(job: &Job, kind: Kind, route: &Route, own: Option<Point>) -> Ask {
+    Ask {
+        kind,
+        own,
+        arrived: job.arrived,
+        give_up: job.arrived + route.time_limit,
+        priority: route.priority,
+        avoid: None,
+    }
+}
+
+/// One attempt of a statement outside a transaction.
+pub(super) struct Sending<'a> {
+    pub(super) job: &'a Job,
+    pub(super) what: &'a What,
+    pub(super) values: &'a Values,
+    pub(super) access: Access,
+    pub(super) limit: Span,
+}
+
+impl Sending<'_> {
+    /// Runs the statement on a connection and gives the connection back.
+    pub(super) async fn run(&self, mut lent: Lent) -> Result<Done, Miss> {
         let setup = Setup {
-            values: Some(&self.values),
-            shape: tx::shape(what),
+            values: Some(self.values),
+            shape: self.what.shape(),
             begin: None,
             prove: lent.prove,
         };
@@ -183,40 +233,27 @@
         let Some(conn) = lent.conn() else {
             return Err(Miss::NotRun(Code::Busy));
         };
-        match conn.set_up(setup, limit.as_duration()).await {
+        match conn.set_up(setup, self.limit.as_duration()).await {
             Ok(Setting::Ready) => {}
             Ok(Setting::Refused(code)) => {
                 learn(&lent, code);
                 return Err(Miss::NotRun(code));
             }
             Err(e) => {
-                Lost::new(&lent, job, &e);
-                return Err(Miss::NotRun(Code::Busy));
+                Lost::new(&lent, self.job, &e);
+                return Err(Miss::NotRun(Code::Aborted));
             }
         }
         let since = clock::now();
-        let writes = access == Access::Write;
-        let answer = send(&mut lent, job, after, what, writes, limit).await;
-        let answer = answer.map_err(|lost| {
-            if writes {
-                Miss::Final(lost.in_doubt())
-            } else {
-                Miss::Unanswered(lost)
-            }
-        })?;
-        self.settle(lent, access, since, answer)
+        let writes = self.access == Access::Write;
+        let answer = send(&mut lent, self.job, after, self.what, writes, self.limit).await;
+        let answer = answer.map_err(Miss::Unanswered)?;
+        self.settle(lent, since, answer)
     }
 
-    fn settle(
-        &mut self,
-        mut lent: Lent,
-        access: Access,
-        since: Time,
-        answer: Answer,
-    ) -> Result<Done, Miss> {
+    fn settle(&self, mut lent: Lent, since: Time, answer: Answer) -> Result<Done, Miss> {
         let Some(code) = answer.code else {
-            if access == Access::Write {
-                self.own = self.own.max(answer.point);
+            if self.access == Access::Write {
                 note_proof(&mut lent, since, &answer);
                 lent.note(Note::Wrote);
             }
--- a/crates/front/src/session/local.rs
+++ b/crates/front/src/session/local.rs
@@ -1,6 +1,7 @@
 //! Statements that the proxy answers itself: they reach an instance together with the
 //! first statement that depends on them.
 
+use std::rc::Rc;
 use std::sync::Arc;
 
 use model::statement::Shape;
@@ -16,7 +17,7 @@
         if self.values.len() >= MAX_NAMES && !self.values.contains_key(&name) {
             return Err(Failure::Malformed);
         }
-        self.values.insert(name, value);
+        Rc::make_mut(&mut self.values).insert(name, value);
         Ok(Done::default())
     }
 
--- a/crates/front/src/session/tx.rs
+++ b/crates/front/src/session/tx.rs
@@ -1,6 +1,6 @@
 //! Transactions: one connection from the first statement to the end.
 
-use model::route::{Guarantee, Route};
+use model::route::Route;
 use model::statement::{Access, Code, TxState};
 use model::unit::{Span, Time};
 use policy::pool::{Ask, Kind};
@@ -154,8 +154,8 @@
         let limit = open.route.time_limit;
         for attempt in 0..BUSY_TRIES {
             let since = clock::now();
-            let what = What::Text(&job.text);
-            let answer = attempt::send(&mut open.lent, job, None, what, open.wrote, limit).await;
+            let what = What::Text(job.text.clone());
+            let answer = attempt::send(&mut open.lent, job, None, &what, open.wrote, limit).await;
             let answer = match answer {
                 Ok(answer) => answer,
                 Err(lost) => return Err(lost.of_commit(open.wrote)),
@@ -195,7 +195,7 @@
         &mut self,
         job: &Job,
         access: Access,
-        what: What<'_>,
+        what: &What,
     ) -> Result<Done, Failure> {
         let result = self.try_in_tx(job, access, what).await;
         if result.is_err()
@@ -206,15 +206,10 @@
         result
     }
 
-    async fn try_in_tx(
-        &mut self,
-        job: &Job,
-        access: Access,
-        what: What<'_>,
-    ) -> Result<Done, Failure> {
+    async fn try_in_tx(&mut self, job: &Job, access: Access, what: &What) -> Result<Done, Failure> {
         if let Tx::Pending(opened, arrived, route) = &self.tx {
             let (opened, arrived, route) = (*opened, *arrived, route.clone());
-            let shape = shape(what);
+            let shape = what.shape();
             self.open(job, opened, arrived, &route, shape).await?;
         }
         let Tx::Open(open) = &mut self.tx else {
@@ -222,7 +217,7 @@
         };
         let setup = Setup {
             values: Some(&self.values),
-            shape: shape(what),
+            shape: what.shape(),
             begin: None,
             prove: false,
         };
@@ -327,18 +322,3 @@
         Err(Failure::Instance(Code::Busy))
     }
 }
-
-pub(super) fn shape<'a>(what: What<'a>) -> Option<&'a model::statement::Shape> {
-    match what {
-        What::Text(_) => None,
-        What::Prepared(shape, _) => Some(shape),
-    }
-}
-
-/// Whether a read on this route may be served by any log that is new enough.
-pub(super) fn kind(access: Access, guarantee: Guarantee) -> Kind {
-    match access {
-        Access::Write => Kind::Write,
-        Access::Read => Kind::Read(guarantee),
-    }
-}
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -29,12 +29,14 @@
 const MAX_WAITING: usize = 400;
 
 /// What a statement needs of its connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Kind {
     /// Writes, or a transaction that may write.
     Write,
     /// Reads, with what they must find.
     Read(Guarantee),
+    /// A question of the coordinator to this instance; it goes before everything else.
+    Control(InstanceId),
 }
 
 /// A request for a connection.
@@ -54,6 +56,13 @@
     pub avoid: Option<InstanceId>,
 }
 
+impl Ask {
+    fn rank(&self) -> (bool, u8, Time) {
+        let control = matches!(self.kind, Kind::Control(_));
+        (!control, self.priority, self.arrived)
+    }
+}
+
 /// A connection, lent until it is given back.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Grant<C> {
@@ -232,10 +241,7 @@
             let refused = self.refusal(&ask);
             return vec![Action::Refuse(who, refused)];
         }
-        let rank = (ask.priority, ask.arrived);
-        let at = self
-            .waiting
-            .partition_point(|w| (w.ask.priority, w.ask.arrived) <= rank);
+        let at = self.waiting.partition_point(|w| w.ask.rank() <= ask.rank());
         self.waiting.insert(at, Waiter { ask, who });
         self.settle(now)
     }
@@ -285,6 +291,13 @@
         }
     }
 
+    /// The instance refused a statement for want of capacity.
+    pub fn refused(&mut self, id: &InstanceId, now: Time) {
+        if let Some(instance) = self.instances.get_mut(id) {
+            instance.refused(now);
+        }
+    }
+
     /// Refuses whose time is up, closes what is not needed, and serves who can be served.
     pub fn tick(&mut self, now: Time) -> Vec<Action<C, W>> {
         let mut actions = Vec::new();
@@ -333,7 +346,7 @@
         while at < self.waiting.len() {
             let ask = &self.waiting[at].ask;
             let need = match ask.kind {
-                Kind::Write => Need::Primary,
+                Kind::Write | Kind::Control(_) => Need::Primary,
                 Kind::Read(guarantee) => self.proofs.need(guarantee, ask.own, ask.arrived),
             };
             match self.place(ask, need, now) {
@@ -344,7 +357,7 @@
                         continue;
                     };
                     let waiter = self.waiting.remove(at);
-                    let grant = grant(id, conn, waiter.ask.kind, need);
+                    let grant = grant(id, conn, &waiter.ask.kind, need);
                     actions.push(Action::Grant(waiter.who, grant));
                 }
                 None => at += 1,
@@ -376,6 +389,11 @@
 
     /// The instance that would serve the request soonest.
     fn place(&self, ask: &Ask, need: Need, now: Time) -> Option<InstanceId> {
+        if let Kind::Control(id) = &ask.kind {
+            let instance = self.instances.get(id)?;
+            let can = instance.has_idle() || instance.may_open(self.most() + 1, now);
+            return can.then(|| id.clone());
+        }
         if need == Need::Primary {
             let id = self.primary.as_ref()?;
             let instance = self.instances.get(id)?;
@@ -398,7 +416,7 @@
     }
 
     fn refusal(&self, ask: &Ask) -> Refused {
-        let reason = match (ask.kind, &self.primary) {
+        let reason = match (&ask.kind, &self.primary) {
             (Kind::Write | Kind::Read(Guarantee::Newest), None) => Reason::NoPrimary,
             _ if self.instances.is_empty() => Reason::NoInstance,
             _ => Reason::Busy,
@@ -420,7 +438,7 @@
     }
 }
 
-fn grant<C>(instance: InstanceId, conn: C, kind: Kind, need: Need) -> Grant<C> {
+fn grant<C>(instance: InstanceId, conn: C, kind: &Kind, need: Need) -> Grant<C> {
     let after = match need {
         Need::Holds(point) => Some(point),
         Need::Primary => None,
@@ -429,6 +447,6 @@
         instance,
         conn,
         after,
-        prove: kind != Kind::Write && need == Need::Primary,
+        prove: matches!(kind, Kind::Read(_)) && need == Need::Primary,
     }
 }
--- a/crates/policy/src/pool/instance.rs
+++ b/crates/policy/src/pool/instance.rs
@@ -27,6 +27,23 @@
 /// that was slow once would get no statement that could show that it is well again.
 const FORGET: Span = Span::from_millis(1_000);
 
+/// Reads that may be in flight before anything is known.
+const FIRST_ROOM: f64 = 8.0;
+
+/// Most reads in flight; instances have few slots and a short queue.
+const MAX_ROOM: f64 = 64.0;
+
+/// What is left of the reads in flight after a refusal, and what an answer adds to them:
+/// a window of 8 recovers within about 30 answers.
+const SHRINK: f64 = 0.7;
+const GROW: f64 = 0.5;
+
+/// Pause after a refusal, about the time in which a slot comes free.
+const BUSY_REST: Span = Span::from_millis(10);
+
+/// Time after which one more connection is tried beyond a number that was too many.
+const CEILING_RISE: Span = Span::from_millis(1_500);
+
 /// Added while a connection must be opened first; instances take 10 to 30 ms for it.
 const OPEN_COST: Span = Span::from_millis(20);
 
@@ -62,6 +79,10 @@
     /// Usual time of a statement, the way included.
     usual: Option<Span>,
     learned: Time,
+    /// Reads that may be in flight.
+    room: f64,
+    /// Connections beyond which it said that it is full, and when.
+    ceiling: Option<(u32, Time)>,
 }
 
 impl<C> Instance<C> {
@@ -77,6 +98,8 @@
             rests_until: Time::default(),
             usual: None,
             learned: Time::default(),
+            room: FIRST_ROOM,
+            ceiling: None,
         }
     }
 
@@ -154,7 +177,10 @@
             Ok(conn) => self.keep(conn, now),
             Err(fault) => {
                 let pause = match fault {
-                    OpenFault::Full => FULL_PAUSE,
+                    OpenFault::Full => {
+                        self.ceiling = Some((self.count(), now));
+                        FULL_PAUSE
+                    }
                     OpenFault::Unreachable => UNREACHABLE_PAUSE,
                 };
                 self.no_open_before = now + pause;
@@ -166,8 +192,16 @@
         self.idle.push((conn, now));
     }
 
+    /// Whether another connection may be opened, of `most` that the proxy may hold.
+    ///
+    /// Load: all proxies want more than their part at once. Harm without the ceiling: each
+    /// goes on asking, and a refused connection costs the instance as much as an open one.
     pub(super) fn may_open(&self, most: u32, now: Time) -> bool {
-        self.count() < most && self.no_open_before <= now
+        let ceiling = self.ceiling.map_or(u32::MAX, |(ceiling, at)| {
+            let risen = now.since(at).as_micros() / CEILING_RISE.as_micros();
+            ceiling.saturating_add(u32::try_from(risen).unwrap_or(u32::MAX))
+        });
+        self.count() < most.min(ceiling.max(1)) && self.no_open_before <= now
     }
 
     pub(super) fn open(&mut self) {
@@ -179,7 +213,19 @@
     }
 
     pub(super) fn serves_reads(&self, now: Time) -> bool {
-        !self.entry.leaving && self.rests_until <= now
+        let room = f64::from(self.lent) < self.room;
+        !self.entry.leaving && self.rests_until <= now && room
+    }
+
+    /// It refused a statement because its slots and its queue are full.
+    ///
+    /// Load: proxies that know nothing of each other send to the same instance. Harm
+    /// without it: each refused statement comes back at once and is refused again. Fewer
+    /// in flight after a refusal, and slowly more after each answer, keeps the queue
+    /// short and the slots full.
+    pub(super) fn refused(&mut self, now: Time) {
+        self.room = (f64::from(self.lent) * SHRINK).max(1.0);
+        self.rest(now + BUSY_REST);
     }
 
     /// Whether writes may go to it, if it leads. One that leaves goes on leading until
@@ -203,6 +249,7 @@
 
     fn learn(&mut self, took: Span, now: Time) {
         self.learned = now;
+        self.room = (self.room + GROW / self.room).min(MAX_ROOM);
         let old = self.usual.unwrap_or(took).as_micros();
         let new = (old * (SMOOTHING - 1) + took.as_micros()) / SMOOTHING;
         self.usual = Some(Span::from_micros(new));
--- a/crates/policy/src/takeover.rs
+++ b/crates/policy/src/takeover.rs
@@ -126,8 +126,15 @@
 
 /// Decides the next step from a fresh look at all instances.
 ///
-/// `known_end` is the newest end of the primary's log that the coordinator saw.
-pub fn next_step(members: &[Member], cause: Cause, known_end: Option<Point>) -> Step {
+/// `old` is the primary that is to be replaced. What it alone holds has not been
+/// acknowledged, so it need not answer. `known_end` is the newest end of its log that the
+/// coordinator saw.
+pub fn next_step(
+    members: &[Member],
+    old: &InstanceId,
+    cause: Cause,
+    known_end: Option<Point>,
+) -> Step {
     let newest = newest_term(members);
     let primary = members.iter().find(|m| leads(m, newest));
     if cause == Cause::Leaving && !primary.is_some_and(|p| p.leaving) && primary.is_some() {
@@ -136,7 +143,8 @@
     let Some(candidate) = candidate(members, newest) else {
         return Step::Hold(Hold::NoCandidate);
     };
-    let others = replicas(members, newest).filter(|m| m.id != candidate.id);
+    let old_alone = |m: &Member| m.id == *old && m.state.is_none();
+    let others = replicas(members, newest).filter(|m| m.id != candidate.id && !old_alone(m));
     let term = newest.next();
     let running: Vec<_> = others
         .clone()
--- a/crates/policy/src/watch.rs
+++ b/crates/policy/src/watch.rs
@@ -12,7 +12,7 @@
 
 /// Age of the newest proof from which the primary is asked for another. Replicas lag by
 /// some tens of milliseconds, and reads accept ages from about a second on.
-const PROOF_AGE: Span = Span::from_millis(300);
+const PROOF_AGE: Span = Span::from_millis(250);
 
 /// Pause between two questions to an instance that may lead.
 const LIKELY_EVERY: Span = Span::from_millis(100);
@@ -21,10 +21,11 @@
 const UNLIKELY_EVERY: Span = Span::from_millis(400);
 
 /// Time for which the primary must have failed before it is doubted. Shorter would take a
-/// reset of all connections for a failure.
-const FAILING: Span = Span::from_millis(250);
+/// reset of all connections, or a restart, for a failure.
+const FAILING: Span = Span::from_millis(200);
 
-/// Questions that must have failed as well.
+/// Questions that must have failed as well. One that got no answer in time counts as two:
+/// neither an open connection nor a new one brought any.
 const FAILURES: u32 = 2;
 
 /// Writes without an answer that make a primary doubtful although it answers: it cannot
@@ -48,8 +49,10 @@
 pub enum Finding {
     /// It does not lead.
     Follows,
-    /// No answer came.
+    /// No answer came in time, neither on an open connection nor on a new one.
     Silent,
+    /// It is not there: connections are refused or reset.
+    Down,
     /// It runs, and has no connection left for the question.
     Full,
 }
@@ -164,7 +167,7 @@
             None => self.candidates.get(id).is_some_and(|c| c.claims),
         };
         if doubtful {
-            self.failures += 1;
+            self.failures += if finding == Finding::Silent { 2 } else { 1 };
             self.failing_since.get_or_insert(now);
         }
         if finding == Finding::Follows {
