Hold fewer connections beyond the part, and let sessions wait for the configuration

Cause: after all VMs lost power each proxy opened twice its part at once; the first took what the others needed, who were refused for seconds (TooMany on every instance), and sessions that came before the configuration were refused at once and used up their tries. Questions to instances opened and closed connections of their own.

--- a/crates/front/src/group/probe.rs
+++ b/crates/front/src/group/probe.rs
@@ -8,7 +8,7 @@
 use model::id::{GroupId, InstanceId};
 use model::statement::Code;
 use model::unit::{Span, Time};
-use policy::pool::Action;
+use policy::pool::{Action, OpenFault};
 use policy::proof::Proof;
 use policy::watch::Finding;
 
@@ -39,8 +39,9 @@
 /// What came of a question.
 pub(super) struct Report {
     instance: InstanceId,
-    /// A connection from the pool that goes back to it.
+    /// A connection for the pool.
     conn: Option<Conn>,
+    /// Whether the pool lent a connection for the question; otherwise one was opened.
     lent: bool,
     found: Result<Proof, Finding>,
     /// Whether the question was one of the watch's own.
@@ -67,6 +68,12 @@
         let primary = self.pool.primary().cloned();
         for id in self.watch.ask(primary.as_ref(), proved, now) {
             let conn = self.pool.take_idle(&id);
+            let opening = conn.is_none() && self.pool.begin_open(&id, now);
+            if conn.is_none() && !opening {
+                // Its connections are all in use, and their statements show whether it lives.
+                self.watch.answered(&id);
+                continue;
+            }
             self.probe(id, conn);
         }
     }
@@ -114,10 +121,18 @@
                 }
             }
         }
-        if report.lent {
-            return self.pool.give_back(&id, report.conn, None, now);
+        match (report.asked, report.lent, report.conn) {
+            (false, ..) => Vec::new(),
+            (true, true, conn) => self.pool.give_back(&id, conn, None, now),
+            (true, false, Some(conn)) => self.pool.opened(&id, Ok(conn), now),
+            (true, false, None) => {
+                let fault = match report.found {
+                    Err(Finding::Full) => OpenFault::Full,
+                    _ => OpenFault::Unreachable,
+                };
+                self.pool.opened(&id, Err(fault), now)
+            }
         }
-        Vec::new()
     }
 }
 
@@ -144,14 +159,13 @@
     /// connection that can be used further in place of the one that was lent.
     async fn put(&self, conn: Option<Conn>) -> (Result<Proof, Finding>, Option<Conn>) {
         let Some(mut open) = conn else {
-            let (found, new) = self.on_new(false).await;
-            return (found, new);
+            return self.on_new().await;
         };
         let known = {
             let old = ask(&mut open, LIMIT).fuse();
             let new = async {
                 compio::time::sleep(PATIENCE).await;
-                self.on_new(true).await
+                self.on_new().await
             };
             let new = new.fuse();
             futures_util::pin_mut!(old, new);
@@ -169,14 +183,14 @@
         }
     }
 
-    async fn on_new(&self, keep: bool) -> (Result<Proof, Finding>, Option<Conn>) {
+    async fn on_new(&self) -> (Result<Proof, Finding>, Option<Conn>) {
         let opened = Conn::open(self.address, &self.group, &self.id, NEW_LIMIT).await;
         self.metrics.opened(opened.is_ok());
         match opened {
             Ok(mut open) => {
                 let found = ask(&mut open, LIMIT).await;
                 let well = !matches!(found, Err(Finding::Silent | Finding::Down));
-                if keep && well {
+                if well {
                     return (found, Some(open));
                 }
                 open.close().await;
--- a/crates/front/src/session.rs
+++ b/crates/front/src/session.rs
@@ -30,6 +30,11 @@
 /// nothing costs a descriptor.
 const START_LIMIT: Span = Span::from_millis(10_000);
 
+/// Longest wait of a new session for the first configuration. Load: all proxies start
+/// again at once. Harm without it: sessions that come in the first moments are refused
+/// and use up their tries; callers wait 2 s for the answer.
+const ROUTES_LIMIT: Span = Span::from_millis(1_500);
+
 /// Why a statement has no result, for the caller and for the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Failure {
@@ -141,6 +146,7 @@
             return None;
         }
     };
+    wait_for_routes(cx).await;
     let routes = cx.routes();
     let known = database.filter(|d| routes.routes.contains_key(d));
     match &known {
@@ -161,6 +167,14 @@
     known
 }
 
+/// Waits a while for the first configuration.
+async fn wait_for_routes(cx: &Cx) {
+    let end = clock::now() + ROUTES_LIMIT;
+    while cx.routes().version == 0 && clock::now() < end {
+        clock::sleep_until(clock::now() + Span::from_millis(25)).await;
+    }
+}
+
 /// What a session wakes up for.
 enum Event {
     Line(Result<Request, line::LineError>),
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -332,10 +332,27 @@
     /// Connections that this proxy holds at most.
     ///
     /// Load: writes and writing transactions all go to one instance of three. Harm with
-    /// no more than the part: they wait although other proxies leave theirs unused. An
-    /// instance that is full says so, and the proxy then stays with what it has.
+    /// no more than the part: they wait although other proxies leave theirs unused. Harm
+    /// with much more: after a restart of all, the first proxies take everything, and the
+    /// others had no connection for seconds. What is beyond the part is closed as soon as
+    /// it is idle for a moment.
     fn most(&self) -> u32 {
-        (self.share() * 2).max(2).min(self.connections)
+        let share = self.share();
+        (share + (share / 2).max(1)).min(self.connections)
+    }
+
+    /// Begins to open a connection that nobody waits for yet; says whether there may be
+    /// one. Its outcome goes to [`Pool::opened`].
+    pub fn begin_open(&mut self, id: &InstanceId, now: Time) -> bool {
+        let most = self.most();
+        let Some(instance) = self.instances.get_mut(id) else {
+            return false;
+        };
+        let may = instance.may_open(most, now);
+        if may {
+            instance.open();
+        }
+        may
     }
 
     fn settle(&mut self, now: Time) -> Vec<Action<C, W>> {
