--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -23,10 +23,10 @@
 
 /// Time after which a silent proxy loses its place. Shorter means that a dead coordinator
 /// is replaced sooner; a proxy that pauses for less keeps its place.
-const LEASE: Duration = Duration::from_millis(3_000);
+const LEASE: Duration = Duration::from_millis(4_000);
 
 /// Pause between two renewals: two may be lost before the lease ends.
-const RENEW: Span = Span::from_millis(800);
+const RENEW: Span = Span::from_millis(1_200);
 
 /// Pause between two looks at doubts and at the coordinator's key.
 const LOOK: Span = Span::from_millis(100);
--- a/crates/front/src/session.rs
+++ b/crates/front/src/session.rs
@@ -185,12 +185,14 @@
 impl Session {
     async fn run(&mut self, reader: &mut Reader, writer: &mut Writer) -> Result<(), StreamError> {
         loop {
+            let mut served = false;
             match self.next(reader).await? {
                 Event::Line(Ok(Request::Query { id, text })) => {
                     let arrived = clock::now();
                     let job = Job { id, text, arrived };
                     let answer = self.answer(&job).await;
                     writer.send(answer).await?;
+                    served = true;
                 }
                 Event::Line(Ok(Request::Bye)) => return Ok(()),
                 Event::Line(Ok(Request::Start { .. }) | Err(_)) => {
@@ -206,14 +208,25 @@
                     }
                 }
             }
-            // The caller sees the end only between two statements, so none is cut off.
-            let done = self.tx.is_none() && !reader.has_line();
-            if done && self.cx.stop.phase() != Phase::Serving && self.cx.stop.may_close() {
+            if self.tx.is_none() && !reader.has_line() && self.may_end(served) {
                 return Ok(());
             }
         }
     }
 
+    /// Whether the session may end between two statements.
+    ///
+    /// A statement that the caller sends while its session is being closed is lost. Just
+    /// after an answer the caller has none on the way, so that is when a session ends;
+    /// one that stays idle ends only when the time runs out.
+    fn may_end(&self, served: bool) -> bool {
+        match self.cx.stop.phase() {
+            Phase::Serving => false,
+            Phase::Closing => served,
+            Phase::Ending => true,
+        }
+    }
+
     async fn next(&self, reader: &mut Reader) -> Result<Event, StreamError> {
         let line = async { reader.line().await.map(line::request) }.fuse();
         let idle = self.idle_limit().fuse();
--- a/crates/front/src/session/attempt.rs
+++ b/crates/front/src/session/attempt.rs
@@ -8,6 +8,7 @@
 use model::statement::{Access, Code, TxState};
 use model::unit::{Span, Time};
 use policy::pool::{Ask, Kind};
+use rand::Rng as _;
 
 use super::{Done, Failure, Job, Session};
 use crate::clock;
@@ -16,11 +17,13 @@
 
 /// Attempts of one statement. An attempt is repeated only if the one before certainly did
 /// not run, or only read; each goes to another instance where there is one.
-pub(super) const TRIES: u32 = 5;
+const TRIES: u32 = 5;
 
-/// First pause before a write is tried again on an instance without a free slot; it
-/// doubles, since no other instance can take the write.
-const BUSY_PAUSE: Span = Span::from_millis(15);
+/// First and longest pause before a statement is tried again that met full instances; it
+/// doubles, and half of it is random. Load: everyone comes back at once after an outage.
+/// Harm without it: the tries of all are used up within some ten milliseconds, against
+/// queues that are a few hundred milliseconds long.
+const BUSY_PAUSES: (Span, Span) = (Span::from_millis(16), Span::from_millis(128));
 
 /// Time after which a write without an answer is reported to the group's watch. Writes
 /// take some tens of milliseconds, and a replica a region away acknowledges within 50 ms.
@@ -116,6 +119,7 @@
 }
 
 /// How one attempt ended without a result.
+#[derive(Clone, Copy)]
 pub(super) enum Miss {
     /// It did not run; another instance may be tried.
     NotRun(Code),
@@ -164,7 +168,8 @@
     ) -> Result<Done, Failure> {
         let give_up = job.arrived + route.time_limit;
         let mut last = Failure::Instance(Code::Busy);
-        for attempt in 0..TRIES {
+        let mut tries = Tries::default();
+        while tries.left() {
             let ask = ask(job, Kind::Write, route, self.own);
             let lent = group.ask(ask).await?;
             let instance = lent.instance.clone();
@@ -181,12 +186,9 @@
                     return Ok(done);
                 }
                 Err(Miss::NotRun(code)) => {
-                    tracing::info!(id = %job.id, %instance, ?code, attempt, "a write did not run");
+                    tracing::info!(id = %job.id, %instance, ?code, ?tries, "a write did not run");
                     last = Failure::Instance(code);
-                    if code == Code::Busy {
-                        let pause = BUSY_PAUSE.times(1 << attempt);
-                        compio::time::sleep(pause.as_duration()).await;
-                    }
+                    tries.missed(code).await;
                 }
                 Err(Miss::Unanswered(lost)) => return Err(lost.in_doubt()),
                 Err(Miss::Final(failure)) => return Err(failure),
@@ -199,6 +201,38 @@
     }
 }
 
+/// Counts the tries of one statement. A refusal for want of capacity is none: the
+/// statement waits its turn, until its time is up.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Tries {
+    failed: u32,
+    busy: u32,
+}
+
+impl Tries {
+    pub(super) const fn left(self) -> bool {
+        self.failed < TRIES
+    }
+
+    /// Counts a try that did not run, and waits before the next one.
+    pub(super) async fn missed(&mut self, code: Code) {
+        if code != Code::Busy {
+            self.failed += 1;
+            return;
+        }
+        let pause = BUSY_PAUSES.0.times(1 << self.busy.min(8));
+        let pause = pause.min(BUSY_PAUSES.1).as_micros();
+        self.busy += 1;
+        let pause = rand::rng().random_range(pause / 2..=pause);
+        compio::time::sleep(Duration::from_micros(pause)).await;
+    }
+
+    /// Counts a try whose answer was lost.
+    pub(super) const fn lost(&mut self) {
+        self.failed += 1;
+    }
+}
+
 /// A request for a connection on behalf of a statement.
 pub(super) fn ask(job: &Job, kind: Kind, route: &Route, own: Option<Point>) -> Ask {
     Ask {
--- a/crates/front/src/session/read.rs
+++ b/crates/front/src/session/read.rs
@@ -12,7 +12,7 @@
 use model::unit::Span;
 use policy::pool::Kind;
 
-use super::attempt::{self, Miss, Sending, TRIES};
+use super::attempt::{self, Miss, Sending, Tries};
 use super::{Done, Failure, Job, Session};
 use crate::clock;
 use crate::conn::{Values, What};
@@ -40,7 +40,8 @@
         let mut avoid: Option<InstanceId> = None;
         let mut late: Option<Running> = None;
         let mut last = Failure::Instance(Code::Busy);
-        for attempt in 0..TRIES {
+        let mut tries = Tries::default();
+        while tries.left() {
             let mut ask = attempt::ask(job, Kind::Read(route.guarantee), route, self.own);
             ask.avoid = avoid.take();
             let lent = match group.ask(ask).await {
@@ -65,6 +66,7 @@
                 None => match soon(new).await {
                     Ok(end) => end,
                     Err(running) => {
+                        tries.lost();
                         tracing::info!(id = %job.id, instance = ?avoid, "a read is tried on another instance as well");
                         late = Some(running);
                         continue;
@@ -74,9 +76,15 @@
             match end {
                 Ok(done) => return Ok(done),
                 Err(Miss::Final(failure)) => return Err(failure),
-                Err(miss) => last = miss.of_read(),
+                Err(miss) => {
+                    last = miss.of_read();
+                    tracing::info!(id = %job.id, instance = ?avoid, ?tries, cause = %last, "a read has no result yet");
+                    match miss {
+                        Miss::NotRun(code) => tries.missed(code).await,
+                        Miss::Unanswered(_) | Miss::Final(_) => tries.lost(),
+                    }
+                }
             }
-            tracing::info!(id = %job.id, instance = ?avoid, attempt, cause = %last, "a read has no result yet");
             if clock::now() >= give_up {
                 break;
             }
--- a/crates/front/src/stop.rs
+++ b/crates/front/src/stop.rs
@@ -16,9 +16,9 @@
 pub enum Phase {
     /// Not begun.
     Serving,
-    /// Sessions end between transactions.
+    /// Sessions end after their next answer.
     Closing,
-    /// Open transactions are ended.
+    /// All sessions end, open transactions included.
     Ending,
 }
 
@@ -58,11 +58,6 @@
         }
     }
 
-    /// Whether an idle session may be closed.
-    pub fn may_close(&self) -> bool {
-        self.phase() >= Phase::Closing
-    }
-
     /// Ends when the next phase begins.
     pub async fn changed(&self) {
         let next = match self.phase() {
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -307,9 +307,9 @@
             let refused = self.refusal(&w.ask);
             actions.push(Action::Refuse(w.who, refused));
         }
-        let share = self.share();
+        let kept = self.kept();
         for instance in self.instances.values_mut() {
-            actions.extend(instance.trim(share, now).map(Action::Close));
+            actions.extend(instance.trim(kept, now).map(Action::Close));
             let leads = self.primary.as_ref() == Some(instance.id());
             if instance.entry().leaving && !leads {
                 actions.extend(instance.drain_idle().into_iter().map(Action::Close));
@@ -329,6 +329,16 @@
         (self.connections / self.proxies).max(1)
     }
 
+    /// Connections that stay open while they are idle.
+    ///
+    /// Load: all proxies lose power and are back a second later. Harm with more: the
+    /// instances still hold the connections of before, and drop them only after seconds;
+    /// with all of them taken, nobody is served until then. With two thirds of them idle
+    /// at most, each proxy finds one free at once.
+    fn kept(&self) -> u32 {
+        (self.connections * 2 / 3 / self.proxies).max(1)
+    }
+
     /// Connections that this proxy holds at most.
     ///
     /// Load: writes and writing transactions all go to one instance of three. Harm with
--- a/crates/policy/src/pool/instance.rs
+++ b/crates/policy/src/pool/instance.rs
@@ -54,7 +54,7 @@
 
 /// Added for an instance a region away. Load: all instances equally busy. Harm without
 /// it: reads cross the narrow link between regions for a gain of some milliseconds.
-const FAR_COST: Span = Span::from_millis(30);
+const FAR_COST: Span = Span::from_millis(60);
 
 /// A round trip from which an instance counts as a region away; data centres of one
 /// region are at most a few milliseconds apart.
@@ -241,10 +241,10 @@
         self.idle.drain(..).map(|(conn, _)| conn).collect()
     }
 
-    /// Closes the connection that was idle longest, if the proxy holds more than `share`.
-    pub(super) fn trim(&mut self, share: u32, now: Time) -> Option<C> {
+    /// Closes the connection that was idle longest, if the proxy holds more than `kept`.
+    pub(super) fn trim(&mut self, kept: u32, now: Time) -> Option<C> {
         let (_, since) = self.idle.first()?;
-        let spare = self.count() > share && now.since(*since) >= IDLE_CLOSE;
+        let spare = self.count() > kept && now.since(*since) >= IDLE_CLOSE;
         spare.then(|| self.idle.remove(0).0)
     }
 
