Gather changes of the store by fleet size

The pause grows with the proxies that watch, up to a third of the time in which a change must be in force; the coordinator does not wait.

--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -32,6 +32,9 @@
     /// Least lease that the store grants, in milliseconds.
     #[serde_as(as = "DurationMilliSecondsWithFrac<f64>")]
     pub least_lease_ms: Duration,
+    /// Time within which a change of the configuration must be in force, in milliseconds.
+    #[serde_as(as = "DurationMilliSecondsWithFrac<f64>")]
+    pub in_force_within_ms: Duration,
     /// Time from the signal to stop until the process is killed, in seconds.
     #[serde_as(as = "DurationSecondsWithFrac<f64>")]
     pub grace_s: Duration,
--- a/crates/front/src/directory.rs
+++ b/crates/front/src/directory.rs
@@ -24,8 +24,14 @@
 ///
 /// Load: as many proxies as watch also write, when all of them start. Harm without it:
 /// each write wakes all of them, which at 91 proxies was 33,000 calls in 48 s. The pause
-/// gathers the changes of that time; it stays below what a change may take to arrive.
-const GATHER: (Duration, Duration) = (Duration::from_millis(8), Duration::from_millis(1_000));
+/// gathers the changes of that time.
+const GATHER: Duration = Duration::from_millis(16);
+
+/// The part of the time in which a change must be in force that the pause may take.
+const GATHER_PART: u32 = 3;
+
+/// The pause of the proxy that coordinates: doubts are to reach it at once.
+const COORDINATOR_GATHER: Duration = Duration::from_millis(20);
 
 /// First and longest pause before the store is asked again after a failure. It takes
 /// 2,000 reads a second from all proxies, which 91 of them stay under.
@@ -40,13 +46,23 @@
     cx: Rc<Cx>,
     state: Rc<RefCell<State>>,
     changed: flume::Sender<()>,
+    in_force_within: Duration,
+    coordinates: Rc<dyn Fn(&Directory) -> bool>,
 }
 
 impl Directory {
     /// A directory that knows nothing yet; `changed` gets a message after each change of
-    /// proxies, coordinator or doubts.
-    pub fn new(cx: Rc<Cx>, changed: flume::Sender<()>) -> Self {
+    /// proxies, coordinator or doubts. Changes must be in force within `in_force_within`;
+    /// `coordinates` tells whether this proxy holds the coordinator's duty.
+    pub fn new(
+        cx: Rc<Cx>,
+        changed: flume::Sender<()>,
+        in_force_within: Duration,
+        coordinates: impl Fn(&Self) -> bool + 'static,
+    ) -> Self {
         Self {
+            in_force_within,
+            coordinates: Rc::new(coordinates),
             cx,
             state: Rc::default(),
             changed,
@@ -104,11 +120,18 @@
             self.state.borrow_mut().apply(batch, clock::now());
         }
         self.hand_out();
-        let pause = GATHER.0 * self.state.borrow().proxies();
-        compio::time::sleep(pause.min(GATHER.1)).await;
+        compio::time::sleep(self.pause()).await;
         Ok(())
     }
 
+    fn pause(&self) -> Duration {
+        if (self.coordinates)(self) {
+            return COORDINATOR_GATHER;
+        }
+        let pause = GATHER * self.state.borrow().proxies();
+        pause.min(self.in_force_within / GATHER_PART)
+    }
+
     async fn sweep(&self) {
         loop {
             clock::sleep_until(clock::now() + SWEEP).await;
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -55,8 +55,10 @@
     compio::runtime::spawn(pages).detach();
 
     let (changed, changes) = flume::bounded(1);
-    let directory = Directory::new(cx.clone(), changed);
     let member = Rc::new(Member::new(cfg.proxy.clone()));
+    let holder = member.clone();
+    let coordinates = move |directory: &Directory| holder.duty(directory).is_some();
+    let directory = Directory::new(cx.clone(), changed, cfg.in_force_within_ms, coordinates);
     compio::runtime::spawn(directory.clone().follow(store.clone())).detach();
     let least = cfg.least_lease_ms;
     let keep = member
