--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -23,6 +23,8 @@
     pub listen: SocketAddr,
     /// Where the balancer asks whether this proxy takes new callers.
     pub ready_listen: SocketAddr,
+    /// Where connections are lent to other proxies; they must reach it.
+    pub relay_listen: SocketAddr,
     /// Where metrics are served.
     pub metrics_listen: SocketAddr,
     /// The platform's store.
--- a/crates/front/src/conn.rs
+++ b/crates/front/src/conn.rs
@@ -1,6 +1,7 @@
 //! A connection to an instance: one statement at a time, with the session's values and
 //! prepared statements brought into place first.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +18,7 @@
 use policy::takeover::State;
 
 use crate::clock;
+use crate::relay::Held;
 use crate::stream::{self, Reader, StreamError, Writer};
 
 /// Statements that stay prepared on a connection; beyond them all are forgotten at once,
@@ -40,6 +42,12 @@
     Refused(Code),
 }
 
+impl From<io::Error> for ConnError {
+    fn from(e: io::Error) -> Self {
+        Self::Stream(e.into())
+    }
+}
+
 /// Values of a session by name.
 pub type Values = IndexMap<Arc<str>, Arc<str>>;
 
@@ -96,21 +104,12 @@
     ) -> Result<Self, ConnError> {
         let opening = async {
             let stream = TcpStream::connect(address).await;
-            let stream = stream.map_err(StreamError::Broken)?;
-            let (reader, mut writer) = stream::split(stream).map_err(StreamError::Broken)?;
+            let stream = stream?;
+            let (reader, mut writer) = stream::split(stream)?;
             let mut buf = Vec::new();
             line::put_start(&mut buf, group.as_str(), instance.as_str());
-            writer.send(buf).await.map_err(StreamError::Broken)?;
-            let mut conn = Self {
-                reader,
-                writer,
-                values: Values::new(),
-                prepared: IndexMap::new(),
-                names: 0,
-                proof: None,
-                state: TxState::Idle,
-                took: None,
-            };
+            writer.send(buf).await?;
+            let mut conn = Self::new(reader, writer);
             match line::reply(conn.reader.line().await?)? {
                 Reply::Ready { .. } => Ok(conn),
                 Reply::Error(code) => Err(ConnError::Refused(code)),
@@ -120,6 +119,63 @@
         within(limit, opening).await
     }
 
+    /// A connection that leads to an instance through another proxy.
+    pub fn bare(stream: TcpStream) -> Result<Self, ConnError> {
+        let (reader, writer) = stream::split(stream)?;
+        Ok(Self::new(reader, writer))
+    }
+
+    fn new(reader: Reader, writer: Writer) -> Self {
+        Self {
+            reader,
+            writer,
+            values: Values::new(),
+            prepared: IndexMap::new(),
+            names: 0,
+            proof: None,
+            state: TxState::Idle,
+            took: None,
+        }
+    }
+
+    /// What the instance holds for this connection.
+    pub fn held(&self) -> Held {
+        let prepared = self.prepared.iter();
+        Held {
+            values: self.values.clone(),
+            prepared: prepared.map(|(s, name)| Held::prepared(s, name)).collect(),
+            names: self.names,
+        }
+    }
+
+    /// Takes over what the instance holds, as another proxy tells it.
+    pub fn set_held(&mut self, held: &Held) {
+        self.values.clone_from(&held.values);
+        self.prepared = held.shapes();
+        self.names = held.names;
+    }
+
+    /// Takes over what came of statements that another proxy ran.
+    pub fn set_outcome(&mut self, proof: Option<Proof>, took: Option<Span>) {
+        self.proof = proof;
+        self.took = took;
+    }
+
+    /// Both directions, for passing lines on as they are.
+    pub fn halves(&mut self) -> (&mut Reader, &mut Writer) {
+        (&mut self.reader, &mut self.writer)
+    }
+
+    /// Sends bytes as they are.
+    pub async fn send(&mut self, bytes: Vec<u8>) -> Result<(), ConnError> {
+        Ok(self.writer.send(bytes).await?)
+    }
+
+    /// Waits for one line.
+    pub async fn line(&mut self, limit: Duration) -> Result<&[u8], ConnError> {
+        within(limit, async { Ok(self.reader.line().await?) }).await
+    }
+
     /// What it proved about the primary's log since the last call.
     pub fn take_proof(&mut self) -> Option<Proof> {
         self.proof.take()
@@ -150,7 +206,7 @@
         }
         let since = clock::now();
         within(limit, async {
-            self.writer.send(buf).await.map_err(StreamError::Broken)?;
+            self.writer.send(buf).await?;
             let mut refused = None;
             for what in expected {
                 let answer = self.read_answer().await?;
@@ -219,7 +275,7 @@
     pub async fn run(&mut self, buf: Vec<u8>, limit: Duration) -> Result<Answer, ConnError> {
         let since = clock::now();
         let answer = within(limit, async {
-            self.writer.send(buf).await.map_err(StreamError::Broken)?;
+            self.writer.send(buf).await?;
             self.read_answer().await
         });
         let answer = answer.await?;
@@ -232,7 +288,7 @@
         let mut buf = Vec::new();
         line::put_own(&mut buf, &Own::Rollback);
         let answer = within(limit, async {
-            self.writer.send(buf).await.map_err(StreamError::Broken)?;
+            self.writer.send(buf).await?;
             self.read_answer().await
         });
         match answer.await?.state {
--- a/crates/front/src/coordinator.rs
+++ b/crates/front/src/coordinator.rs
@@ -77,7 +77,8 @@
         (leaving && successor).then_some((primary, Cause::Leaving))
     }
 
-    /// The instance that a third of the proxies doubt, two at least.
+    /// The instance that a third of the proxies doubt which hold connections to the group,
+    /// two at least.
     ///
     /// One proxy alone may be cut off itself, and its callers can reach another proxy. A
     /// third of the callers without writes is worth a change, which costs all of them less
@@ -90,8 +91,8 @@
                 .find(|i| Some(**i) == primary)
                 .or(doubts.first())?;
             let same = doubts.iter().filter(|i| *i == newest).count();
-            let proxies = state.proxies() as usize;
-            let needed = proxies.div_ceil(3).max(2.min(proxies));
+            let holders = state.holders(group) as usize;
+            let needed = holders.div_ceil(3).max(2.min(holders));
             (same >= needed).then(|| (**newest).clone())
         })
     }
--- a/crates/front/src/directory.rs
+++ b/crates/front/src/directory.rs
@@ -7,14 +7,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use model::id::ProxyId;
 use model::unit::{Span, Time};
 use platform::kv;
+use policy::carry::Proxy;
 use store::client::Client;
 use store::error::Error;
 
 use crate::clock;
-use crate::cx::Cx;
-pub use state::{COORDINATOR, DOUBTS, PROXIES, State};
+use crate::cx::{Carrier, Cx};
+use crate::group::Shares;
+pub use state::{Announced, COORDINATOR, DOUBTS, PROXIES, State};
 
 /// Longest wait of one watch. An open connection can go silent for good, and is noticed
 /// only when the wait is over; each watch costs the operators one call.
@@ -46,6 +49,7 @@
     cx: Rc<Cx>,
     state: Rc<RefCell<State>>,
     changed: flume::Sender<()>,
+    me: Proxy,
     in_force_within: Duration,
     coordinates: Rc<dyn Fn(&Directory) -> bool>,
 }
@@ -56,11 +60,13 @@
     /// `coordinates` tells whether this proxy holds the coordinator's duty.
     pub fn new(
         cx: Rc<Cx>,
+        me: Proxy,
         changed: flume::Sender<()>,
         in_force_within: Duration,
         coordinates: impl Fn(&Self) -> bool + 'static,
     ) -> Self {
         Self {
+            me,
             in_force_within,
             coordinates: Rc::new(coordinates),
             cx,
@@ -152,16 +158,33 @@
             );
             self.cx.set_routes(routes);
         }
-        let proxies = state.proxies();
+        let coordinates = {
+            // The closure reads the state as well.
+            drop(state);
+            let coordinates = (self.coordinates)(self);
+            state = self.state.borrow_mut();
+            coordinates
+        };
         let routes = self.cx.routes();
         for (group, limits) in &routes.groups {
             let handle = self.cx.ensure_group(group);
             if let Some(entries) = state.take_entries(group) {
                 handle.set_entries(entries);
             }
-            if state.take_shares(group, limits.connections, proxies) {
-                handle.set_shares(limits.connections, proxies);
+            if let Some(plan) = state.take_plan(group, limits.connections, &self.me) {
+                let carrier = |proxy: &ProxyId| Carrier {
+                    proxy: proxy.clone(),
+                    address: state.relay(proxy).filter(|_| *proxy != self.me.id),
+                };
+                let through = plan.through.iter().map(carrier).collect();
+                self.cx.set_through(group, through);
             }
+            let shares = Shares {
+                connections: limits.connections,
+                holders: state.holders(group),
+                own: state.holds(group) || coordinates,
+            };
+            handle.set_shares(shares);
         }
         // A message that waits already says the same.
         let _ = self.changed.try_send(());
--- a/crates/front/src/directory/state.rs
+++ b/crates/front/src/directory/state.rs
@@ -1,12 +1,16 @@
 //! What the store's keys mean, key by key.
 
+use std::net::SocketAddr;
+
 use indexmap::{IndexMap, IndexSet};
 use model::entry::Entry;
-use model::id::{GroupId, InstanceId, ProxyId};
+use model::id::{DataCentre, GroupId, InstanceId, ProxyId};
 use model::position::Revision;
 use model::route::Routes;
 use model::unit::{Span, Time};
 use platform::{entry, routes};
+use policy::carry::{self, Plan, Proxy};
+use serde::{Deserialize, Serialize};
 use store::kv::{Listing, Record};
 use store::watch::{Batch, Change};
 
@@ -28,6 +32,15 @@
 /// forget a replica that may hold an acknowledged write.
 const REMEMBERED: Span = Span::from_millis(60_000);
 
+/// What a proxy announces of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announced {
+    /// Where it runs.
+    pub data_centre: DataCentre,
+    /// Where it lends connections to other proxies.
+    pub relay: SocketAddr,
+}
+
 #[derive(Clone, Debug)]
 struct Known {
     entry: Entry,
@@ -46,8 +59,8 @@
     routes_changed: bool,
     instances: IndexMap<InstanceId, Known>,
     changed_groups: IndexSet<GroupId>,
-    shares: IndexMap<GroupId, (u32, u32)>,
-    proxies: IndexSet<ProxyId>,
+    plans: IndexMap<GroupId, (Plan, u32)>,
+    proxies: IndexMap<ProxyId, Option<Announced>>,
     coordinator: Option<Record>,
     doubts: IndexMap<(GroupId, ProxyId), InstanceId>,
 }
@@ -94,7 +107,7 @@
         for id in gone {
             self.miss(&id, now);
         }
-        self.proxies.retain(|id| has(&format!("{PROXIES}{id}")));
+        self.proxies.retain(|id, _| has(&format!("{PROXIES}{id}")));
         self.doubts
             .retain(|(group, proxy), _| has(&format!("{DOUBTS}{group}/{proxy}")));
         if !has(COORDINATOR) {
@@ -125,7 +138,7 @@
         } else if record.key == COORDINATOR {
             self.coordinator = Some(record);
         } else if let Some(proxy) = record.key.strip_prefix(PROXIES) {
-            self.proxies.extend(proxy.parse::<ProxyId>());
+            self.put_proxy(proxy, &record.value);
         } else if let Some(at) = doubt_key(&record.key) {
             let text = String::from_utf8_lossy(&record.value);
             if let Ok(instance) = text.parse::<InstanceId>() {
@@ -134,6 +147,17 @@
         }
     }
 
+    fn put_proxy(&mut self, id: &str, value: &[u8]) {
+        let Ok(id) = id.parse::<ProxyId>() else {
+            return;
+        };
+        let announced = serde_json::from_slice(value);
+        if let Err(e) = &announced {
+            tracing::warn!(proxy = %id, cause = %e, "a proxy's announcement cannot be read");
+        }
+        self.proxies.insert(id, announced.ok());
+    }
+
     /// A configuration that is older than the one in force is left out, also when the
     /// store tells it later: what was in force once never reverts.
     fn put_routes(&mut self, record: &Record) {
@@ -257,10 +281,39 @@
         Some(usable.map(|k| k.entry.clone()).collect())
     }
 
-    /// Whether the shares of a group differ from those of the last call.
-    pub fn take_shares(&mut self, group: &GroupId, connections: u32, proxies: u32) -> bool {
-        let shares = (connections, proxies);
-        self.shares.insert(group.clone(), shares) != Some(shares)
+    /// Where a proxy lends connections.
+    pub fn relay(&self, proxy: &ProxyId) -> Option<SocketAddr> {
+        Some(self.proxies.get(proxy)?.as_ref()?.relay)
+    }
+
+    /// Who holds connections to a group, if that changed since the last call.
+    pub fn take_plan(&mut self, group: &GroupId, connections: u32, me: &Proxy) -> Option<Plan> {
+        let live: Vec<_> = self
+            .proxies
+            .iter()
+            .filter_map(|(id, announced)| {
+                let data_centre = announced.as_ref()?.data_centre.clone();
+                Some(Proxy {
+                    id: id.clone(),
+                    data_centre,
+                })
+            })
+            .collect();
+        let plan = carry::plan(group, connections, me, &live);
+        let planned = (plan.clone(), connections);
+        let old = self.plans.insert(group.clone(), planned.clone());
+        (old != Some(planned)).then_some(plan)
+    }
+
+    /// Whether this proxy holds connections to a group.
+    pub fn holds(&self, group: &GroupId) -> bool {
+        self.plans.get(group).is_none_or(|(plan, _)| plan.own)
+    }
+
+    /// Proxies that hold connections to a group.
+    pub fn holders(&self, group: &GroupId) -> u32 {
+        let plan = self.plans.get(group);
+        plan.map_or_else(|| self.proxies(), |(plan, _)| plan.holders)
     }
 }
 
--- a/crates/front/src/group.rs
+++ b/crates/front/src/group.rs
@@ -3,6 +3,7 @@
 
 mod probe;
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,6 +20,7 @@
 use crate::conn::{Conn, ConnError};
 use crate::metrics::Metrics;
 use crate::place::Ways;
+use crate::relay::WayBack;
 
 /// Longest time for opening a connection. Load: an instance whose slots are full makes a
 /// handshake wait behind some statements; harm of a shorter one: half-open connections.
@@ -35,7 +37,7 @@
     GiveBack(Returned),
     Opened(InstanceId, Result<Conn, OpenFault>),
     Entries(Vec<Entry>),
-    Shares(u32, u32),
+    Shares(Shares),
     Probed(probe::Report),
     Note(InstanceId, Note),
     View(flume::Sender<View>),
@@ -43,7 +45,7 @@
 }
 
 /// What a session learned about an instance.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Note {
     /// It may not write.
     ReadOnly,
@@ -66,6 +68,17 @@
     took: Option<Span>,
 }
 
+/// Who holds connections to the group's instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shares {
+    /// Connections that one instance accepts.
+    pub connections: u32,
+    /// Proxies that hold some.
+    pub holders: u32,
+    /// Whether this proxy is one of them.
+    pub own: bool,
+}
+
 /// What the task knows, for those who ask.
 #[derive(Clone, Debug, Default)]
 pub struct View {
@@ -90,7 +103,7 @@
 
 /// A connection on loan; dropping it unreturned counts it as lost.
 pub struct Lent {
-    handle: Handle,
+    home: Home,
     /// Whose connection it is.
     pub instance: InstanceId,
     /// The read must carry this point.
@@ -100,7 +113,32 @@
     conn: Option<Conn>,
 }
 
+/// Where a connection comes from.
+enum Home {
+    /// The group's task of this process.
+    Here(Handle),
+    /// Another proxy; what was learned goes back with the connection.
+    Relayed(WayBack, Rc<RefCell<Vec<Note>>>),
+}
+
 impl Lent {
+    /// A loan of another proxy.
+    pub fn relayed(
+        way_back: WayBack,
+        instance: InstanceId,
+        after: Option<Point>,
+        prove: bool,
+        conn: Conn,
+    ) -> Self {
+        Self {
+            home: Home::Relayed(way_back, Rc::default()),
+            instance,
+            after,
+            prove,
+            conn: Some(conn),
+        }
+    }
+
     /// The connection.
     pub fn conn(&mut self) -> Option<&mut Conn> {
         self.conn.as_mut()
@@ -108,37 +146,57 @@
 
     /// Gives the connection back for others to use.
     pub fn give_back(mut self) {
-        let conn = self.conn.take();
-        self.send(conn);
+        if let Some(conn) = self.conn.take() {
+            self.send(conn, true);
+        }
     }
 
     /// Tells what the session learned about the instance.
     pub fn note(&self, note: Note) {
-        self.handle.note(&self.instance, note);
+        self.noter()(note);
     }
 
     /// The same, for as long as the connection is in use.
     pub fn noter(&self) -> impl Fn(Note) + use<> {
-        let (handle, instance) = (self.handle.clone(), self.instance.clone());
-        move |note| handle.note(&instance, note)
+        let instance = self.instance.clone();
+        let (here, notes) = match &self.home {
+            Home::Here(handle) => (Some(handle.clone()), None),
+            Home::Relayed(_, notes) => (None, Some(notes.clone())),
+        };
+        move |note| match (&here, &notes) {
+            (Some(handle), _) => handle.note(&instance, note),
+            (None, Some(notes)) => notes.borrow_mut().push(note),
+            (None, None) => {}
+        }
     }
 
-    fn send(&mut self, mut conn: Option<Conn>) {
-        let returned = Returned {
-            instance: self.instance.clone(),
-            proof: conn.as_mut().and_then(Conn::take_proof),
-            took: conn.as_mut().and_then(Conn::take_time),
-            conn,
-        };
-        self.handle.send(Message::GiveBack(returned));
+    fn send(&mut self, mut conn: Conn, usable: bool) {
+        match &self.home {
+            Home::Here(handle) => {
+                let returned = Returned {
+                    instance: self.instance.clone(),
+                    proof: conn.take_proof(),
+                    took: conn.take_time(),
+                    conn: usable.then_some(conn),
+                };
+                handle.send(Message::GiveBack(returned));
+            }
+            Home::Relayed(way_back, notes) => {
+                way_back.give_back(conn, usable, notes.take());
+            }
+        }
     }
 
-    /// Tells the group early what the connection proved, while it stays on loan.
+    /// Tells the group early what the connection proved, while it stays on loan. The proof
+    /// of a loan from another proxy goes back with it.
     pub fn tell_proof(&mut self) {
+        let Home::Here(handle) = &self.home else {
+            return;
+        };
         let proof = self.conn.as_mut().and_then(Conn::take_proof);
         if let Some(proof) = proof {
             let report = probe::Report::proved(self.instance.clone(), proof);
-            self.handle.send(Message::Probed(report));
+            handle.send(Message::Probed(report));
         }
     }
 }
@@ -146,8 +204,7 @@
 impl Drop for Lent {
     fn drop(&mut self) {
         if let Some(conn) = self.conn.take() {
-            drop(conn);
-            self.send(None);
+            self.send(conn, false);
         }
     }
 }
@@ -173,7 +230,7 @@
         };
         let grant = rx.recv_async().await.unwrap_or(Err(stopped))?;
         Ok(Lent {
-            handle: self.clone(),
+            home: Home::Here(self.clone()),
             instance: grant.instance,
             after: grant.after,
             prove: grant.prove,
@@ -186,9 +243,9 @@
         self.send(Message::Entries(entries));
     }
 
-    /// Takes over the connections that an instance accepts and the proxies that share them.
-    pub fn set_shares(&self, connections: u32, proxies: u32) {
-        self.send(Message::Shares(connections, proxies));
+    /// Takes over who holds connections.
+    pub fn set_shares(&self, shares: Shares) {
+        self.send(Message::Shares(shares));
     }
 
     /// Tells what was learned about an instance.
@@ -213,6 +270,8 @@
     id: Rc<GroupId>,
     pool: Pool<Conn, Reply>,
     watch: Watch,
+    /// Whether this proxy holds connections of its own.
+    own: bool,
     ways: Ways,
     metrics: Metrics,
     tx: flume::Sender<Message>,
@@ -226,6 +285,7 @@
         id: id.clone(),
         pool: Pool::new(),
         watch: Watch::default(),
+        own: true,
         ways,
         metrics,
         tx: tx.clone(),
@@ -274,8 +334,8 @@
                 self.pool.opened(&id, result, now)
             }
             Message::Entries(entries) => self.entries(&entries, now),
-            Message::Shares(connections, proxies) => {
-                self.pool.set_shares(connections, proxies);
+            Message::Shares(shares) => {
+                self.share(shares);
                 Vec::new()
             }
             Message::Probed(report) => self.probed(report, now),
@@ -336,6 +396,21 @@
         actions
     }
 
+    fn share(&mut self, shares: Shares) {
+        let Shares {
+            connections,
+            holders,
+            own,
+        } = shares;
+        self.pool.set_shares(connections, holders, own);
+        if self.own != shares.own {
+            tracing::info!(group = %self.id, own = shares.own, holders = shares.holders, "who holds connections has changed");
+            self.own = shares.own;
+            // A proxy that no longer looks must not go on doubting.
+            self.watch.forget();
+        }
+    }
+
     fn noted(&mut self, id: &InstanceId, note: Note, now: Time) {
         match note {
             Note::ReadOnly => {
--- a/crates/front/src/group/probe.rs
+++ b/crates/front/src/group/probe.rs
@@ -64,6 +64,9 @@
 impl Group {
     /// Asks whom the watch wants to ask.
     pub(super) fn look(&mut self, now: Time) {
+        if !self.own && self.pool.waiting() == 0 {
+            return;
+        }
         let proved = self.pool.newest_proof().map(|p| p.since);
         let primary = self.pool.primary().cloned();
         for id in self.watch.ask(primary.as_ref(), proved, now) {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod metrics;
 pub mod pages;
 pub mod place;
+pub mod relay;
 pub mod run;
 pub mod session;
 pub mod stop;
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -19,7 +19,7 @@
 
 use crate::clock;
 use crate::cx::Cx;
-use crate::directory::{COORDINATOR, DOUBTS, Directory, PROXIES};
+use crate::directory::{Announced, COORDINATOR, DOUBTS, Directory, PROXIES};
 
 /// Time after which a silent proxy loses its place. Shorter means that a dead coordinator
 /// is replaced sooner; a proxy that pauses for less keeps its place.
@@ -45,6 +45,7 @@
     /// Written into the coordinator's key: tells this process from an earlier one of the
     /// same name.
     nonce: String,
+    announced_as: Announced,
     lease: Cell<Option<(LeaseId, Time)>>,
     doubts: RefCell<IndexMap<GroupId, InstanceId>>,
     announced: Cell<bool>,
@@ -52,11 +53,12 @@
 
 impl Member {
     /// A proxy without a place yet.
-    pub fn new(id: ProxyId) -> Self {
+    pub fn new(id: ProxyId, announced_as: Announced) -> Self {
         let nonce = format!("{id} {:016x}", rand::rng().random::<u64>());
         Self {
             id,
             nonce,
+            announced_as,
             lease: Cell::new(None),
             doubts: RefCell::default(),
             announced: Cell::new(false),
@@ -131,7 +133,8 @@
         };
         if !self.announced.get() {
             let key = format!("{PROXIES}{}", self.id);
-            kv::put(client, &key, b"", lease).await?;
+            let value = serde_json::to_vec(&self.announced_as).map_err(Error::Decode)?;
+            kv::put(client, &key, &value, lease).await?;
             self.announced.set(true);
         }
         for group in cx.groups() {
--- /dev/null
+++ b/crates/front/src/relay.rs
@@ -0,0 +1,230 @@
+//! Lending connections to another proxy of the data centre.
+//!
+//! A proxy without connections of its own to a group asks a carrier for one, speaks to the
+//! instance through it, and returns it. Between the two runs one TCP connection for each
+//! loan under way; it is used again for the next one. Messages of the proxies are lines
+//! that begin with [`MARK`], which no line of an instance does; all other lines are passed
+//! on as they are.
+
+mod carrier;
+mod client;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use model::id::{GroupId, InstanceId};
+use model::position::Point;
+use model::route::Guarantee;
+use model::statement::{Access, Shape};
+use model::unit::{Span, Time};
+use policy::pool::{Ask, Kind, Reason, Refused};
+use serde::{Deserialize, Serialize};
+
+use crate::clock;
+use crate::group::Note;
+
+pub use carrier::serve;
+pub use client::{Client, Miss, WayBack};
+
+/// Begins a message between proxies.
+const MARK: u8 = b'!';
+
+/// Longest wait until the carrier has heard a request. It is in the same data centre and
+/// answers within a millisecond; one that stands still is passed over.
+const HEARD: Duration = Duration::from_millis(150);
+
+/// What a statement needs of its connection.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+enum WireKind {
+    Write,
+    Newest,
+    Bounded(Span),
+    OwnWrites(Span),
+}
+
+/// A message to the carrier.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+enum ToCarrier {
+    /// Asks for a connection.
+    Ask {
+        group: GroupId,
+        kind: WireKind,
+        own: Option<Point>,
+        /// Time since the statement arrived. The carrier counts from when it reads the
+        /// message, later than the statement arrived, so that reads get fresher data than
+        /// they need, never older.
+        waited: Span,
+        /// Time until the caller is refused.
+        left: Span,
+        priority: u8,
+        avoid: Option<InstanceId>,
+    },
+    /// Gives it back.
+    Return(Returned),
+}
+
+/// What is known of a connection that comes back.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Returned {
+    /// Whether it can be used again; if not, the carrier closes it.
+    usable: bool,
+    held: Held,
+    /// End of the primary's log, if the instance proved during the loan that it leads. The
+    /// carrier dates the proof from when it lent the connection: both clocks agree that
+    /// this was earlier, so reads get fresher data than they need, never older.
+    proof: Option<Point>,
+    took: Option<Span>,
+    notes: Vec<Note>,
+}
+
+/// What an instance holds for a connection.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Held {
+    /// Session values.
+    pub values: IndexMap<Arc<str>, Arc<str>>,
+    /// Prepared statements: whether they write, what they run, and the connection's name.
+    pub prepared: Vec<(bool, Arc<str>, Arc<str>)>,
+    /// Names given out so far.
+    pub names: u64,
+}
+
+/// A message of the carrier.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+enum FromCarrier {
+    /// The request has been read.
+    Heard,
+    /// The connection follows.
+    Granted {
+        instance: InstanceId,
+        after: Option<Point>,
+        prove: bool,
+        held: Held,
+    },
+    /// There is none.
+    Refused { reason: WireReason, retry: Span },
+    /// The carrier stops, or does not know the group: ask another one.
+    Elsewhere,
+}
+
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+enum WireReason {
+    NoPrimary,
+    Busy,
+    NoInstance,
+}
+
+impl Held {
+    /// A prepared statement in the form that is sent.
+    pub fn prepared(shape: &Shape, name: &Arc<str>) -> (bool, Arc<str>, Arc<str>) {
+        let writes = shape.access == Access::Write;
+        (writes, shape.text.clone(), name.clone())
+    }
+
+    /// The prepared statements.
+    pub fn shapes(&self) -> IndexMap<Shape, Arc<str>> {
+        let shape = |(writes, text, name): &(bool, Arc<str>, Arc<str>)| {
+            let access = if *writes { Access::Write } else { Access::Read };
+            let text = text.clone();
+            (Shape { access, text }, name.clone())
+        };
+        self.prepared.iter().map(shape).collect()
+    }
+}
+
+fn to_wire(group: &GroupId, ask: &Ask) -> Option<ToCarrier> {
+    let now = clock::now();
+    let kind = match &ask.kind {
+        Kind::Write => WireKind::Write,
+        Kind::Read(Guarantee::Newest) => WireKind::Newest,
+        Kind::Read(Guarantee::Bounded(age)) => WireKind::Bounded(*age),
+        Kind::Read(Guarantee::OwnWrites(age)) => WireKind::OwnWrites(*age),
+        Kind::Control(_) => return None,
+    };
+    Some(ToCarrier::Ask {
+        group: group.clone(),
+        kind,
+        own: ask.own,
+        waited: now.since(ask.arrived),
+        left: ask.give_up.since(now),
+        priority: ask.priority,
+        avoid: ask.avoid.clone(),
+    })
+}
+
+fn from_wire(message: ToCarrier) -> Option<(GroupId, Ask)> {
+    let ToCarrier::Ask {
+        group,
+        kind,
+        own,
+        waited,
+        left,
+        priority,
+        avoid,
+    } = message
+    else {
+        return None;
+    };
+    let now = clock::now();
+    let kind = match kind {
+        WireKind::Write => Kind::Write,
+        WireKind::Newest => Kind::Read(Guarantee::Newest),
+        WireKind::Bounded(age) => Kind::Read(Guarantee::Bounded(age)),
+        WireKind::OwnWrites(age) => Kind::Read(Guarantee::OwnWrites(age)),
+    };
+    let arrived = now.as_micros().saturating_sub(waited.as_micros());
+    let ask = Ask {
+        kind,
+        own,
+        arrived: Time::from_micros(arrived),
+        give_up: now + left,
+        priority,
+        avoid,
+    };
+    Some((group, ask))
+}
+
+impl From<Refused> for FromCarrier {
+    fn from(refused: Refused) -> Self {
+        let reason = match refused.reason {
+            Reason::NoPrimary => WireReason::NoPrimary,
+            Reason::Busy => WireReason::Busy,
+            Reason::NoInstance => WireReason::NoInstance,
+        };
+        Self::Refused {
+            reason,
+            retry: refused.retry_after,
+        }
+    }
+}
+
+fn refused(reason: WireReason, retry_after: Span) -> Refused {
+    let reason = match reason {
+        WireReason::NoPrimary => Reason::NoPrimary,
+        WireReason::Busy => Reason::Busy,
+        WireReason::NoInstance => Reason::NoInstance,
+    };
+    Refused {
+        reason,
+        retry_after,
+    }
+}
+
+fn encode(message: &impl Serialize) -> Vec<u8> {
+    let mut line = vec![MARK];
+    // The messages hold only texts and numbers, which always can be written.
+    line.extend(serde_json::to_vec(message).unwrap_or_default());
+    line.extend_from_slice(platform::line::END);
+    line
+}
+
+fn decode<T: for<'de> Deserialize<'de>>(line: &[u8]) -> Option<T> {
+    let body = line.strip_prefix(&[MARK])?;
+    match serde_json::from_slice(body) {
+        Ok(message) => Some(message),
+        Err(e) => {
+            tracing::warn!(cause = %e, "a message of another proxy cannot be read");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/relay/carrier.rs
@@ -0,0 +1,154 @@
+//! Lending connections to other proxies.
+
+use std::rc::Rc;
+
+use compio::net::{TcpListener, TcpStream};
+use futures_util::future::{self, Either};
+use model::unit::{Span, Time};
+use policy::proof::Proof;
+
+use super::{FromCarrier, MARK, Returned, ToCarrier, decode, encode, from_wire};
+use crate::clock;
+use crate::conn::Conn;
+use crate::cx::Cx;
+use crate::group::{Lent, Note};
+use crate::stop::Phase;
+use crate::stream::{self, Reader, StreamError, Writer};
+use platform::line;
+
+/// Takes connections of other proxies.
+pub async fn serve(cx: Rc<Cx>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let cx = cx.clone();
+                compio::runtime::spawn(async move {
+                    if let Err(e) = lend(&cx, stream).await {
+                        tracing::debug!(cause = %e, "another proxy went");
+                    }
+                })
+                .detach();
+            }
+            Err(e) => {
+                tracing::error!(cause = %e, "another proxy was not accepted");
+                clock::sleep_until(clock::now() + Span::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn lend(cx: &Rc<Cx>, stream: TcpStream) -> Result<(), StreamError> {
+    let (mut reader, mut writer) = stream::split(stream)?;
+    loop {
+        let request = decode::<ToCarrier>(reader.line().await?);
+        let Some((group, ask)) = request.and_then(from_wire) else {
+            return Err(StreamError::Closed);
+        };
+        let handle = cx.group(&group);
+        let handle = handle.filter(|_| cx.stop.phase() == Phase::Serving);
+        let Some(handle) = handle else {
+            writer.send(encode(&FromCarrier::Elsewhere)).await?;
+            continue;
+        };
+        writer.send(encode(&FromCarrier::Heard)).await?;
+        // Counted like a session: the shutdown waits for what it carries.
+        let _entered = cx.enter();
+        match handle.ask(ask).await {
+            Ok(lent) => carry(lent, &mut reader, &mut writer).await?,
+            Err(refused) => writer.send(encode(&FromCarrier::from(refused))).await?,
+        }
+    }
+}
+
+async fn carry(
+    mut lent: Lent,
+    reader: &mut Reader,
+    writer: &mut Writer,
+) -> Result<(), StreamError> {
+    let granted = FromCarrier::Granted {
+        instance: lent.instance.clone(),
+        after: lent.after,
+        prove: lent.prove,
+        held: lent.conn().map(|c| c.held()).unwrap_or_default(),
+    };
+    let since = clock::now();
+    writer.send(encode(&granted)).await?;
+    let Some(conn) = lent.conn() else {
+        return Err(StreamError::Closed);
+    };
+    match pipe(conn, reader, writer).await {
+        Ok(returned) => {
+            settle(lent, since, returned);
+            Ok(())
+        }
+        Err(End::Instance(e)) => {
+            tracing::info!(instance = %lent.instance, cause = %e, "a lent connection broke");
+            lent.note(Note::Silent);
+            Err(e)
+        }
+        // The borrower is gone; its transaction goes with the connection.
+        Err(End::Borrower(e)) => Err(e),
+    }
+}
+
+fn settle(mut lent: Lent, since: Time, returned: Returned) {
+    for note in returned.notes {
+        lent.note(note);
+    }
+    if !returned.usable {
+        return;
+    }
+    if let Some(conn) = lent.conn() {
+        conn.set_held(&returned.held);
+        let proof = returned.proof.map(|point| Proof { since, point });
+        conn.set_outcome(proof, returned.took);
+    }
+    lent.give_back();
+}
+
+/// Why a loan ended without being given back.
+enum End {
+    Instance(StreamError),
+    Borrower(StreamError),
+}
+
+/// Passes lines on in both directions until the loan is given back.
+///
+/// The directions run beside each other and neither read is ever cut off in between: a
+/// read that is dropped loses what it holds. The one that is dropped in the end holds
+/// nothing, since a borrower gives back only after the last answer.
+async fn pipe(conn: &mut Conn, reader: &mut Reader, writer: &mut Writer) -> Result<Returned, End> {
+    let (from_instance, to_instance) = conn.halves();
+    let up = async {
+        loop {
+            let mut lines = Vec::new();
+            loop {
+                let text = reader.line().await.map_err(End::Borrower)?;
+                if text.first() == Some(&MARK) {
+                    return match decode(text) {
+                        Some(ToCarrier::Return(returned)) => Ok(returned),
+                        _ => Err(End::Borrower(StreamError::Closed)),
+                    };
+                }
+                lines.extend_from_slice(text);
+                lines.extend_from_slice(line::END);
+                if !reader.has_line() {
+                    break;
+                }
+            }
+            let sent = to_instance.send(lines).await;
+            sent.map_err(|e| End::Instance(e.into()))?;
+        }
+    };
+    let down = async {
+        loop {
+            let chunk = from_instance.chunk().await.map_err(End::Instance)?;
+            let sent = writer.send(chunk).await;
+            sent.map_err(|e| End::Borrower(e.into()))?;
+        }
+    };
+    futures_util::pin_mut!(up, down);
+    match future::select(up, down).await {
+        Either::Left((end, _)) | Either::Right((end, _)) => end,
+    }
+}
--- /dev/null
+++ b/crates/front/src/relay/client.rs
@@ -0,0 +1,200 @@
+//! Asking a carrier for a connection.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use compio::net::TcpStream;
+use indexmap::IndexMap;
+use model::id::{GroupId, ProxyId};
+use model::unit::{Span, Time};
+use policy::pool::{Ask, Refused};
+
+use super::{FromCarrier, HEARD, Returned, ToCarrier, decode, encode, refused, to_wire};
+use crate::clock;
+use crate::conn::{Conn, ConnError};
+use crate::group::{Lent, Note};
+
+/// Connections to one carrier that stay open while no loan uses them.
+const MAX_IDLE: usize = 8;
+
+/// Time for which a carrier that did not answer is passed over.
+const PASS_OVER: Span = Span::from_millis(1_000);
+
+/// Time that a carrier's final answer may take beyond the request's time.
+const GRACE: Span = Span::from_millis(100);
+
+/// Why a carrier lent nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Miss {
+    /// The statement is refused; another carrier would not do better.
+    Refused(Refused),
+    /// Another carrier may be asked.
+    Elsewhere,
+}
+
+/// Connections to carriers.
+#[derive(Clone, Default)]
+pub struct Client(Rc<Inner>);
+
+#[derive(Default)]
+struct Inner {
+    idle: RefCell<IndexMap<ProxyId, Vec<Conn>>>,
+    passed_over: RefCell<IndexMap<ProxyId, Time>>,
+}
+
+/// The way back of a loan.
+#[derive(Clone)]
+pub struct WayBack {
+    client: Client,
+    carrier: ProxyId,
+}
+
+impl Client {
+    /// Asks one carrier.
+    pub async fn ask(
+        &self,
+        carrier: &ProxyId,
+        address: SocketAddr,
+        group: &GroupId,
+        ask: &Ask,
+    ) -> Result<Lent, Miss> {
+        let now = clock::now();
+        let until = self.0.passed_over.borrow().get(carrier).copied();
+        if until.is_some_and(|until| now < until) {
+            return Err(Miss::Elsewhere);
+        }
+        let idle = self.0.idle.borrow_mut().get_mut(carrier).and_then(Vec::pop);
+        let reused = idle.is_some();
+        let mut result = self.try_on(idle, carrier, address, group, ask).await;
+        if reused && result.is_err_and_broken() {
+            // The carrier may have restarted since the connection was used last.
+            result = self.try_on(None, carrier, address, group, ask).await;
+        }
+        result.map_err(|e| match e {
+            Trouble::Refused(refused) => Miss::Refused(refused),
+            Trouble::Elsewhere => Miss::Elsewhere,
+            Trouble::Broken(e) => {
+                tracing::warn!(%carrier, %group, cause = %e, "a carrier did not answer");
+                let until = clock::now() + PASS_OVER;
+                let mut passed_over = self.0.passed_over.borrow_mut();
+                passed_over.insert(carrier.clone(), until);
+                Miss::Elsewhere
+            }
+        })
+    }
+
+    async fn try_on(
+        &self,
+        conn: Option<Conn>,
+        carrier: &ProxyId,
+        address: SocketAddr,
+        group: &GroupId,
+        ask: &Ask,
+    ) -> Result<Lent, Trouble> {
+        let request = to_wire(group, ask).ok_or(Trouble::Elsewhere)?;
+        let mut conn = match conn {
+            Some(conn) => conn,
+            None => connect(address).await?,
+        };
+        conn.send(encode(&request)).await.map_err(Trouble::Broken)?;
+        match read(&mut conn, Span::from(HEARD)).await? {
+            FromCarrier::Heard => {}
+            _ => return self.elsewhere(carrier, conn),
+        }
+        let left = ask.give_up.since(clock::now());
+        let left = Span::from_micros(left.as_micros() + GRACE.as_micros());
+        match read(&mut conn, left).await? {
+            FromCarrier::Granted {
+                instance,
+                after,
+                prove,
+                held,
+            } => {
+                conn.set_held(&held);
+                let way_back = WayBack {
+                    client: self.clone(),
+                    carrier: carrier.clone(),
+                };
+                Ok(Lent::relayed(way_back, instance, after, prove, conn))
+            }
+            FromCarrier::Refused { reason, retry } => {
+                self.keep(carrier, conn);
+                Err(Trouble::Refused(refused(reason, retry)))
+            }
+            FromCarrier::Heard | FromCarrier::Elsewhere => self.elsewhere(carrier, conn),
+        }
+    }
+
+    fn elsewhere(&self, carrier: &ProxyId, conn: Conn) -> Result<Lent, Trouble> {
+        self.keep(carrier, conn);
+        Err(Trouble::Elsewhere)
+    }
+
+    fn keep(&self, carrier: &ProxyId, conn: Conn) {
+        let mut idle = self.0.idle.borrow_mut();
+        let idle = idle.entry(carrier.clone()).or_default();
+        if idle.len() < MAX_IDLE {
+            idle.push(conn);
+        }
+    }
+}
+
+impl WayBack {
+    /// Gives a loan back; `usable` says whether the connection may be lent again.
+    pub fn give_back(&self, mut conn: Conn, usable: bool, notes: Vec<Note>) {
+        let returned = Returned {
+            usable,
+            held: conn.held(),
+            proof: conn.take_proof().map(|p| p.point),
+            took: conn.take_time(),
+            notes,
+        };
+        let this = self.clone();
+        compio::runtime::spawn(async move {
+            match conn.send(encode(&ToCarrier::Return(returned))).await {
+                Ok(()) if usable => this.client.keep(&this.carrier, conn),
+                // Closing it tells the carrier the same.
+                Ok(()) => {}
+                Err(e) => {
+                    tracing::info!(carrier = %this.carrier, cause = %e, "a loan was not given back");
+                }
+            }
+        })
+        .detach();
+    }
+}
+
+/// Why one try brought no loan.
+enum Trouble {
+    Refused(Refused),
+    Elsewhere,
+    Broken(ConnError),
+}
+
+/// Whether a try failed for want of a working connection.
+trait IsBroken {
+    fn is_err_and_broken(&self) -> bool;
+}
+
+impl IsBroken for Result<Lent, Trouble> {
+    fn is_err_and_broken(&self) -> bool {
+        matches!(self, Err(Trouble::Broken(_)))
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<Conn, Trouble> {
+    let connecting = compio::time::timeout(HEARD, TcpStream::connect(address));
+    let stream = match connecting.await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(e)) => return Err(Trouble::Broken(ConnError::from(e))),
+        Err(_) => return Err(Trouble::Broken(ConnError::Silent)),
+    };
+    Conn::bare(stream).map_err(Trouble::Broken)
+}
+
+async fn read(conn: &mut Conn, limit: Span) -> Result<FromCarrier, Trouble> {
+    let line = conn.line(limit.as_duration()).await;
+    let line = line.map_err(Trouble::Broken)?;
+    decode(line).ok_or(Trouble::Broken(ConnError::Silent))
+}
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -9,17 +9,18 @@
 use compio::net::TcpListener;
 use futures_util::FutureExt as _;
 use model::unit::Span;
+use policy::carry::Proxy;
 use store::client::Client;
 
 use crate::config::Config;
 use crate::coordinator::Coordinator;
 use crate::cx::Cx;
-use crate::directory::Directory;
+use crate::directory::{Announced, Directory};
 use crate::member::Member;
 use crate::metrics::{self, Metrics};
 use crate::place::Ways;
 use crate::stop::{self, Phase, Stopper};
-use crate::{clock, pages, session};
+use crate::{clock, pages, relay, session};
 
 const SIGHUP: i32 = 1;
 const SIGINT: i32 = 2;
@@ -55,10 +56,20 @@
     compio::runtime::spawn(pages).detach();
 
     let (changed, changes) = flume::bounded(1);
-    let member = Rc::new(Member::new(cfg.proxy.clone()));
+    let relay_listener = listen(cfg.relay_listen).await?;
+    compio::runtime::spawn(relay::serve(cx.clone(), relay_listener)).detach();
+    let me = Proxy {
+        id: cfg.proxy.clone(),
+        data_centre: cfg.data_centre.clone(),
+    };
+    let announced = Announced {
+        data_centre: cfg.data_centre.clone(),
+        relay: cfg.relay_listen,
+    };
+    let member = Rc::new(Member::new(cfg.proxy.clone(), announced));
     let holder = member.clone();
     let coordinates = move |directory: &Directory| holder.duty(directory).is_some();
-    let directory = Directory::new(cx.clone(), changed, cfg.in_force_within_ms, coordinates);
+    let directory = Directory::new(cx.clone(), me, changed, cfg.in_force_within_ms, coordinates);
     compio::runtime::spawn(directory.clone().follow(store.clone())).detach();
     let least = cfg.least_lease_ms;
     let keep = member
--- a/crates/front/src/session/attempt.rs
+++ b/crates/front/src/session/attempt.rs
@@ -13,7 +13,7 @@
 use super::{Done, Failure, Job, Session};
 use crate::clock;
 use crate::conn::{self, Answer, ConnError, Setting, Setup, Values, What};
-use crate::group::{self, Lent, Note};
+use crate::group::{Lent, Note};
 
 /// Attempts of one statement. An attempt is repeated only if the one before certainly did
 /// not run, or only read; each goes to another instance where there is one.
@@ -152,26 +152,19 @@
             return self.run_in_tx(job, access, &what).await;
         }
         let route = self.route()?;
-        let group = self.cx.group(&route.group).ok_or(Failure::NoDatabase)?;
         match access {
-            Access::Read => self.read(job, what, &route, &group).await,
-            Access::Write => self.write(job, &what, &route, &group).await,
+            Access::Read => self.read(job, what, &route).await,
+            Access::Write => self.write(job, &what, &route).await,
         }
     }
 
-    async fn write(
-        &mut self,
-        job: &Job,
-        what: &What,
-        route: &Route,
-        group: &group::Handle,
-    ) -> Result<Done, Failure> {
+    async fn write(&mut self, job: &Job, what: &What, route: &Route) -> Result<Done, Failure> {
         let give_up = job.arrived + route.time_limit;
         let mut last = Failure::Instance(Code::Busy);
         let mut tries = Tries::default();
         while tries.left() {
             let ask = ask(job, Kind::Write, route, self.own);
-            let lent = group.ask(ask).await?;
+            let lent = self.cx.lend(&route.group, ask).await?;
             let instance = lent.instance.clone();
             let sending = Sending {
                 job,
--- a/crates/front/src/session/read.rs
+++ b/crates/front/src/session/read.rs
@@ -16,7 +16,7 @@
 use super::{Done, Failure, Job, Session};
 use crate::clock;
 use crate::conn::{Values, What};
-use crate::group::{self, Lent};
+use crate::group::Lent;
 
 /// Time after which a read without an answer is tried on another instance as well. Load:
 /// an instance that went dark, or loses answers. Harm without it: each such read waits for
@@ -29,13 +29,7 @@
 type Running = Pin<Box<dyn Future<Output = Result<Done, Miss>>>>;
 
 impl Session {
-    pub(super) async fn read(
-        &self,
-        job: &Job,
-        what: What,
-        route: &Route,
-        group: &group::Handle,
-    ) -> Result<Done, Failure> {
+    pub(super) async fn read(&self, job: &Job, what: What, route: &Route) -> Result<Done, Failure> {
         let give_up = job.arrived + route.time_limit;
         let mut avoid: Option<InstanceId> = None;
         let mut late: Option<Running> = None;
@@ -44,7 +38,7 @@
         while tries.left() {
             let mut ask = attempt::ask(job, Kind::Read(route.guarantee), route, self.own);
             ask.avoid = avoid.take();
-            let lent = match group.ask(ask).await {
+            let lent = match self.cx.lend(&route.group, ask).await {
                 Ok(lent) => lent,
                 Err(refused) => {
                     return match late {
--- a/crates/front/src/session/tx.rs
+++ b/crates/front/src/session/tx.rs
@@ -267,7 +267,6 @@
         route: &Route,
         shape: Option<&model::statement::Shape>,
     ) -> Result<(), Failure> {
-        let group = self.cx.group(&route.group).ok_or(Failure::NoDatabase)?;
         let give_up = job.arrived + route.time_limit;
         let mut avoid = None;
         for attempt in 0..BEGIN_TRIES {
@@ -283,7 +282,7 @@
                 priority: route.priority,
                 avoid: avoid.take(),
             };
-            let mut lent = group.ask(ask).await?;
+            let mut lent = self.cx.lend(&route.group, ask).await?;
             let setup = Setup {
                 values: Some(&self.values),
                 shape,
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -73,6 +73,17 @@
         }
     }
 
+    /// Waits for bytes and gives all that came.
+    pub async fn chunk(&mut self) -> Result<Vec<u8>, StreamError> {
+        if self.used == self.buf.len() {
+            self.fill().await?;
+        }
+        let chunk = self.buf.split_off(self.used);
+        self.buf.clear();
+        self.used = 0;
+        Ok(chunk)
+    }
+
     async fn fill(&mut self) -> Result<(), StreamError> {
         if self.buf.len() - self.used > line::MAX_MESSAGE {
             return Err(StreamError::TooLong);
--- a/crates/front/tests/env/mod.rs
+++ b/crates/front/tests/env/mod.rs
@@ -20,8 +20,17 @@
     listener.local_addr().unwrap()
 }
 
-/// The configuration of the tests: one group, one database for each guarantee.
+/// The configuration of the tests: one group with 23 connections for each instance.
 pub(crate) fn configuration(version: u64, databases: &[(&str, &str)]) -> serde_json::Value {
+    with_connections(version, databases, 23)
+}
+
+/// The same with another number of connections.
+pub(crate) fn with_connections(
+    version: u64,
+    databases: &[(&str, &str)],
+    connections: u32,
+) -> serde_json::Value {
     let route = |(database, guarantee): &(&str, &str)| {
         json!({
             "name": format!("r-{database}"), "database": database, "prefix": "/",
@@ -33,7 +42,7 @@
     json!({
         "version": version,
         "routes": routes,
-        "services": [{ "name": "ledger", "maxConns": 23, "syncReplicas": 1 }],
+        "services": [{ "name": "ledger", "maxConns": connections, "syncReplicas": 1 }],
         "limits": { "txIdleMs": 3000 },
     })
 }
@@ -54,6 +63,7 @@
         "data_centres": { "dc-a": "north" },
         "listen": listen.to_string(),
         "ready_listen": free().to_string(),
+        "relay_listen": free().to_string(),
         "metrics_listen": free().to_string(),
         "store": managed.address().to_string(),
         "orders": managed.address().to_string(),
--- a/crates/front/tests/path.rs
+++ b/crates/front/tests/path.rs
@@ -2,7 +2,7 @@
 
 mod env;
 
-use env::{Caller, DATABASES, configuration, proxy, wait};
+use env::{Caller, DATABASES, configuration, proxy, wait, with_connections};
 use standin::managed::{Fault, Managed};
 use test_case::test_case;
 
@@ -238,3 +238,68 @@
     assert!(orders.windows(2).all(|w| w[0].1 < w[1].1), "{orders:?}");
     assert_eq!(managed.log(), ["x=1", "x=2", "x=3", "x=4"]);
 }
+
+/// A platform whose instances accept three connections, and three proxies: too few for
+/// each to hold its own, so one carries the group for the others.
+fn scarce() -> (Managed, Vec<std::net::SocketAddr>) {
+    let managed = Managed::start(3).unwrap();
+    managed.configure(&with_connections(1, &DATABASES, 3));
+    let proxies = ["p1", "p2", "p3"].map(|name| proxy(&managed, name));
+    wait(|| (managed.keys("pomelo/proxy/").len() == 3).then_some(()));
+    (managed, proxies.to_vec())
+}
+
+/// Callers of every proxy are served over the carrier's connections: transactions keep
+/// theirs, values and prepared statements are those of the session, and a session reads
+/// its own writes.
+#[test]
+fn a_carrier_serves_the_callers_of_all_proxies() {
+    let (managed, proxies) = scarce();
+    for (n, proxy) in proxies.iter().enumerate() {
+        let mut session = caller(*proxy, "audit");
+        session.insist(&format!("WRITE a{n} 1"));
+        assert!(session.ask("SET zone north").done());
+        assert!(session.ask("PREPARE s1 WRITE q").done());
+        assert!(session.ask("BEGIN").done());
+        assert!(session.ask(&format!("EXEC s1 a{n} 2")).done());
+        assert!(session.ask("COMMIT").done());
+        assert_eq!(session.insist(&format!("READ a{n}")).lines[0], "ROW 2");
+    }
+    assert_eq!(managed.log().len(), 6);
+}
+
+/// The primary of a group goes down that only one proxy holds connections to. The callers
+/// of the others see the same as those of that one: refusals that are true, and then their
+/// writes on the new primary.
+#[test]
+fn a_lost_primary_is_replaced_behind_a_carrier() {
+    let (managed, proxies) = scarce();
+    let mut sessions: Vec<_> = proxies.iter().map(|p| caller(*p, "filing")).collect();
+    for session in &mut sessions {
+        session.insist("WRITE a before");
+    }
+    managed.set_fault(0, Fault::Down);
+    for session in &mut sessions {
+        let after = session.insist("WRITE a after");
+        assert_eq!(managed.runs(&after.id), 1);
+    }
+    assert_ne!(managed.primary(), 0);
+    assert_eq!(managed.log().len(), 6);
+}
+
+/// A caller leaves in the middle of a transaction that runs on a carrier's connection. The
+/// work is dropped and the connection serves the next caller, who finds no transaction.
+#[test]
+fn a_transaction_left_behind_a_carrier_is_dropped() {
+    let (managed, proxies) = scarce();
+    for proxy in &proxies {
+        let mut session = caller(*proxy, "filing");
+        session.insist("WRITE a kept");
+        session.ask("BEGIN");
+        session.ask("WRITE a dropped");
+        drop(session);
+        let mut next = caller(*proxy, "filing");
+        assert_eq!(next.insist("READ a").lines[0], "ROW kept");
+    }
+    assert!(managed.log().iter().all(|entry| entry == "a=kept"));
+}
--- /dev/null
+++ b/crates/policy/src/carry.rs
@@ -0,0 +1,82 @@
+//! Which proxies hold connections to a group, and through which the others reach it.
+//!
+//! Load: 65 proxies before instances that accept 41 connections each. Harm without it:
+//! with less than one connection for each proxy, connections are opened and closed around
+//! single statements, and instances spend their slots on handshakes; a quarter of all
+//! statements were refused. So where the connections do not suffice for all, a few
+//! proxies of each data centre carry the group's statements for the others, over
+//! connections that stay open and are shared by many.
+
+use std::cmp::Reverse;
+
+use indexmap::IndexMap;
+use model::hash;
+use model::id::{DataCentre, GroupId, ProxyId};
+
+/// Connections for each proxy from which on all proxies hold their own: one for a
+/// transaction and one for what comes beside it.
+const OWN_CONNECTIONS: u32 = 2;
+
+/// Connections that a carrier should have: an instance has a few slots, and about as many
+/// connections again are held by transactions that pause.
+const CARRIER_CONNECTIONS: u32 = 4;
+
+/// A live proxy.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Proxy {
+    /// Its name.
+    pub id: ProxyId,
+    /// Where it runs.
+    pub data_centre: DataCentre,
+}
+
+/// How a group's connections are held.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// Proxies that hold connections, over all data centres.
+    pub holders: u32,
+    /// Whether this proxy is one of them.
+    pub own: bool,
+    /// Proxies of this data centre to go through, the first one first; empty where all
+    /// proxies hold their own. Those behind the carriers stand in for them.
+    pub through: Vec<ProxyId>,
+}
+
+/// Plans who holds connections to the instances of a group, each of which accepts
+/// `connections`.
+///
+/// All proxies that know the same live ones come to the same plan. Where they do not, for
+/// some seconds, a proxy that is asked to carry does so all the same.
+pub fn plan(group: &GroupId, connections: u32, me: &Proxy, live: &[Proxy]) -> Plan {
+    let count = u32::try_from(live.len()).unwrap_or(u32::MAX).max(1);
+    let mut centres: IndexMap<&DataCentre, Vec<&ProxyId>> = IndexMap::new();
+    for proxy in live {
+        centres
+            .entry(&proxy.data_centre)
+            .or_default()
+            .push(&proxy.id);
+    }
+    let here = centres.get(&me.data_centre).cloned().unwrap_or_default();
+    let enough = connections / count >= OWN_CONNECTIONS;
+    if enough || !here.contains(&&me.id) {
+        return Plan {
+            holders: count,
+            own: true,
+            through: Vec::new(),
+        };
+    }
+    let centre_count = u32::try_from(centres.len()).unwrap_or(u32::MAX).max(1);
+    let each = (connections / (centre_count * CARRIER_CONNECTIONS)).max(1);
+    let holders = centres
+        .values()
+        .map(|ids| each.min(u32::try_from(ids.len()).unwrap_or(u32::MAX)))
+        .sum();
+    let mut ranked = here;
+    ranked.sort_by_cached_key(|id| Reverse(hash::of([group.as_str(), id.as_str()])));
+    let own = ranked.iter().take(each as usize).any(|id| **id == me.id);
+    Plan {
+        holders,
+        own,
+        through: ranked.into_iter().cloned().collect(),
+    }
+}
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -137,6 +137,8 @@
     connections: u32,
     /// Proxies that share them.
     proxies: u32,
+    /// Whether this proxy is one of those.
+    own: bool,
 }
 
 impl<C, W> Pool<C, W> {
@@ -149,13 +151,16 @@
             proofs: Proofs::default(),
             connections: 1,
             proxies: 1,
+            own: true,
         }
     }
 
-    /// Takes over how many connections an instance accepts, and how many proxies share them.
-    pub fn set_shares(&mut self, connections: u32, proxies: u32) {
+    /// Takes over how many connections an instance accepts, how many proxies share them,
+    /// and whether this proxy is one of those; if not, it keeps none while they are idle.
+    pub fn set_shares(&mut self, connections: u32, proxies: u32, own: bool) {
         self.connections = connections.max(1);
         self.proxies = proxies.max(1);
+        self.own = own;
     }
 
     /// Takes over the announced instances; `way` is the usual round trip to each.
@@ -336,6 +341,9 @@
     /// with all of them taken, nobody is served until then. With two thirds of them idle
     /// at most, each proxy finds one free at once.
     fn kept(&self) -> u32 {
+        if !self.own {
+            return 0;
+        }
         (self.connections * 2 / 3 / self.proxies).max(1)
     }
 
--- a/crates/policy/src/watch.rs
+++ b/crates/policy/src/watch.rs
@@ -92,6 +92,15 @@
         }
     }
 
+    /// Forgets what was found out so far.
+    pub fn forget(&mut self) {
+        let candidates = std::mem::take(&mut self.candidates);
+        *self = Self {
+            candidates,
+            ..Self::default()
+        };
+    }
+
     /// An instance was just made primary: it is asked first.
     pub fn expect(&mut self, id: &InstanceId) {
         self.expected = Some(id.clone());
--- /dev/null
+++ b/crates/policy/tests/carry.rs
@@ -0,0 +1,65 @@
+//! Who holds connections to a group when there are too few for all.
+
+use model::id::GroupId;
+use policy::carry::{Proxy, plan};
+
+fn fleet(centres: usize, each: usize) -> Vec<Proxy> {
+    let proxy = |at: usize| Proxy {
+        id: format!("p{at}").parse().unwrap(),
+        data_centre: format!("dc{}", at % centres).parse().unwrap(),
+    };
+    (0..centres * each).map(proxy).collect()
+}
+
+fn group(n: usize) -> GroupId {
+    format!("g{n}").parse().unwrap()
+}
+
+/// Six proxies before 34 connections: each holds its own, and no hop is added.
+#[test]
+fn with_enough_connections_each_proxy_holds_its_own() {
+    let live = fleet(3, 2);
+    let plan = plan(&group(0), 34, &live[0], &live);
+    assert!(plan.own && plan.through.is_empty());
+    assert_eq!(plan.holders, 6);
+}
+
+/// 66 proxies before 41 connections. If each held one, an instance would refuse a third of
+/// them; one carrier in each data centre has six, and all proxies agree who it is.
+#[test]
+fn with_few_connections_each_data_centre_has_a_carrier() {
+    let live = fleet(6, 11);
+    for me in &live {
+        let plan = plan(&group(0), 41, me, &live);
+        assert_eq!(plan.holders, 6);
+        let carrier = plan.through.first().unwrap();
+        assert_eq!(plan.own, *carrier == me.id);
+        let carrier = live.iter().find(|p| p.id == *carrier).unwrap();
+        assert_eq!(carrier.data_centre, me.data_centre);
+    }
+}
+
+/// A carrier goes. Only its own groups move, to the next in the ranking; if all groups
+/// moved, every connection would be opened anew at once.
+#[test]
+fn a_carrier_that_goes_moves_only_its_own_groups() {
+    let live = fleet(2, 12);
+    let me = &live[0];
+    let first = |n: usize, live: &[Proxy]| plan(&group(n), 20, me, live).through[0].clone();
+    let before: Vec<_> = (0..40).map(|n| first(n, &live)).collect();
+    let gone = before.iter().find(|id| **id != me.id).unwrap().clone();
+    let rest: Vec<_> = live.iter().filter(|p| p.id != gone).cloned().collect();
+    for (n, carrier) in before.iter().enumerate() {
+        if *carrier != gone {
+            assert_eq!(first(n, &rest), *carrier);
+        }
+    }
+}
+
+/// The store is away from the start, and no other proxy is known: this one serves alone.
+#[test]
+fn a_proxy_that_knows_no_other_serves_by_itself() {
+    let me = &fleet(1, 1)[0];
+    let plan = plan(&group(0), 1, me, &[]);
+    assert!(plan.own && plan.through.is_empty());
+}
--- a/crates/policy/tests/pool.rs
+++ b/crates/policy/tests/pool.rs
@@ -49,7 +49,7 @@
 /// A pool with a proven primary `p` and replicas `a`, `b`; connections are numbers.
 fn pool(connections: u32, proxies: u32) -> Pool<u32, u32> {
     let mut pool = Pool::new();
-    pool.set_shares(connections, proxies);
+    pool.set_shares(connections, proxies, true);
     let entries = [entry("p"), entry("a"), entry("b")];
     pool.set_entries(&entries, |_| Span::from_millis(1), at(0));
     let proof = Proof {
