Stop an old primary before a replica is passed over that may come back

A primary crashed and another led; its writes stalled while replicas rolled back, so it was doubted as well. The crashed instance was passed over as no longer announced, came back while the order was on its way, received from the living primary, and a write was acknowledged that the next primary lacked. Change: with a replica missing, a living old primary is first told to stop, and a silent one must no longer be announced; instances that appear during the order are stopped; stalled writes do not count against a primary for its first 2 s; each order has a token of its own (two had the same). A replica that lacked a point is not asked for it again for 120 ms, and such an answer is no try. Connections on which BEGIN was refused are kept.

--- a/crates/front/src/conn.rs
+++ b/crates/front/src/conn.rs
@@ -176,6 +176,11 @@
         within(limit, async { Ok(self.reader.line().await?) }).await
     }
 
+    /// Whether no transaction is open on it.
+    pub fn is_idle(&self) -> bool {
+        self.state == TxState::Idle
+    }
+
     /// What it proved about the primary's log since the last call.
     pub fn take_proof(&mut self) -> Option<Proof> {
         self.proof.take()
--- a/crates/front/src/coordinator.rs
+++ b/crates/front/src/coordinator.rs
@@ -2,13 +2,13 @@
 
 mod takeover;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use indexmap::IndexSet;
 use model::id::{GroupId, InstanceId};
 use model::unit::Span;
-use policy::takeover::Cause;
+use policy::takeover::{Cause, Token};
 use store::client::Client;
 
 use crate::clock;
@@ -31,6 +31,8 @@
     pub member: Rc<Member>,
     /// Takes orders.
     pub orders: Client,
+    /// The token of the last order.
+    pub last: Rc<Cell<Token>>,
 }
 
 impl Coordinator {
@@ -62,6 +64,15 @@
         }
     }
 
+    /// A token for the next order, higher than all before: an order that is carried out
+    /// late is then refused once a newer one was seen. `None` without the duty.
+    fn next_token(&self) -> Option<Token> {
+        let first = self.member.duty(&self.directory)?;
+        let token = first.max(self.last.get().next());
+        self.last.set(token);
+        Some(token)
+    }
+
     /// Whether the group's primary is to be replaced, and why.
     async fn trigger(&self, group: &group::Handle) -> Option<(InstanceId, Cause)> {
         let view = group.view().await;
--- a/crates/front/src/coordinator/takeover.rs
+++ b/crates/front/src/coordinator/takeover.rs
@@ -7,10 +7,8 @@
 use indexmap::{IndexMap, IndexSet};
 use model::entry::Entry;
 use model::id::InstanceId;
-use model::position::Term;
 use model::unit::Span;
 use platform::line::Own;
-use platform::order;
 use policy::pool::{Ask, Kind};
 use policy::takeover::{self, Answer, Cause, Hold, Member, Role, State, Step, Token};
 
@@ -127,7 +125,6 @@
     let mut change = Change {
         doubted,
         cause,
-        token: first,
         hold: None,
         links,
     };
@@ -154,8 +151,6 @@
 struct Change {
     doubted: InstanceId,
     cause: Cause,
-    /// Token of the next order.
-    token: Token,
     /// Why the last look led to nothing.
     hold: Option<Hold>,
     links: Links,
@@ -177,7 +172,13 @@
         match takeover::next_step(&members, &self.doubted, self.cause, end) {
             Step::Abandon => true,
             Step::Pause(term, who) => {
-                pause(this, &mut self.links, term, &who).await;
+                let states = order(this, &mut self.links, &who, &Own::Pause(term.0)).await;
+                tracing::info!(group = %group.group(), %term, ?states, "replicas were told to stop receiving");
+                false
+            }
+            Step::Demote(term, old) => {
+                let states = order(this, &mut self.links, &[old], &Own::Demote(term.0)).await;
+                tracing::warn!(group = %group.group(), %term, ?states, "the old primary was told to stop leading");
                 false
             }
             Step::Hold(hold) => {
@@ -188,11 +189,15 @@
         }
     }
 
-    /// Asks all instances. A doubted primary is not asked again and again: its answer
-    /// would be waited for in vain, and it is not needed.
+    /// Asks all instances. A doubted primary is asked only while a replica is missing that
+    /// could still receive from it: otherwise its answer would be waited for in vain.
     async fn look(&mut self, this: &Coordinator) -> Vec<Member> {
         let known = entries(this, &self.links.group);
-        let skip = (self.cause == Cause::Doubted).then_some(&self.doubted);
+        let complete = known
+            .iter()
+            .all(|(entry, listed)| *listed || entry.id == self.doubted);
+        let needless = complete && self.cause == Cause::Doubted;
+        let skip = needless.then_some(&self.doubted);
         let asked: Vec<_> = known
             .iter()
             .map(|(entry, _)| entry.clone())
@@ -218,11 +223,12 @@
     }
 
     async fn promote(&mut self, this: &Coordinator, next: &InstanceId, members: &[Member]) -> bool {
-        let token = self.token;
-        self.token = token.next();
+        let Some(token) = this.next_token() else {
+            return false;
+        };
         let group = self.links.group.clone();
         tracing::warn!(group = %group.group(), instance = %next, %token, ?members, "an instance is made primary");
-        let led = promote(this, &mut self.links, next, token).await;
+        let led = promote(this, &mut self.links, next, token, members).await;
         if led {
             tracing::warn!(group = %group.group(), instance = %next, %token, "the primary was replaced");
             group.expect_primary(next);
@@ -243,23 +249,37 @@
     this.directory.with(|s| s.members(group.group()))
 }
 
-async fn pause(this: &Coordinator, links: &mut Links, term: Term, who: &[InstanceId]) {
-    let known = entries(this, &links.group);
+/// Sends an order to some of the group's instances.
+async fn order(
+    this: &Coordinator,
+    links: &mut Links,
+    who: &[InstanceId],
+    own: &Own<'_>,
+) -> IndexMap<InstanceId, State> {
+    let known = entries(this, &links.group).into_iter();
     let entries: Vec<_> = known
-        .into_iter()
         .map(|(entry, _)| entry)
         .filter(|entry| who.contains(&entry.id))
         .collect();
-    let states = links.each(&entries, &Own::Pause(term.0)).await;
-    tracing::info!(group = %links.group.group(), %term, ?states, "replicas were told to stop receiving");
+    links.each(&entries, own).await
 }
 
 /// Gives the order and waits until the instance leads.
-async fn promote(this: &Coordinator, links: &mut Links, next: &InstanceId, token: Token) -> bool {
+///
+/// An instance that appears meanwhile could receive from the old primary and acknowledge
+/// what the next one lacks, so it is told to stop receiving as soon as it is known.
+async fn promote(
+    this: &Coordinator,
+    links: &mut Links,
+    next: &InstanceId,
+    token: Token,
+    members: &[Member],
+) -> bool {
     let group = links.group.group().clone();
     let begun = clock::now();
     let holder = &this.member.id;
-    let answer = order::promote(&this.orders, holder, token, (&group, next), ORDER).await;
+    let target = (&group, next);
+    let answer = platform::order::promote(&this.orders, holder, token, target, ORDER).await;
     tracing::info!(%group, instance = %next, %token, ?answer, "the platform answered an order");
     match answer {
         Ok(Answer::Accepted) | Err(_) => {}
@@ -268,14 +288,20 @@
             return false;
         }
     }
-    let known = entries(this, &links.group);
-    let entry: Vec<_> = known
-        .into_iter()
-        .map(|(entry, _)| entry)
-        .filter(|entry| entry.id == *next)
-        .collect();
+    let term = takeover::newest_term(members).next();
+    let mut known: IndexSet<_> = members.iter().map(|m| m.id.clone()).collect();
     while !over(begun, LEADS) {
-        let states = links.each(&entry, &Own::Status).await;
+        let all = entries(this, &links.group).into_iter();
+        let new: Vec<_> = all
+            .map(|(entry, _)| entry.id)
+            .filter(|id| !known.contains(id))
+            .collect();
+        if !new.is_empty() {
+            let states = order(this, links, &new, &Own::Pause(term.0)).await;
+            tracing::warn!(%group, ?states, "an instance appeared during a change of primary");
+            known.extend(new);
+        }
+        let states = order(this, links, std::slice::from_ref(next), &Own::Status).await;
         let leads = states.get(next).is_some_and(|s| s.role == Role::Primary);
         if leads {
             return true;
--- a/crates/front/src/group.rs
+++ b/crates/front/src/group.rs
@@ -49,8 +49,8 @@
 pub enum Note {
     /// It may not write.
     ReadOnly,
-    /// Its log was too short for a read.
-    Lags,
+    /// Its log lacked this point.
+    Lacks(Point),
     /// It had no slot and no room to wait.
     Busy,
     /// It did not answer, or the connection broke.
@@ -418,7 +418,7 @@
                 self.look(now);
             }
             Note::Busy => self.pool.refused(id, now),
-            Note::Lags => self.pool.rest(id, now + probe::LAG_REST),
+            Note::Lacks(point) => self.pool.lacks(id, point, now),
             Note::Silent => {
                 self.pool.rest(id, now + probe::REST);
                 self.watch.suspect(id, now);
--- a/crates/front/src/group/probe.rs
+++ b/crates/front/src/group/probe.rs
@@ -32,10 +32,6 @@
 /// Time for which an instance that did not answer is given no reads.
 pub(super) const REST: Span = Span::from_millis(400);
 
-/// Time for which a replica that lags is given no reads; it then has received about as
-/// much as a usual replica is behind.
-pub(super) const LAG_REST: Span = Span::from_millis(40);
-
 /// What came of a question.
 pub(super) struct Report {
     instance: InstanceId,
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -158,8 +158,8 @@
         let key = format!("{DOUBTS}{group}/{}", self.id);
         match (told, doubt) {
             (told, Some((instance, cause))) if told.as_ref() != Some(&instance) => {
-                tracing::warn!(%group, %instance, ?cause, "this proxy doubts the primary");
                 kv::put(client, &key, instance.as_str().as_bytes(), lease).await?;
+                tracing::warn!(%group, %instance, ?cause, "this proxy doubts the primary");
                 self.doubts.borrow_mut().insert(group.clone(), instance);
             }
             (Some(instance), None) => {
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -81,6 +81,7 @@
         directory,
         member: member.clone(),
         orders,
+        last: Rc::default(),
     };
     compio::runtime::spawn(coordinator.run(changes)).detach();
     compio::runtime::spawn(become_ready(cx.clone(), ready.clone())).detach();
--- a/crates/front/src/session/attempt.rs
+++ b/crates/front/src/session/attempt.rs
@@ -112,12 +112,26 @@
 pub(super) fn learn(lent: &Lent, code: Code) {
     match code {
         Code::ReadOnly => lent.note(Note::ReadOnly),
-        Code::Behind => lent.note(Note::Lags),
+        Code::Behind => {
+            if let Some(point) = lent.after {
+                lent.note(Note::Lacks(point));
+            }
+        }
         Code::Busy => lent.note(Note::Busy),
         _ => {}
     }
 }
 
+/// Gives a connection back on which a transaction was refused: it is as it was before.
+/// After any other refusal nobody knows what the instance holds for it, and it is closed.
+pub(super) fn after_refusal(mut lent: Lent, code: Code) {
+    let refused_begin = matches!(code, Code::Behind | Code::ReadOnly | Code::Busy);
+    let idle = lent.conn().is_some_and(|c| c.is_idle());
+    if refused_begin && idle {
+        lent.give_back();
+    }
+}
+
 /// How one attempt ended without a result.
 #[derive(Clone, Copy)]
 pub(super) enum Miss {
@@ -195,7 +209,8 @@
 }
 
 /// Counts the tries of one statement. A refusal for want of capacity is none: the
-/// statement waits its turn, until its time is up.
+/// statement waits its turn, until its time is up. Nor is a log that is too short: another
+/// instance is asked at once.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Tries {
     failed: u32,
@@ -209,9 +224,13 @@
 
     /// Counts a try that did not run, and waits before the next one.
     pub(super) async fn missed(&mut self, code: Code) {
-        if code != Code::Busy {
-            self.failed += 1;
-            return;
+        match code {
+            Code::Busy => {}
+            Code::Behind => return,
+            _ => {
+                self.failed += 1;
+                return;
+            }
         }
         let pause = BUSY_PAUSES.0.times(1 << self.busy.min(8));
         let pause = pause.min(BUSY_PAUSES.1).as_micros();
@@ -264,6 +283,7 @@
             Ok(Setting::Ready) => {}
             Ok(Setting::Refused(code)) => {
                 learn(&lent, code);
+                after_refusal(lent, code);
                 return Err(Miss::NotRun(code));
             }
             Err(e) => {
--- a/crates/front/src/session/tx.rs
+++ b/crates/front/src/session/tx.rs
@@ -5,7 +5,7 @@
 use model::unit::{Span, Time};
 use policy::pool::{Ask, Kind};
 
-use super::attempt::{self, Lost};
+use super::attempt::{self, Lost, Tries};
 use super::{Done, Failure, Job, Session};
 use crate::clock;
 use crate::conn::{Setting, Setup, What};
@@ -15,9 +15,6 @@
 /// the transaction as well.
 const ROLL_BACK_LIMIT: Span = Span::from_millis(500);
 
-/// Tries of a transaction's first statement on further connections.
-const BEGIN_TRIES: u32 = 4;
-
 /// Tries of a statement whose instance has no slot; the transaction cannot go elsewhere.
 const BUSY_TRIES: u32 = 4;
 
@@ -269,7 +266,8 @@
     ) -> Result<(), Failure> {
         let give_up = job.arrived + route.time_limit;
         let mut avoid = None;
-        for attempt in 0..BEGIN_TRIES {
+        let mut tries = Tries::default();
+        while tries.left() {
             let kind = match access {
                 Access::Write => Kind::Write,
                 Access::Read => Kind::Read(route.guarantee),
@@ -306,13 +304,16 @@
                 }
                 Ok(Setting::Refused(code)) => {
                     attempt::learn(&lent, code);
-                    tracing::info!(id = %job.id, instance = %lent.instance, ?code, ?after, prove, attempt, "a transaction was not opened");
+                    tracing::info!(id = %job.id, instance = %lent.instance, ?code, ?after, prove, ?tries, "a transaction was not opened");
                     avoid = Some(lent.instance.clone());
+                    attempt::after_refusal(lent, code);
+                    tries.missed(code).await;
                 }
                 Err(e) => {
                     let lost = Lost::new(&lent, job, &e);
                     avoid = Some(lent.instance.clone());
-                    if attempt + 1 == BEGIN_TRIES {
+                    tries.lost();
+                    if !tries.left() {
                         return Err(lost.unkept());
                     }
                 }
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -296,6 +296,13 @@
         }
     }
 
+    /// The instance's log lacked a point that a read asked for.
+    pub fn lacks(&mut self, id: &InstanceId, point: Point, now: Time) {
+        if let Some(instance) = self.instances.get_mut(id) {
+            instance.lacks(point, now);
+        }
+    }
+
     /// The instance refused a statement for want of capacity.
     pub fn refused(&mut self, id: &InstanceId, now: Time) {
         if let Some(instance) = self.instances.get_mut(id) {
@@ -437,7 +444,12 @@
         }
         let most = self.most();
         let usable = self.instances.values().filter(|i| {
-            i.serves_reads(now)
+            let holds = match need {
+                Need::Holds(point) => i.may_hold(point, now),
+                Need::Primary => true,
+            };
+            holds
+                && i.serves_reads(now)
                 && ask.avoid.as_ref() != Some(i.id())
                 && (i.has_idle() || i.may_open(most, now) || i.opening() > 0)
         });
--- a/crates/policy/src/pool/instance.rs
+++ b/crates/policy/src/pool/instance.rs
@@ -2,6 +2,7 @@
 
 use model::entry::Entry;
 use model::id::InstanceId;
+use model::position::Point;
 use model::unit::{Span, Time};
 
 use super::OpenFault;
@@ -28,6 +29,10 @@
 /// that was slow once would get no statement that could show that it is well again.
 const FORGET: Span = Span::from_millis(1_000);
 
+/// Time for which a replica that lacked a point is taken to lack it still. Usual lags are
+/// some ten milliseconds; a replica that lags for long costs a refused read this often.
+const BEHIND_FOR: Span = Span::from_millis(120);
+
 /// Reads that may be in flight before anything is known.
 const FIRST_ROOM: f64 = 8.0;
 
@@ -82,6 +87,8 @@
     learned: Time,
     /// Reads that may be in flight.
     room: f64,
+    /// A point that its log lacked, and when.
+    behind: Option<(Point, Time)>,
     /// Connections beyond which it said that it is full, and when.
     ceiling: Option<(u32, Time)>,
 }
@@ -100,6 +107,7 @@
             usual: None,
             learned: Time::default(),
             room: FIRST_ROOM,
+            behind: None,
             ceiling: None,
         }
     }
@@ -218,6 +226,21 @@
         !self.entry.leaving && self.rests_until <= now && room
     }
 
+    /// Its log lacked a point that a read asked for.
+    pub(super) fn lacks(&mut self, point: Point, now: Time) {
+        self.behind = Some((point, now));
+    }
+
+    /// Whether its log may hold a point by now.
+    ///
+    /// Load: replicas that lag for seconds. Harm without it: reads go from one lagging
+    /// replica to the other until their tries are used up, while the primary could serve
+    /// them. One that lacked a point is asked for it, or a later one, only now and then.
+    pub(super) fn may_hold(&self, point: Point, now: Time) -> bool {
+        self.behind
+            .is_none_or(|(lacked, at)| point < lacked || now.since(at) >= BEHIND_FOR)
+    }
+
     /// It refused a statement because its slots and its queue are full.
     ///
     /// Load: proxies that know nothing of each other send to the same instance. Harm
--- a/crates/policy/src/takeover.rs
+++ b/crates/policy/src/takeover.rs
@@ -38,7 +38,7 @@
 /// Rises with each holder of the duty and with each of its decisions. The platform
 /// refuses an order with a lower one than it has seen for the group, so that an order
 /// which is carried out late cannot undo a newer one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Token(pub u64);
 
 impl Token {
@@ -116,6 +116,8 @@
 pub enum Step {
     /// Stop these replicas from receiving, under this term, then look again.
     Pause(Term, Vec<InstanceId>),
+    /// Make the old primary stop leading, under this term, then look again.
+    Demote(Term, InstanceId),
     /// Name this instance.
     Promote(InstanceId),
     /// Nothing now; look again.
@@ -140,11 +142,10 @@
     if cause == Cause::Leaving && !primary.is_some_and(|p| p.leaving) && primary.is_some() {
         return Step::Abandon;
     }
-    let Some(candidate) = candidate(members, newest) else {
+    let Some(candidate) = candidate(members, old, newest) else {
         return Step::Hold(Hold::NoCandidate);
     };
-    let old_alone = |m: &Member| m.id == *old && m.state.is_none();
-    let others = replicas(members, newest).filter(|m| m.id != candidate.id && !old_alone(m));
+    let others = replicas(members, newest).filter(|m| m.id != candidate.id && m.id != *old);
     let term = newest.next();
     let running: Vec<_> = others
         .clone()
@@ -163,9 +164,27 @@
     if others.clone().any(|m| unheard(m, own.received, known_end)) {
         return Step::Hold(Hold::Unheard);
     }
+    if others.clone().any(|m| m.state.is_none()) {
+        return without_all(members, old, term, candidate);
+    }
     Step::Promote(candidate.id.clone())
 }
 
+/// The next step while a replica is passed over because it is no longer announced.
+///
+/// It may come back at any moment, receive from the old primary, and acknowledge a write
+/// that the candidate lacks, also after the order was given. So the old primary must not
+/// lead any more: it is told to stop, or it is no longer announced either.
+fn without_all(members: &[Member], old: &InstanceId, term: Term, candidate: &Member) -> Step {
+    let newest = newest_term(members);
+    let primary = members.iter().find(|m| m.id == *old);
+    match primary {
+        Some(p) if leads(p, newest) => Step::Demote(term, old.clone()),
+        Some(p) if p.state.is_none() && p.listed => Step::Hold(Hold::Unheard),
+        _ => Step::Promote(candidate.id.clone()),
+    }
+}
+
 /// The newest term that any instance tells of.
 pub fn newest_term(members: &[Member]) -> Term {
     let states = members.iter().filter_map(|m| m.state);
@@ -190,10 +209,11 @@
 ///
 /// While the primary lives, one that stays can still receive what a leaving one holds;
 /// without it only the one that holds most can lead, and a leaving one leads for a while.
-fn candidate(members: &[Member], newest: Term) -> Option<&Member> {
+fn candidate<'a>(members: &'a [Member], old: &InstanceId, newest: Term) -> Option<&'a Member> {
     let alive = members.iter().any(|m| leads(m, newest));
     let mut best: Option<(&Member, (bool, Point, bool))> = None;
-    for m in replicas(members, newest).filter(|m| m.listed) {
+    let others = replicas(members, newest).filter(|m| m.listed && m.id != *old);
+    for m in others {
         let Some(state) = m.state else { continue };
         let rank = (alive && !m.leaving, state.received, !m.leaving);
         if best.is_none_or(|(_, held)| rank > held) {
--- a/crates/policy/src/watch.rs
+++ b/crates/policy/src/watch.rs
@@ -35,6 +35,10 @@
 /// Time for which a stalled write counts.
 const STALL_KEPT: Span = Span::from_millis(2_000);
 
+/// Time for which stalled writes do not count against a new primary: its replicas first
+/// roll back what they had beyond its log, and acknowledge nothing meanwhile.
+const SETTLING: Span = Span::from_millis(2_000);
+
 /// Why the primary is doubted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Doubt {
@@ -74,6 +78,8 @@
     failures: u32,
     stalls: u32,
     stalled_at: Time,
+    /// Since when the leader leads, as far as this proxy knows.
+    led_since: Time,
     /// An instance that was just made primary.
     expected: Option<InstanceId>,
 }
@@ -159,6 +165,7 @@
         let doubted = self.failing_since.take().is_some() && self.failures >= FAILURES;
         if self.leader.as_ref() != Some(id) {
             self.stalls = 0;
+            self.led_since = since;
         }
         self.leader = Some(id.clone());
         self.expected.take_if(|e| e == id);
@@ -197,7 +204,7 @@
 
     /// A write on the instance has been without an answer for long.
     pub fn stalled(&mut self, id: &InstanceId, now: Time) {
-        if self.leader.as_ref() != Some(id) {
+        if self.leader.as_ref() != Some(id) || now.since(self.led_since) < SETTLING {
             return;
         }
         if now.since(self.stalled_at) > STALL_KEPT {
--- a/crates/policy/tests/pool.rs
+++ b/crates/policy/tests/pool.rs
@@ -158,6 +158,20 @@
     assert_eq!(lent(&pool, full), before);
 }
 
+/// Load: both replicas lag for seconds. Harm: reads went from one to the other until their
+/// tries were used up, and were refused although the primary had what they asked for.
+#[test]
+fn a_read_that_lagging_replicas_cannot_serve_goes_to_the_primary() {
+    let mut pool = pool(300, 6);
+    for name in ["a", "b"] {
+        pool.lacks(&id(name), Point::new(1, 7), at(1_090));
+    }
+    let open = opens(&pool.ask(ask(Kind::Read(AGE), 1_100), 1, at(1_100)));
+    assert_eq!(open, [id("p")]);
+    let later = opens(&pool.ask(ask(Kind::Read(AGE), 1_300), 2, at(1_300)));
+    assert_ne!(later, [id("p")], "a replica is tried again after a while");
+}
+
 /// A change of primary waits for a replica whose connections are all in use by callers.
 /// The coordinator's question goes before everything that waits.
 #[test]
