Refuse at once what a group without a primary cannot serve for long

Cause: writes to a group that had lost its primary waited until their time limit even when no change of primary could come soon (coordinator frozen, store away), and were told only then to come back. Change: after 2.5 s without a primary, longer than a change takes, they are refused at once with the time to come back; reads that replicas serve go on.

--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -23,6 +23,10 @@
 /// Hint while no primary is known: a change of primary takes about this long.
 const FAILOVER_RETRY: Span = Span::from_millis(1_000);
 
+/// Time within which a change of primary is usually over: 0.7 s to doubt, 0.2 s to look,
+/// up to 1 s until the next one leads.
+const CHANGE_TAKES: Span = Span::from_millis(2_500);
+
 /// Statements that may wait for one group at once. Load: a burst at several times the
 /// capacity. Harm without it: all of it waits, and is refused late. At 3 instances with 3
 /// slots and 20 ms a statement this many wait for about a second.
@@ -132,6 +136,8 @@
     instances: IndexMap<InstanceId, Instance<C>>,
     waiting: Vec<Waiter<W>>,
     primary: Option<InstanceId>,
+    /// Since when no primary is known.
+    lost_since: Option<Time>,
     proofs: Proofs,
     /// Connections of one instance that all proxies share.
     connections: u32,
@@ -148,6 +154,7 @@
             instances: IndexMap::new(),
             waiting: Vec::new(),
             primary: None,
+            lost_since: None,
             proofs: Proofs::default(),
             connections: 1,
             proxies: 1,
@@ -232,6 +239,7 @@
             return false;
         }
         self.primary = Some(id.clone());
+        self.lost_since = None;
         true
     }
 
@@ -242,7 +250,7 @@
 
     /// Asks for a connection.
     pub fn ask(&mut self, ask: Ask, who: W, now: Time) -> Vec<Action<C, W>> {
-        if self.waiting.len() >= MAX_WAITING {
+        if self.waiting.len() >= MAX_WAITING || self.hopeless(&ask, now) {
             let refused = self.refusal(&ask);
             return vec![Action::Refuse(who, refused)];
         }
@@ -251,6 +259,20 @@
         self.settle(now)
     }
 
+    /// Whether a request that needs a primary would wait for nothing.
+    ///
+    /// Load: a group without a primary for longer than a change of primary takes, for
+    /// instance because the store is away. Harm without it: all of its callers wait until
+    /// their time is up and learn only then that they must come back.
+    fn hopeless(&mut self, ask: &Ask, now: Time) -> bool {
+        if self.primary.is_some() {
+            return false;
+        }
+        let since = *self.lost_since.get_or_insert(now);
+        let long = now.since(since) >= CHANGE_TAKES;
+        long && matches!(ask.kind, Kind::Write | Kind::Read(Guarantee::Newest))
+    }
+
     /// A connection comes back; `None` when it cannot be used again.
     pub fn give_back(
         &mut self,
--- a/crates/policy/tests/pool.rs
+++ b/crates/policy/tests/pool.rs
@@ -203,6 +203,22 @@
     assert!(refused.retry_after >= Span::from_millis(500));
 }
 
+/// A group has had no primary for longer than a change of primary takes. Callers who wait
+/// for one would learn only after their whole time that they must come back, so they are
+/// told at once; reads that replicas can serve go on.
+#[test]
+fn without_a_primary_for_long_writes_are_refused_at_once() {
+    let mut pool = pool(34, 6);
+    pool.disproved(&id("p"));
+    assert!(pool.ask(ask(Kind::Write, 1_100), 1, at(1_100)).is_empty());
+    pool.tick(at(1_900));
+    let actions = pool.ask(ask(Kind::Write, 3_700), 2, at(3_700));
+    assert!(matches!(actions[..], [Action::Refuse(2, _)]), "{actions:?}");
+    let old = Guarantee::Bounded(Span::from_millis(5_000));
+    let read = pool.ask(ask(Kind::Read(old), 3_700), 3, at(3_700));
+    assert_eq!(opens(&read).len(), 1);
+}
+
 /// An instance restarts under its id. Connections to the process before it would answer
 /// nothing, so none of them is lent again.
 #[test]
