--- a/crates/front/tests/env/mod.rs
+++ b/crates/front/tests/env/mod.rs
@@ -1,4 +1,6 @@
 //! A proxy before a stand-in of the platform, and callers that speak the line protocol.
+//! Each test binary uses its own part of it.
+#![allow(dead_code)]
 
 use std::io::{BufRead as _, BufReader, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -13,6 +15,9 @@
 /// Longest wait for something that must happen; a test that needs it has failed.
 const PATIENCE: Duration = Duration::from_secs(30);
 
+/// Longest wait of a caller that gives up; longer than a proxy is ever paused.
+const CALLER_LIMIT: Duration = Duration::from_secs(8);
+
 static IDS: AtomicU64 = AtomicU64::new(1);
 
 fn free() -> SocketAddr {
@@ -54,8 +59,8 @@
     ("audit", "read_your_writes"),
 ];
 
-/// Starts a proxy that runs for as long as the test's process.
-pub(crate) fn proxy(managed: &Managed, name: &str) -> SocketAddr {
+/// Settings of a proxy, and where it takes callers.
+pub(crate) fn settings(managed: &Managed, name: &str) -> (serde_json::Value, SocketAddr) {
     let listen = free();
     let settings = json!({
         "proxy": name,
@@ -71,6 +76,12 @@
         "in_force_within_ms": 4000,
         "grace_s": 6,
     });
+    (settings, listen)
+}
+
+/// Starts a proxy that runs for as long as the test's process.
+pub(crate) fn proxy(managed: &Managed, name: &str) -> SocketAddr {
+    let (settings, listen) = settings(managed, name);
     let config: Config = serde_json::from_value(settings).unwrap();
     thread::spawn(move || {
         let runtime = compio::runtime::Runtime::new().unwrap();
@@ -118,32 +129,53 @@
             reader: BufReader::new(stream.try_clone().unwrap()),
             writer: stream,
         };
-        write!(caller.writer, "START {database} me\r\n").unwrap();
-        let line = caller.line();
-        if line.starts_with("READY I") {
-            Ok(caller)
-        } else {
-            Err(line)
+        let line = caller.exchange(&format!("START {database} me"));
+        match line {
+            Some(line) if line.starts_with("READY I") => Ok(caller),
+            line => Err(line.unwrap_or_default()),
         }
     }
 
-    fn line(&mut self) -> String {
+    /// Opens a session if the proxy takes one now.
+    pub(crate) fn try_connect(proxy: SocketAddr, database: &str) -> Option<Self> {
+        let stream = TcpStream::connect_timeout(&proxy, Duration::from_secs(1)).ok()?;
+        stream.set_read_timeout(Some(CALLER_LIMIT)).ok()?;
+        let mut caller = Self {
+            reader: BufReader::new(stream.try_clone().ok()?),
+            writer: stream,
+        };
+        let line = caller.exchange(&format!("START {database} me"))?;
+        line.starts_with("READY I").then_some(caller)
+    }
+
+    fn exchange(&mut self, message: &str) -> Option<String> {
+        write!(self.writer, "{message}\r\n").ok()?;
+        self.line()
+    }
+
+    /// The next line; `None` when the session ended or says nothing.
+    fn line(&mut self) -> Option<String> {
         let mut line = String::new();
-        self.reader.read_line(&mut line).unwrap();
-        line.trim_end().to_owned()
+        let read = self.reader.read_line(&mut line).ok()?;
+        (read > 0).then(|| line.trim_end().to_owned())
     }
 
     /// Asks for a statement and waits for the whole answer.
     pub(crate) fn ask(&mut self, text: &str) -> Told {
+        let told = self.try_ask(text);
+        told.unwrap_or_else(|| panic!("the session ended at {text:?}"))
+    }
+
+    /// The same; `None` when the answer does not come.
+    pub(crate) fn try_ask(&mut self, text: &str) -> Option<Told> {
         let id = format!("{:08x}", IDS.fetch_add(1, Ordering::Relaxed));
-        write!(self.writer, "QUERY {id} {text}\r\n").unwrap();
+        write!(self.writer, "QUERY {id} {text}\r\n").ok()?;
         let mut lines = Vec::new();
         loop {
-            let line = self.line();
-            assert!(!line.is_empty(), "the session ended at {text:?}");
+            let line = self.line()?;
             if let Some(rest) = line.strip_prefix("READY ") {
-                let state = rest.split(' ').next().unwrap().to_owned();
-                return Told { id, lines, state };
+                let state = rest.split(' ').next()?.to_owned();
+                return Some(Told { id, lines, state });
             }
             lines.push(line);
         }
