Log each served statement within a bound

Cause: on-call engineers find a served statement only by its line; there was none. One line with id, instance, log position and time, at most 100 a second for a process, with the number left out; refused and failed ones are always written.

--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -12,6 +12,7 @@
 use policy::pool::{Ask, Reason, Refused};
 
 use crate::group::{self, Lent};
+use crate::logs;
 use crate::metrics::Metrics;
 use crate::place::Ways;
 use crate::relay;
@@ -40,6 +41,8 @@
     relay: relay::Client,
     sessions: Cell<usize>,
     ways: Ways,
+    /// Bounds the lines about served statements.
+    pub served_lines: logs::Budget,
     /// Metrics of the process.
     pub metrics: Metrics,
     /// How far the shutdown is.
@@ -56,6 +59,7 @@
             relay: relay::Client::default(),
             sessions: Cell::new(0),
             ways,
+            served_lines: logs::Budget::default(),
             metrics,
             stop,
         }
--- a/crates/front/src/logs.rs
+++ b/crates/front/src/logs.rs
@@ -4,11 +4,13 @@
 //! standard output the thread waits, the buffer fills, and further lines are counted
 //! instead of kept.
 
+use std::cell::Cell;
 use std::io;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Duration;
 
+use model::unit::{Span, Time};
 use tracing_subscriber::fmt::MakeWriter;
 use tracing_subscriber::layer::SubscriberExt as _;
 use tracing_subscriber::util::SubscriberInitExt as _;
@@ -129,6 +131,44 @@
     }
 }
 
+/// Lines about served statements that a process writes in a second. Load: a node serves
+/// thousands of statements a second. Harm without it: logging costs more than serving, and
+/// what matters is left out when the buffer is full. Refused and failed ones are always
+/// written.
+const SERVED_LINES: u32 = 100;
+
+/// Bounds the lines about served statements.
+#[derive(Debug, Default)]
+pub struct Budget(Cell<Second>);
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Second {
+    begun: Time,
+    lines: u32,
+    left_out: u64,
+}
+
+impl Budget {
+    /// Whether a line may be written: the number that was left out before it, or `None`.
+    pub fn take(&self, now: Time) -> Option<u64> {
+        let mut second = self.0.get();
+        if now.since(second.begun) >= Span::from_millis(1_000) {
+            second.begun = now;
+            second.lines = 0;
+        }
+        let written = second.lines < SERVED_LINES;
+        let left_out = if written {
+            second.lines += 1;
+            std::mem::take(&mut second.left_out)
+        } else {
+            second.left_out += 1;
+            0
+        };
+        self.0.set(second);
+        written.then_some(left_out)
+    }
+}
+
 /// Sends the process's logs to standard output.
 pub fn start() -> io::Result<Guard> {
     let lines = Lines::default();
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -4,7 +4,8 @@
 use model::unit::Span;
 use platform::line;
 use prometheus::{
-    Encoder as _, Histogram, HistogramOpts, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+    Encoder as _, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 use store::calls::Calls;
 
@@ -28,6 +29,7 @@
     opened: IntCounterVec,
     store_calls: IntGaugeVec,
     gauges: IntGaugeVec,
+    left_out: IntCounter,
 }
 
 impl Metrics {
@@ -57,6 +59,11 @@
             Opts::new("pomelo_state", "what the process holds and believes"),
             &["what"],
         )?;
+        let left_out = IntCounter::new(
+            "pomelo_log_lines_left_out_total",
+            "lines about served statements beyond the bound",
+        )?;
+        registry.register(Box::new(left_out.clone()))?;
         registry.register(Box::new(statements.clone()))?;
         registry.register(Box::new(took.clone()))?;
         registry.register(Box::new(opened.clone()))?;
@@ -69,6 +76,7 @@
             opened,
             store_calls,
             gauges,
+            left_out,
         })
     }
 
@@ -85,6 +93,11 @@
         self.opened.with_label_values(&[outcome]).inc();
     }
 
+    /// A line about a served statement was left out of the log.
+    pub fn line_left_out(&self) {
+        self.left_out.inc();
+    }
+
     /// Shows all metrics; `gauges` are values read just now.
     pub fn render(&self, calls: &Calls, gauges: &[(&str, u64)]) -> Result<String, MetricsError> {
         for (kind, count) in calls.snapshot() {
--- a/crates/front/src/session.rs
+++ b/crates/front/src/session.rs
@@ -12,7 +12,7 @@
 use compio::net::TcpStream;
 use futures_util::FutureExt as _;
 use indexmap::IndexMap;
-use model::id::Database;
+use model::id::{Database, InstanceId};
 use model::position::Point;
 use model::route::Route;
 use model::statement::{Code, Shape, Statement, StatementId, TxState};
@@ -85,6 +85,8 @@
     lines: Vec<u8>,
     /// End of the instance's log.
     point: Option<Point>,
+    /// The instance that ran it.
+    instance: Option<InstanceId>,
 }
 
 /// A statement with what belongs to it.
@@ -261,6 +263,7 @@
         match &result {
             Ok(done) => {
                 point = done.point;
+                self.note_served(job, done, took);
                 if done.lines.is_empty() {
                     line::put_done(&mut buf);
                 } else {
@@ -287,6 +290,25 @@
         buf
     }
 
+    /// Logs what it takes to find a served statement again.
+    fn note_served(&self, job: &Job, done: &Done, took: Span) {
+        let Some(instance) = &done.instance else {
+            return;
+        };
+        match self.cx.served_lines.take(clock::now()) {
+            Some(left_out) => tracing::info!(
+                id = %job.id,
+                database = %self.database,
+                %instance,
+                point = done.point.map(tracing::field::display),
+                took_ms = took.as_millis(),
+                left_out,
+                "served"
+            ),
+            None => self.cx.metrics.line_left_out(),
+        }
+    }
+
     async fn carry_out(&mut self, job: &Job, statement: Statement) -> Result<Done, Failure> {
         if self.tx.has_failed() && !matches!(statement, Statement::Commit | Statement::Rollback) {
             return Err(Failure::Malformed);
--- a/crates/front/src/session/attempt.rs
+++ b/crates/front/src/session/attempt.rs
@@ -193,7 +193,7 @@
                     return Ok(done);
                 }
                 Err(Miss::NotRun(code)) => {
-                    tracing::info!(id = %job.id, %instance, ?code, ?tries, "a write did not run");
+                    tracing::info!(id = %job.id, %instance, ?code, failed = tries.failed, busy = tries.busy, "a write did not run");
                     last = Failure::Instance(code);
                     tries.missed(code).await;
                 }
@@ -213,8 +213,10 @@
 /// instance is asked at once.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Tries {
-    failed: u32,
-    busy: u32,
+    /// Tries that did not run, or whose answer was lost.
+    pub(super) failed: u32,
+    /// Refusals for want of capacity.
+    pub(super) busy: u32,
 }
 
 impl Tries {
@@ -304,9 +306,13 @@
                 note_proof(&mut lent, since, &answer);
                 lent.note(Note::Wrote);
             }
+            let done = Done {
+                lines: answer.lines,
+                point: answer.point,
+                instance: Some(lent.instance.clone()),
+            };
             lent.give_back();
-            let (lines, point) = (answer.lines, answer.point);
-            return Ok(Done { lines, point });
+            return Ok(done);
         };
         learn(&lent, code);
         if code == Code::NotPrepared
--- a/crates/front/src/session/read.rs
+++ b/crates/front/src/session/read.rs
@@ -61,7 +61,7 @@
                     Ok(end) => end,
                     Err(running) => {
                         tries.lost();
-                        tracing::info!(id = %job.id, instance = ?avoid, "a read is tried on another instance as well");
+                        tracing::info!(id = %job.id, instance = avoid.as_ref().map(tracing::field::display), "a read is tried on another instance as well");
                         late = Some(running);
                         continue;
                     }
@@ -72,7 +72,7 @@
                 Err(Miss::Final(failure)) => return Err(failure),
                 Err(miss) => {
                     last = miss.of_read();
-                    tracing::info!(id = %job.id, instance = ?avoid, ?tries, cause = %last, "a read has no result yet");
+                    tracing::info!(id = %job.id, instance = avoid.as_ref().map(tracing::field::display), failed = tries.failed, busy = tries.busy, cause = %last, "a read has no result yet");
                     match miss {
                         Miss::NotRun(code) => tries.missed(code).await,
                         Miss::Unanswered(_) | Miss::Final(_) => tries.lost(),
--- a/crates/front/src/session/tx.rs
+++ b/crates/front/src/session/tx.rs
@@ -164,9 +164,13 @@
                         attempt::note_proof(&mut open.lent, since, &answer);
                         open.lent.note(Note::Wrote);
                     }
+                    let done = Done {
+                        lines: answer.lines,
+                        point: answer.point,
+                        instance: Some(open.lent.instance.clone()),
+                    };
                     open.lent.give_back();
-                    let (lines, point) = (answer.lines, answer.point);
-                    return Ok(Done { lines, point });
+                    return Ok(done);
                 }
                 Some(Code::Busy) if answer.state == TxState::Open && attempt + 1 < BUSY_TRIES => {
                     compio::time::sleep(BUSY_PAUSE.as_duration()).await;
@@ -238,8 +242,11 @@
                         attempt::note_proof(&mut open.lent, since, &answer);
                         open.lent.tell_proof();
                     }
-                    let (lines, point) = (answer.lines, answer.point);
-                    return Ok(Done { lines, point });
+                    return Ok(Done {
+                        lines: answer.lines,
+                        point: answer.point,
+                        instance: Some(open.lent.instance.clone()),
+                    });
                 }
                 Some(Code::Busy) if answer.state == TxState::Open && attempt + 1 < BUSY_TRIES => {
                     compio::time::sleep(BUSY_PAUSE.as_duration()).await;
@@ -304,7 +311,7 @@
                 }
                 Ok(Setting::Refused(code)) => {
                     attempt::learn(&lent, code);
-                    tracing::info!(id = %job.id, instance = %lent.instance, ?code, ?after, prove, ?tries, "a transaction was not opened");
+                    tracing::info!(id = %job.id, instance = %lent.instance, ?code, after = after.map(tracing::field::display), prove, failed = tries.failed, busy = tries.busy, "a transaction was not opened");
                     avoid = Some(lent.instance.clone());
                     attempt::after_refusal(lent, code);
                     tries.missed(code).await;
--- a/crates/front/tests/logs.rs
+++ b/crates/front/tests/logs.rs
@@ -5,7 +5,8 @@
 use std::thread;
 use std::time::Duration;
 
-use front::logs::{Lines, MAX_WAITING};
+use front::logs::{Budget, Lines, MAX_WAITING};
+use model::unit::Time;
 
 /// A reader that stops reading until it is told to go on.
 struct Stuck {
@@ -60,3 +61,15 @@
     lines.write_out(&mut out, Duration::ZERO).unwrap();
     assert_eq!(out, b"level=info message=stopped\n");
 }
+
+/// Thousands of statements are served in a second. Their lines are bounded, and the next
+/// line that is written tells how many are missing.
+#[test]
+fn lines_about_served_statements_are_bounded() {
+    let budget = Budget::default();
+    let written = (0..5_000).filter(|_| budget.take(Time::from_millis(1_500)).is_some());
+    let written = written.count();
+    assert!((50..=200).contains(&written), "{written} lines");
+    let left_out = budget.take(Time::from_millis(2_600));
+    assert_eq!(left_out, Some(5_000 - written as u64));
+}
