Split the group task and the pool's types, and check the deployment's template

Handle, Lent and the pool's requests have files of their own; the messages use the product's types. The template of the settings is filled in and read in a test.

--- a/crates/front/src/group.rs
+++ b/crates/front/src/group.rs
@@ -1,9 +1,10 @@
 //! The task of one group: it owns the pool of connections, looks after the primary, and
 //! carries out what the pool decides.
 
+mod handle;
+mod lent;
 mod probe;
 
-use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,7 +21,8 @@
 use crate::conn::{Conn, ConnError};
 use crate::metrics::Metrics;
 use crate::place::Ways;
-use crate::relay::WayBack;
+pub use handle::Handle;
+pub use lent::Lent;
 
 /// Longest time for opening a connection. Load: an instance whose slots are full makes a
 /// handshake wait behind some statements; harm of a shorter one: half-open connections.
@@ -94,178 +96,6 @@
     pub connections: u32,
 }
 
-/// Sends messages to a group's task.
-#[derive(Clone)]
-pub struct Handle {
-    tx: flume::Sender<Message>,
-    group: Rc<GroupId>,
-}
-
-/// A connection on loan; dropping it unreturned counts it as lost.
-pub struct Lent {
-    home: Home,
-    /// Whose connection it is.
-    pub instance: InstanceId,
-    /// The read must carry this point.
-    pub after: Option<Point>,
-    /// The instance must first prove that it leads.
-    pub prove: bool,
-    conn: Option<Conn>,
-}
-
-/// Where a connection comes from.
-enum Home {
-    /// The group's task of this process.
-    Here(Handle),
-    /// Another proxy; what was learned goes back with the connection.
-    Relayed(WayBack, Rc<RefCell<Vec<Note>>>),
-}
-
-impl Lent {
-    /// A loan of another proxy.
-    pub fn relayed(
-        way_back: WayBack,
-        instance: InstanceId,
-        after: Option<Point>,
-        prove: bool,
-        conn: Conn,
-    ) -> Self {
-        Self {
-            home: Home::Relayed(way_back, Rc::default()),
-            instance,
-            after,
-            prove,
-            conn: Some(conn),
-        }
-    }
-
-    /// The connection.
-    pub fn conn(&mut self) -> Option<&mut Conn> {
-        self.conn.as_mut()
-    }
-
-    /// Gives the connection back for others to use.
-    pub fn give_back(mut self) {
-        if let Some(conn) = self.conn.take() {
-            self.send(conn, true);
-        }
-    }
-
-    /// Tells what the session learned about the instance.
-    pub fn note(&self, note: Note) {
-        self.noter()(note);
-    }
-
-    /// The same, for as long as the connection is in use.
-    pub fn noter(&self) -> impl Fn(Note) + use<> {
-        let instance = self.instance.clone();
-        let (here, notes) = match &self.home {
-            Home::Here(handle) => (Some(handle.clone()), None),
-            Home::Relayed(_, notes) => (None, Some(notes.clone())),
-        };
-        move |note| match (&here, &notes) {
-            (Some(handle), _) => handle.note(&instance, note),
-            (None, Some(notes)) => notes.borrow_mut().push(note),
-            (None, None) => {}
-        }
-    }
-
-    fn send(&mut self, mut conn: Conn, usable: bool) {
-        match &self.home {
-            Home::Here(handle) => {
-                let returned = Returned {
-                    instance: self.instance.clone(),
-                    proof: conn.take_proof(),
-                    took: conn.take_time(),
-                    conn: usable.then_some(conn),
-                };
-                handle.send(Message::GiveBack(returned));
-            }
-            Home::Relayed(way_back, notes) => {
-                way_back.give_back(conn, usable, notes.take());
-            }
-        }
-    }
-
-    /// Tells the group early what the connection proved, while it stays on loan. The proof
-    /// of a loan from another proxy goes back with it.
-    pub fn tell_proof(&mut self) {
-        let Home::Here(handle) = &self.home else {
-            return;
-        };
-        let proof = self.conn.as_mut().and_then(Conn::take_proof);
-        if let Some(proof) = proof {
-            let report = probe::Report::proved(self.instance.clone(), proof);
-            handle.send(Message::Probed(report));
-        }
-    }
-}
-
-impl Drop for Lent {
-    fn drop(&mut self) {
-        if let Some(conn) = self.conn.take() {
-            self.send(conn, false);
-        }
-    }
-}
-
-impl Handle {
-    fn send(&self, message: Message) {
-        // The task ends only with the process.
-        let _ = self.tx.send(message);
-    }
-
-    /// The group.
-    pub fn group(&self) -> &GroupId {
-        &self.group
-    }
-
-    /// Waits for a connection or a refusal.
-    pub async fn ask(&self, ask: Ask) -> Result<Lent, Refused> {
-        let (tx, rx) = flume::bounded(1);
-        self.send(Message::Ask(ask, tx));
-        let stopped = Refused {
-            reason: pool::Reason::NoInstance,
-            retry_after: Span::from_millis(0),
-        };
-        let grant = rx.recv_async().await.unwrap_or(Err(stopped))?;
-        Ok(Lent {
-            home: Home::Here(self.clone()),
-            instance: grant.instance,
-            after: grant.after,
-            prove: grant.prove,
-            conn: Some(grant.conn),
-        })
-    }
-
-    /// Takes over the announced instances.
-    pub fn set_entries(&self, entries: Vec<Entry>) {
-        self.send(Message::Entries(entries));
-    }
-
-    /// Takes over who holds connections.
-    pub fn set_shares(&self, shares: Shares) {
-        self.send(Message::Shares(shares));
-    }
-
-    /// Tells what was learned about an instance.
-    pub fn note(&self, instance: &InstanceId, note: Note) {
-        self.send(Message::Note(instance.clone(), note));
-    }
-
-    /// An instance was made primary: it is looked at first.
-    pub fn expect_primary(&self, instance: &InstanceId) {
-        self.send(Message::Primary(instance.clone()));
-    }
-
-    /// What the task knows.
-    pub async fn view(&self) -> View {
-        let (tx, rx) = flume::bounded(1);
-        self.send(Message::View(tx));
-        rx.recv_async().await.unwrap_or_default()
-    }
-}
-
 struct Group {
     id: Rc<GroupId>,
     pool: Pool<Conn, Reply>,
--- /dev/null
+++ b/crates/front/src/group/handle.rs
@@ -0,0 +1,68 @@
+//! How others talk to a group's task.
+
+use std::rc::Rc;
+
+use model::entry::Entry;
+use model::id::{GroupId, InstanceId};
+use model::unit::Span;
+use policy::pool::{Ask, Reason, Refused};
+
+use super::{Lent, Message, Note, Shares, View};
+
+/// Sends messages to a group's task.
+#[derive(Clone)]
+pub struct Handle {
+    pub(super) tx: flume::Sender<Message>,
+    pub(super) group: Rc<GroupId>,
+}
+
+impl Handle {
+    pub(super) fn send(&self, message: Message) {
+        // The task ends only with the process.
+        let _ = self.tx.send(message);
+    }
+
+    /// The group.
+    pub fn group(&self) -> &GroupId {
+        &self.group
+    }
+
+    /// Waits for a connection or a refusal.
+    pub async fn ask(&self, ask: Ask) -> Result<Lent, Refused> {
+        let (tx, rx) = flume::bounded(1);
+        self.send(Message::Ask(ask, tx));
+        let stopped = Refused {
+            reason: Reason::NoInstance,
+            retry_after: Span::from_millis(0),
+        };
+        let grant = rx.recv_async().await.unwrap_or(Err(stopped))?;
+        Ok(Lent::here(self.clone(), grant))
+    }
+
+    /// Takes over the announced instances.
+    pub fn set_entries(&self, entries: Vec<Entry>) {
+        self.send(Message::Entries(entries));
+    }
+
+    /// Takes over who holds connections.
+    pub fn set_shares(&self, shares: Shares) {
+        self.send(Message::Shares(shares));
+    }
+
+    /// Tells what was learned about an instance.
+    pub fn note(&self, instance: &InstanceId, note: Note) {
+        self.send(Message::Note(instance.clone(), note));
+    }
+
+    /// An instance was made primary: it is looked at first.
+    pub fn expect_primary(&self, instance: &InstanceId) {
+        self.send(Message::Primary(instance.clone()));
+    }
+
+    /// What the task knows.
+    pub async fn view(&self) -> View {
+        let (tx, rx) = flume::bounded(1);
+        self.send(Message::View(tx));
+        rx.recv_async().await.unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/front/src/group/lent.rs
@@ -0,0 +1,131 @@
+//! A connection on loan.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use model::id::InstanceId;
+use model::position::Point;
+use policy::pool::Grant;
+
+use super::{Handle, Message, Note, Returned, probe};
+use crate::conn::Conn;
+use crate::relay::WayBack;
+
+/// A connection on loan; dropping it unreturned counts it as lost.
+pub struct Lent {
+    home: Home,
+    /// Whose connection it is.
+    pub instance: InstanceId,
+    /// The read must carry this point.
+    pub after: Option<Point>,
+    /// The instance must first prove that it leads.
+    pub prove: bool,
+    conn: Option<Conn>,
+}
+
+/// Where a connection comes from.
+enum Home {
+    /// The group's task of this process.
+    Here(Handle),
+    /// Another proxy; what was learned goes back with the connection.
+    Relayed(WayBack, Rc<RefCell<Vec<Note>>>),
+}
+
+impl Lent {
+    /// A loan of this process's own.
+    pub(super) fn here(handle: Handle, grant: Grant<Conn>) -> Self {
+        Self {
+            home: Home::Here(handle),
+            instance: grant.instance,
+            after: grant.after,
+            prove: grant.prove,
+            conn: Some(grant.conn),
+        }
+    }
+
+    /// A loan of another proxy.
+    pub fn relayed(
+        way_back: WayBack,
+        instance: InstanceId,
+        after: Option<Point>,
+        prove: bool,
+        conn: Conn,
+    ) -> Self {
+        Self {
+            home: Home::Relayed(way_back, Rc::default()),
+            instance,
+            after,
+            prove,
+            conn: Some(conn),
+        }
+    }
+
+    /// The connection.
+    pub fn conn(&mut self) -> Option<&mut Conn> {
+        self.conn.as_mut()
+    }
+
+    /// Gives the connection back for others to use.
+    pub fn give_back(mut self) {
+        if let Some(conn) = self.conn.take() {
+            self.send(conn, true);
+        }
+    }
+
+    /// Tells what the session learned about the instance.
+    pub fn note(&self, note: Note) {
+        self.noter()(note);
+    }
+
+    /// The same, for as long as the connection is in use.
+    pub fn noter(&self) -> impl Fn(Note) + use<> {
+        let instance = self.instance.clone();
+        let (here, notes) = match &self.home {
+            Home::Here(handle) => (Some(handle.clone()), None),
+            Home::Relayed(_, notes) => (None, Some(notes.clone())),
+        };
+        move |note| match (&here, &notes) {
+            (Some(handle), _) => handle.note(&instance, note),
+            (None, Some(notes)) => notes.borrow_mut().push(note),
+            (None, None) => {}
+        }
+    }
+
+    fn send(&mut self, mut conn: Conn, usable: bool) {
+        match &self.home {
+            Home::Here(handle) => {
+                let returned = Returned {
+                    instance: self.instance.clone(),
+                    proof: conn.take_proof(),
+                    took: conn.take_time(),
+                    conn: usable.then_some(conn),
+                };
+                handle.send(Message::GiveBack(returned));
+            }
+            Home::Relayed(way_back, notes) => {
+                way_back.give_back(conn, usable, notes.take());
+            }
+        }
+    }
+
+    /// Tells the group early what the connection proved, while it stays on loan. The proof
+    /// of a loan from another proxy goes back with it.
+    pub fn tell_proof(&mut self) {
+        let Home::Here(handle) = &self.home else {
+            return;
+        };
+        let proof = self.conn.as_mut().and_then(Conn::take_proof);
+        if let Some(proof) = proof {
+            let report = probe::Report::proved(self.instance.clone(), proof);
+            handle.send(Message::Probed(report));
+        }
+    }
+}
+
+impl Drop for Lent {
+    fn drop(&mut self) {
+        if let Some(conn) = self.conn.take() {
+            self.send(conn, false);
+        }
+    }
+}
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -18,7 +18,7 @@
 use model::route::Guarantee;
 use model::statement::{Access, Shape};
 use model::unit::{Span, Time};
-use policy::pool::{Ask, Kind, Reason, Refused};
+use policy::pool::{Ask, Kind, Refused};
 use serde::{Deserialize, Serialize};
 
 use crate::clock;
@@ -34,13 +34,11 @@
 /// answers within a millisecond; one that stands still is passed over.
 const HEARD: Duration = Duration::from_millis(150);
 
-/// What a statement needs of its connection.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+/// What a statement needs of its connection; a coordinator's questions are not relayed.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 enum WireKind {
     Write,
-    Newest,
-    Bounded(Span),
-    OwnWrites(Span),
+    Read(Guarantee),
 }
 
 /// A message to the carrier.
@@ -102,18 +100,11 @@
         held: Held,
     },
     /// There is none.
-    Refused { reason: WireReason, retry: Span },
+    Refused(Refused),
     /// The carrier stops, or does not know the group: ask another one.
     Elsewhere,
 }
 
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-enum WireReason {
-    NoPrimary,
-    Busy,
-    NoInstance,
-}
-
 impl Held {
     /// A prepared statement in the form that is sent.
     pub fn prepared(shape: &Shape, name: &Arc<str>) -> (bool, Arc<str>, Arc<str>) {
@@ -136,9 +127,7 @@
     let now = clock::now();
     let kind = match &ask.kind {
         Kind::Write => WireKind::Write,
-        Kind::Read(Guarantee::Newest) => WireKind::Newest,
-        Kind::Read(Guarantee::Bounded(age)) => WireKind::Bounded(*age),
-        Kind::Read(Guarantee::OwnWrites(age)) => WireKind::OwnWrites(*age),
+        Kind::Read(guarantee) => WireKind::Read(*guarantee),
         Kind::Control(_) => return None,
     };
     Some(ToCarrier::Ask {
@@ -168,9 +157,7 @@
     let now = clock::now();
     let kind = match kind {
         WireKind::Write => Kind::Write,
-        WireKind::Newest => Kind::Read(Guarantee::Newest),
-        WireKind::Bounded(age) => Kind::Read(Guarantee::Bounded(age)),
-        WireKind::OwnWrites(age) => Kind::Read(Guarantee::OwnWrites(age)),
+        WireKind::Read(guarantee) => Kind::Read(guarantee),
     };
     let arrived = now.as_micros().saturating_sub(waited.as_micros());
     let ask = Ask {
@@ -184,32 +171,6 @@
     Some((group, ask))
 }
 
-impl From<Refused> for FromCarrier {
-    fn from(refused: Refused) -> Self {
-        let reason = match refused.reason {
-            Reason::NoPrimary => WireReason::NoPrimary,
-            Reason::Busy => WireReason::Busy,
-            Reason::NoInstance => WireReason::NoInstance,
-        };
-        Self::Refused {
-            reason,
-            retry: refused.retry_after,
-        }
-    }
-}
-
-fn refused(reason: WireReason, retry_after: Span) -> Refused {
-    let reason = match reason {
-        WireReason::NoPrimary => Reason::NoPrimary,
-        WireReason::Busy => Reason::Busy,
-        WireReason::NoInstance => Reason::NoInstance,
-    };
-    Refused {
-        reason,
-        retry_after,
-    }
-}
-
 fn encode(message: &impl Serialize) -> Vec<u8> {
     let mut line = vec![MARK];
     // The messages hold only texts and numbers, which always can be written.
--- a/crates/front/src/relay/carrier.rs
+++ b/crates/front/src/relay/carrier.rs
@@ -55,7 +55,7 @@
         let _entered = cx.enter();
         match handle.ask(ask).await {
             Ok(lent) => carry(lent, &mut reader, &mut writer).await?,
-            Err(refused) => writer.send(encode(&FromCarrier::from(refused))).await?,
+            Err(refused) => writer.send(encode(&FromCarrier::Refused(refused))).await?,
         }
     }
 }
--- a/crates/front/src/relay/client.rs
+++ b/crates/front/src/relay/client.rs
@@ -10,7 +10,7 @@
 use model::unit::{Span, Time};
 use policy::pool::{Ask, Refused};
 
-use super::{FromCarrier, HEARD, Returned, ToCarrier, decode, encode, refused, to_wire};
+use super::{FromCarrier, HEARD, Returned, ToCarrier, decode, encode, to_wire};
 use crate::clock;
 use crate::conn::{Conn, ConnError};
 use crate::group::{Lent, Note};
@@ -119,9 +119,9 @@
                 };
                 Ok(Lent::relayed(way_back, instance, after, prove, conn))
             }
-            FromCarrier::Refused { reason, retry } => {
+            FromCarrier::Refused(refused) => {
                 self.keep(carrier, conn);
-                Err(Trouble::Refused(refused(reason, retry)))
+                Err(Trouble::Refused(refused))
             }
             FromCarrier::Heard | FromCarrier::Elsewhere => self.elsewhere(carrier, conn),
         }
--- /dev/null
+++ b/crates/front/tests/settings.rs
@@ -0,0 +1,55 @@
+//! The settings: the deployment's template is valid once filled in, faults are named.
+
+use std::io::Write as _;
+
+use front::cli;
+use front::config::Config;
+use test_case::test_case;
+
+const TEMPLATE: &str = include_str!("../../../deploy/settings.jsonc");
+
+/// What the platform puts in the place of each field.
+const FIELDS: [(&str, &str); 12] = [
+    ("{{nodeName|json}}", "\"front-a-1\""),
+    ("{{zone|json}}", "\"a\""),
+    ("{{zones|json}}", "{\"a\": \"north\", \"b\": \"south\"}"),
+    ("{{listenAddrs.front|json}}", "\"10.1.0.8:8784\""),
+    ("{{listenAddrs.readyAddr|json}}", "\"10.1.0.8:8785\""),
+    ("{{ip}}", "10.1.0.8"),
+    ("{{portRange.0}}", "7440"),
+    ("{{platform.address|json}}", "\"10.200.1.7:8783\""),
+    ("{{cloud.address|json}}", "\"10.200.0.160:8783\""),
+    ("{{platform.minTtlMs|json}}", "1000"),
+    ("{{bounds.configApplyMs|json}}", "4000.5"),
+    ("{{bounds.graceS|json}}", "6.5"),
+];
+
+fn filled() -> String {
+    let fill = |text: String, (from, to): &(&str, &str)| text.replace(from, to);
+    FIELDS.iter().fold(TEMPLATE.to_owned(), fill)
+}
+
+fn read(text: &str) -> Result<Config, String> {
+    let mut file = tempfile::NamedTempFile::new().unwrap();
+    file.write_all(text.as_bytes()).unwrap();
+    cli::read(file.path()).map_err(|e| format!("{e:?}"))
+}
+
+#[test]
+fn the_filled_template_is_valid() {
+    let cfg = read(&filled()).unwrap();
+    assert_eq!(cfg.relay_listen.port(), 7440);
+    assert_eq!(cfg.grace_s.as_millis(), 6_500);
+    assert_eq!(cfg.data_centres.len(), 2);
+}
+
+#[test_case("\"listen\"", "\"lisen\"", "lisen"; "unknown key")]
+#[test_case("10.1.0.8:8784", "front:8784", "front:8784"; "name instead of an address")]
+#[test_case("6.5", "\"soon\"", "soon"; "no number")]
+#[test_case("\"store\"", "// \"store\"", "store"; "missing store")]
+fn a_fault_is_named(from: &str, to: &str, named: &str) {
+    let text = filled().replacen(from, to, 1);
+    assert_ne!(text, filled(), "the replacement must match");
+    let report = read(&text).unwrap_err();
+    assert!(report.contains(named), "{report}");
+}
--- a/crates/model/src/route.rs
+++ b/crates/model/src/route.rs
@@ -6,7 +6,7 @@
 use crate::unit::Span;
 
 /// What a session may rely on when it reads.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 pub enum Guarantee {
     /// Every write acknowledged to anyone.
     Newest,
--- /dev/null
+++ b/crates/policy/src/pool/request.rs
@@ -0,0 +1,104 @@
+//! What goes into a pool and what comes out of it.
+
+use model::id::InstanceId;
+use model::position::Point;
+use model::route::Guarantee;
+use model::unit::{Span, Time};
+
+/// What a statement needs of its connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Writes, or a transaction that may write.
+    Write,
+    /// Reads, with what they must find.
+    Read(Guarantee),
+    /// A question of the coordinator to this instance; it goes before everything else.
+    Control(InstanceId),
+}
+
+/// A request for a connection.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// What it is for.
+    pub kind: Kind,
+    /// The session's newest own write.
+    pub own: Option<Point>,
+    /// When the statement, or its transaction, arrived.
+    pub arrived: Time,
+    /// When the caller is refused at the latest.
+    pub give_up: Time,
+    /// Rank under load; 0 goes first.
+    pub priority: u8,
+    /// An instance that just could not serve it.
+    pub avoid: Option<InstanceId>,
+}
+
+impl Ask {
+    pub(super) fn rank(&self) -> (bool, u8, Time) {
+        let control = matches!(self.kind, Kind::Control(_));
+        (!control, self.priority, self.arrived)
+    }
+}
+
+/// A connection, lent until it is given back.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Grant<C> {
+    /// Whose connection it is.
+    pub instance: InstanceId,
+    /// The connection.
+    pub conn: C,
+    /// The read must carry this point, so that it runs only on a log that holds it.
+    pub after: Option<Point>,
+    /// The instance must first prove that it leads.
+    pub prove: bool,
+}
+
+/// Why nothing was lent.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, thiserror::Error, serde::Serialize, serde::Deserialize,
+)]
+pub enum Reason {
+    /// No primary is known.
+    #[error("no primary is known")]
+    NoPrimary,
+    /// All connections are in use.
+    #[error("all connections are in use")]
+    Busy,
+    /// No instance can serve it.
+    #[error("no instance can serve it")]
+    NoInstance,
+}
+
+/// A refusal; the statement has not run.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, thiserror::Error, serde::Serialize, serde::Deserialize,
+)]
+#[error("{reason}; retry after {} ms", retry_after.as_millis())]
+pub struct Refused {
+    /// Why.
+    pub reason: Reason,
+    /// When a new attempt is likely to be served.
+    pub retry_after: Span,
+}
+
+/// What the owner of the pool has to do.
+#[derive(Debug)]
+pub enum Action<C, W> {
+    /// Lend a connection.
+    Grant(W, Grant<C>),
+    /// Refuse.
+    Refuse(W, Refused),
+    /// Open a connection to the instance.
+    Open(InstanceId),
+    /// Close a connection.
+    Close(C),
+}
+
+/// Why a connection could not be opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OpenFault {
+    /// The instance has no connection left.
+    Full,
+    /// The instance is another one, or does not answer.
+    Unreachable,
+}
