--- a/crates/front/src/coordinator.rs
+++ b/crates/front/src/coordinator.rs
@@ -97,10 +97,12 @@
     fn doubted(&self, group: &GroupId, primary: Option<&InstanceId>) -> Option<InstanceId> {
         self.directory.with(|state| {
             let doubts: Vec<_> = state.doubts(group).collect();
-            let newest = doubts
-                .iter()
-                .find(|i| Some(**i) == primary)
-                .or(doubts.first())?;
+            // While a primary is known, doubts about another instance are late: they come
+            // from proxies that have not heard of the change yet.
+            let newest = match primary {
+                Some(primary) => doubts.iter().find(|i| **i == primary)?,
+                None => doubts.first()?,
+            };
             let same = doubts.iter().filter(|i| *i == newest).count();
             let holders = state.holders(group) as usize;
             let needed = holders.div_ceil(3).max(2.min(holders));
