--- a/crates/front/src/directory.rs
+++ b/crates/front/src/directory.rs
@@ -149,6 +149,7 @@
 
     /// Passes on what changed to those whom it concerns.
     fn hand_out(&self) {
+        let coordinates = (self.coordinates)(self);
         let mut state = self.state.borrow_mut();
         if let Some(routes) = state.take_routes() {
             tracing::info!(
@@ -158,13 +159,6 @@
             );
             self.cx.set_routes(routes);
         }
-        let coordinates = {
-            // The closure reads the state as well.
-            drop(state);
-            let coordinates = (self.coordinates)(self);
-            state = self.state.borrow_mut();
-            coordinates
-        };
         let routes = self.cx.routes();
         for (group, limits) in &routes.groups {
             let handle = self.cx.ensure_group(group);
--- a/crates/front/src/directory/state.rs
+++ b/crates/front/src/directory/state.rs
@@ -46,6 +46,8 @@
     entry: Entry,
     /// Since when it is no longer announced.
     missing_since: Option<Time>,
+    /// Whether its group was told that it is gone.
+    told: bool,
 }
 
 /// Everything that the store told.
@@ -211,6 +213,7 @@
         let known = Known {
             entry,
             missing_since: None,
+            told: false,
         };
         self.instances.insert(known.entry.id.clone(), known);
     }
@@ -245,12 +248,10 @@
     /// changed.
     pub fn sweep(&mut self, now: Time) -> bool {
         let mut changed = false;
-        for known in self.instances.values() {
-            let due = known.missing_since.is_some_and(|since| {
-                let missing = now.since(since);
-                missing >= GONE_AFTER && missing < GONE_AFTER.times(2)
-            });
-            if due {
+        for known in self.instances.values_mut() {
+            let due = |since| now.since(since) >= GONE_AFTER;
+            if !known.told && known.missing_since.is_some_and(due) {
+                known.told = true;
                 self.changed_groups.insert(known.entry.group.clone());
                 changed = true;
             }
--- a/crates/front/src/relay/client.rs
+++ b/crates/front/src/relay/client.rs
@@ -68,7 +68,7 @@
         let idle = self.0.idle.borrow_mut().get_mut(carrier).and_then(Vec::pop);
         let reused = idle.is_some();
         let mut result = self.try_on(idle, carrier, address, group, ask).await;
-        if reused && result.is_err_and_broken() {
+        if reused && matches!(result, Err(Trouble::Broken(_))) {
             // The carrier may have restarted since the connection was used last.
             result = self.try_on(None, carrier, address, group, ask).await;
         }
@@ -173,17 +173,6 @@
     Broken(ConnError),
 }
 
-/// Whether a try failed for want of a working connection.
-trait IsBroken {
-    fn is_err_and_broken(&self) -> bool;
-}
-
-impl IsBroken for Result<Lent, Trouble> {
-    fn is_err_and_broken(&self) -> bool {
-        matches!(self, Err(Trouble::Broken(_)))
-    }
-}
-
 async fn connect(address: SocketAddr) -> Result<Conn, Trouble> {
     let connecting = compio::time::timeout(HEARD, TcpStream::connect(address));
     let stream = match connecting.await {
