--- a/crates/front/tests/env/mod.rs
+++ b/crates/front/tests/env/mod.rs
@@ -4,7 +4,7 @@
 
 use std::io::{BufRead as _, BufReader, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -20,9 +20,24 @@
 
 static IDS: AtomicU64 = AtomicU64::new(1);
 
+/// Ports below those that the kernel gives to outgoing connections.
+const PORTS: std::ops::Range<u32> = 10_240..32_000;
+
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
+/// A port that nobody uses. One that the kernel picks could be given to a connection of
+/// another test before the proxy listens on it; these are given to nobody, and each
+/// process begins elsewhere.
 fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    let first = std::process::id().wrapping_mul(97);
+    loop {
+        let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let port = PORTS.start + first.wrapping_add(next) % (PORTS.end - PORTS.start);
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// The configuration of the tests: one group with 23 connections for each instance.
