Let replicas receive again that a dead coordinator left stopped

Cause: found on reading the change: a coordinator that dies or loses its duty between stopping replicas and the order left them stopped, as did an order to stop that is carried out late; a comment claimed that the next holder mends it, and nothing did. Writes stall for good with all of them stopped. Change: the holder looks at all groups' replicas every 3 s and resumes those that are stopped without a change under way; a change whose cause is gone ends. Test: replicas_that_were_left_stopped_receive_again failed before (waited 30 s).

--- a/crates/front/src/coordinator.rs
+++ b/crates/front/src/coordinator.rs
@@ -20,6 +20,10 @@
 /// Longest time between two looks; changes in the store cause a look at once.
 const LOOK: Span = Span::from_millis(200);
 
+/// Time between two looks for replicas that were left stopped. Each look costs every
+/// instance a slot for a moment; a replica that is left stopped is passed over meanwhile.
+const MEND: Span = Span::from_millis(3_000);
+
 /// What the coordinator works with.
 #[derive(Clone)]
 pub struct Coordinator {
@@ -35,31 +39,60 @@
     pub last: Rc<Cell<Token>>,
 }
 
+/// Groups that a task is at work on; one at a time for each.
+#[derive(Clone, Default)]
+struct Busy(Rc<RefCell<IndexSet<GroupId>>>);
+
+/// A group that is at work on; dropping it frees the group.
+struct Entered(Busy, GroupId);
+
+impl Busy {
+    fn enter(&self, group: &GroupId) -> Option<Entered> {
+        let new = self.0.borrow_mut().insert(group.clone());
+        new.then(|| Entered(self.clone(), group.clone()))
+    }
+}
+
+impl Drop for Entered {
+    fn drop(&mut self) {
+        self.0.0.borrow_mut().shift_remove(&self.1);
+    }
+}
+
 impl Coordinator {
     /// Looks after all groups whenever this proxy holds the duty.
     pub async fn run(self, changed: flume::Receiver<()>) {
-        let busy: Rc<RefCell<IndexSet<GroupId>>> = Rc::default();
+        let busy = Busy::default();
+        let mut mend_at = clock::now();
         loop {
             // Nobody else sends, so an error is only the end of the wait.
             let _ = compio::time::timeout(LOOK.as_duration(), changed.recv_async()).await;
             if self.member.duty(&self.directory).is_none() {
                 continue;
             }
+            let mend = clock::now() >= mend_at;
+            if mend {
+                mend_at = clock::now() + MEND;
+            }
             for group in self.cx.groups() {
-                if busy.borrow().contains(group.group()) {
-                    continue;
-                }
-                let Some((instance, cause)) = self.trigger(&group).await else {
+                let Some(entered) = busy.enter(group.group()) else {
                     continue;
                 };
-                busy.borrow_mut().insert(group.group().clone());
-                let (this, busy) = (self.clone(), busy.clone());
-                compio::runtime::spawn(async move {
-                    let id = group.group().clone();
-                    takeover::run(&this, group, instance, cause).await;
-                    busy.borrow_mut().shift_remove(&id);
-                })
-                .detach();
+                let trigger = self.trigger(&group).await;
+                let this = self.clone();
+                if let Some((instance, cause)) = trigger {
+                    let change = async move {
+                        takeover::run(&this, group, instance, cause).await;
+                        drop(entered);
+                    };
+                    compio::runtime::spawn(change).detach();
+                } else if mend {
+                    let mend = async move {
+                        takeover::mend(&this, group).await;
+                        drop(entered);
+                    };
+                    compio::runtime::spawn(mend).detach();
+                }
             }
         }
     }
--- a/crates/front/src/coordinator/takeover.rs
+++ b/crates/front/src/coordinator/takeover.rs
@@ -130,7 +130,7 @@
     };
     while !over(begun, LIMIT) {
         if this.member.duty(&this.directory) != Some(first) {
-            // Whoever holds the duty now also lets the replicas receive again.
+            // Whoever holds the duty now lets the replicas receive again, by `mend`.
             tracing::warn!(group = %id, "the duty was lost during a change of primary");
             return;
         }
@@ -147,6 +147,23 @@
     }
 }
 
+/// Lets replicas receive that were told to stop by a change of primary that did not end.
+///
+/// A coordinator may die, or lose its duty, between stopping them and the order; an order
+/// to stop may be carried out seconds late. Such a replica receives nothing any more, its
+/// reads are refused, and with all of them stopped no write ends.
+pub(super) async fn mend(this: &Coordinator, group: group::Handle) {
+    let mut links = Links {
+        group,
+        conns: IndexMap::new(),
+        silent: IndexSet::new(),
+    };
+    resume(this, &mut links).await;
+    for (_, lent) in links.conns {
+        lent.give_back();
+    }
+}
+
 /// A change of primary under way.
 struct Change {
     doubted: InstanceId,
@@ -165,7 +182,7 @@
             return true;
         }
         let recovered = this.trigger(&group).await.is_none();
-        if recovered && self.cause == Cause::Doubted && self.hold.is_none() {
+        if recovered && self.cause == Cause::Doubted {
             return true;
         }
         let end = group.view().await.end;
--- a/crates/front/tests/path.rs
+++ b/crates/front/tests/path.rs
@@ -123,6 +123,23 @@
     assert_eq!(managed.log(), ["a=1", "a=2"]);
 }
 
+/// A coordinator stops both replicas from receiving and dies before it names a primary.
+/// Writes would stall for good, as no replica acknowledges them; the next coordinator
+/// finds the replicas stopped and lets them receive again.
+#[test]
+fn replicas_that_were_left_stopped_receive_again() {
+    let managed = platform();
+    managed.pause(1, 2);
+    managed.pause(2, 2);
+    let mut session = caller(proxy(&managed, "p1"), "filing");
+    wait(|| (!managed.is_paused(1) && !managed.is_paused(2)).then_some(()));
+    session.insist("WRITE a 1");
+    assert!(
+        managed.orders().is_empty(),
+        "the primary was well all the time"
+    );
+}
+
 /// The answer to a write is lost. The caller is told that the outcome is open, and the
 /// write is not sent again: a payment would be taken twice.
 #[test]
--- a/crates/standin/src/managed.rs
+++ b/crates/standin/src/managed.rs
@@ -109,6 +109,16 @@
         self.announce(instance);
     }
 
+    /// Stops an instance from receiving, as a coordinator does that dies afterwards.
+    pub fn pause(&self, instance: usize, term: u64) {
+        self.lock().group.pause(instance, term);
+    }
+
+    /// Whether an instance was told to stop receiving.
+    pub fn is_paused(&self, instance: usize) -> bool {
+        self.lock().group.is_paused(instance)
+    }
+
     /// The instance that leads.
     pub fn primary(&self) -> usize {
         self.lock().group.primary()
--- a/crates/standin/src/managed/instance.rs
+++ b/crates/standin/src/managed/instance.rs
@@ -81,6 +81,15 @@
         self.instances[at].leaving = true;
     }
 
+    pub(super) fn pause(&mut self, at: usize, term: u64) {
+        self.instances[at].paused = term;
+        self.replicate();
+    }
+
+    pub(super) fn is_paused(&self, at: usize) -> bool {
+        self.instances[at].paused > 0
+    }
+
     pub(super) fn primary(&self) -> usize {
         self.leader
     }
@@ -282,10 +291,7 @@
     }
 
     fn pause(&self, term: u64) -> String {
-        let mut world = self.managed.lock();
-        world.group.instances[self.at].paused = term;
-        world.group.replicate();
-        drop(world);
+        self.managed.lock().group.pause(self.at, term);
         self.status()
     }
 
