Make the platform refuse late orders before stopped replicas receive again

Change: before replicas are resumed the present primary is ordered with a new token, which changes nothing but lets the platform refuse every earlier order; without its acceptance they stay stopped. An instance that comes back while an order is on its way is stopped as well. Tests: an_order_that_is_carried_out_late_changes_nothing failed before (order i-1 carried out). replicas_that_were_left_stopped_receive_again allowed no order at all; it now allows only orders for the present primary, which the change needs.

--- a/crates/front/src/coordinator/takeover.rs
+++ b/crates/front/src/coordinator/takeover.rs
@@ -35,6 +35,9 @@
 /// Longest wait from an order until the instance leads.
 const LEADS: Span = Span::from_millis(2_500);
 
+/// Tries to make the platform refuse earlier orders; the next look goes on with it.
+const SETTLE_TRIES: u32 = 4;
+
 /// Pause between two looks.
 const PAUSE: Duration = Duration::from_millis(60);
 
@@ -283,7 +286,7 @@
 
 /// Gives the order and waits until the instance leads.
 ///
-/// An instance that appears meanwhile could receive from the old primary and acknowledge
+/// An instance that appears or comes back meanwhile could receive from the old primary and acknowledge
 /// what the next one lacks, so it is told to stop receiving as soon as it is known.
 async fn promote(
     this: &Coordinator,
@@ -306,10 +309,12 @@
         }
     }
     let term = takeover::newest_term(members).next();
-    let mut known: IndexSet<_> = members.iter().map(|m| m.id.clone()).collect();
+    let heard = |m: &&Member| m.state.is_some() || m.listed;
+    let mut known: IndexSet<_> = members.iter().filter(heard).map(|m| m.id.clone()).collect();
     while !over(begun, LEADS) {
         let all = entries(this, &links.group).into_iter();
         let new: Vec<_> = all
+            .filter(|(_, listed)| *listed)
             .map(|(entry, _)| entry.id)
             .filter(|id| !known.contains(id))
             .collect();
@@ -329,17 +334,50 @@
 }
 
 /// Lets replicas receive that were told to stop.
+///
+/// An order that had no answer may still be carried out, seconds from now. It was right
+/// while the replicas were stopped: once they receive again, one of them may acknowledge
+/// what the instance of that order lacks. So the present primary is ordered first, which
+/// changes nothing but the token that the platform has seen: the late order is refused.
 async fn resume(this: &Coordinator, links: &mut Links) {
     let known = entries(this, &links.group);
     let known: Vec<_> = known.into_iter().map(|(entry, _)| entry).collect();
     let states = links.each(&known, &Own::Status).await;
-    let stopped = |entry: &Entry| {
+    let stopped = |entry: &&Entry| {
         let state = states.get(&entry.id);
         state.is_some_and(|s| s.role == Role::Replica && s.paused.0 > 0)
     };
-    let stopped: Vec<_> = known.into_iter().filter(stopped).collect();
-    if !stopped.is_empty() {
-        let states = links.each(&stopped, &Own::Resume).await;
-        tracing::info!(group = %links.group.group(), ?states, "replicas were told to receive again");
+    let stopped: Vec<_> = known.iter().filter(stopped).cloned().collect();
+    if stopped.is_empty() {
+        return;
     }
+    let newest = states.values().map(|s| s.term.max(s.received.term)).max();
+    let leads = |(_, s): &(&InstanceId, &State)| s.role == Role::Primary && Some(s.term) >= newest;
+    let Some((primary, _)) = states.iter().find(leads) else {
+        return;
+    };
+    if !settle(this, links, primary).await {
+        return;
+    }
+    let states = links.each(&stopped, &Own::Resume).await;
+    tracing::info!(group = %links.group.group(), ?states, "replicas were told to receive again");
+}
+
+/// Makes the platform refuse every earlier order for the group.
+async fn settle(this: &Coordinator, links: &Links, primary: &InstanceId) -> bool {
+    let group = links.group.group();
+    for _ in 0..SETTLE_TRIES {
+        let Some(token) = this.next_token() else {
+            return false;
+        };
+        let holder = &this.member.id;
+        let target = (group, primary);
+        let answer = platform::order::promote(&this.orders, holder, token, target, ORDER).await;
+        tracing::info!(%group, instance = %primary, %token, ?answer, "the present primary was ordered");
+        if matches!(answer, Ok(Answer::Accepted)) {
+            return true;
+        }
+        compio::time::sleep(PAUSE).await;
+    }
+    false
 }
--- a/crates/standin/src/managed.rs
+++ b/crates/standin/src/managed.rs
@@ -43,6 +43,8 @@
     group: Group,
     /// Whether the store and the orders answer.
     store_away: bool,
+    /// Time after which the next order is carried out, without an answer.
+    late_order: Option<Duration>,
     orders: Vec<(String, u64)>,
 }
 
@@ -103,6 +105,11 @@
         self.lock().store_away = away;
     }
 
+    /// Leaves the next order without an answer and carries it out after a while.
+    pub fn delay_next_order(&self, delay: Duration) {
+        self.lock().late_order = Some(delay);
+    }
+
     /// Makes an instance say that it leaves.
     pub fn leave(&self, instance: usize) {
         self.lock().group.leave(instance);
@@ -155,7 +162,20 @@
         world.store.put(&key, value.to_string().as_bytes(), 0);
     }
 
-    /// Carries an order out a moment later; `false` if the instance does not run.
+    /// Takes an order; `None` leaves it without an answer.
+    fn take_order(&self, id: &str, token: u64) -> Option<bool> {
+        let Some(delay) = self.lock().late_order.take() else {
+            return Some(self.order(id, token));
+        };
+        let (this, id) = (self.clone(), id.to_owned());
+        thread::spawn(move || {
+            thread::sleep(delay);
+            this.order(&id, token);
+        });
+        None
+    }
+
+    /// Carries an order out a moment later; `false` if it is refused.
     fn order(&self, id: &str, token: u64) -> bool {
         let mut world = self.lock();
         let Some(at) = world.group.find(id) else {
@@ -166,6 +186,9 @@
             return false;
         }
         world.orders.push((id.to_owned(), token));
+        if world.group.primary() == at {
+            return true;
+        }
         drop(world);
         let this = self.clone();
         thread::spawn(move || {
--- a/crates/standin/src/managed/http.rs
+++ b/crates/standin/src/managed/http.rs
@@ -45,7 +45,9 @@
     let mut reader = BufReader::new(stream.try_clone()?);
     let mut writer = stream.try_clone()?;
     while let Some(request) = read(&mut reader)? {
-        let (status, body) = answer(managed, &request);
+        let Some((status, body)) = answer(managed, &request) else {
+            return Ok(());
+        };
         let body = body.to_string();
         write!(
             writer,
@@ -96,12 +98,13 @@
     Ok(Some(request))
 }
 
-fn answer(managed: &Managed, request: &Request) -> (u16, Value) {
+/// The answer to a request; `None` closes the connection without one.
+fn answer(managed: &Managed, request: &Request) -> Option<(u16, Value)> {
     if managed.lock().store_away {
-        return (503, json!({}));
+        return Some((503, json!({})));
     }
     let path = request.path.as_str();
-    match (request.method.as_str(), path) {
+    Some(match (request.method.as_str(), path) {
         ("GET", "/kv-range") => (200, managed.lock().store.range(request.param("prefix"))),
         ("GET", "/kv-watch") => watch(managed, request),
         ("POST", "/kv-txn") => managed.lock().store.txn(&request.body),
@@ -111,7 +114,7 @@
         }
         ("POST", "/promote") => {
             let id = request.body["id"].as_str().unwrap_or_default();
-            let taken = managed.order(id, request.token);
+            let taken = managed.take_order(id, request.token)?;
             (if taken { 200 } else { 409 }, json!({}))
         }
         ("POST", _) if path.starts_with("/kv-keep/") => {
@@ -123,7 +126,7 @@
             (200, json!({}))
         }
         _ => (404, json!({})),
-    }
+    })
 }
 
 fn number(path: &str) -> u64 {
