Make an order void as soon as the old primary is back, and forget the gone sooner

Change: the wait ends when a primary appears, and the order is made void also when no replica is stopped; gone instances are remembered for 12 s instead of 60. Open: a write acknowledged between the return of the old primary and that moment, by a replica that a late RESUME has let go.

--- a/crates/front/src/coordinator/takeover.rs
+++ b/crates/front/src/coordinator/takeover.rs
@@ -129,6 +129,7 @@
         doubted,
         cause,
         hold: None,
+        ordered: false,
         links,
     };
     while !over(begun, LIMIT) {
@@ -144,7 +145,7 @@
     let took_ms = clock::now().since(begun).as_millis();
     tracing::info!(group = %id, took_ms, "a change of primary ends");
     let mut links = change.links;
-    resume(this, &mut links).await;
+    resume(this, &mut links, change.ordered).await;
     for (_, lent) in links.conns {
         lent.give_back();
     }
@@ -161,7 +162,7 @@
         conns: IndexMap::new(),
         silent: IndexSet::new(),
     };
-    resume(this, &mut links).await;
+    resume(this, &mut links, false).await;
     for (_, lent) in links.conns {
         lent.give_back();
     }
@@ -173,6 +174,8 @@
     cause: Cause,
     /// Why the last look led to nothing.
     hold: Option<Hold>,
+    /// Whether an order was given that may still be carried out.
+    ordered: bool,
     links: Links,
 }
 
@@ -249,6 +252,7 @@
         let group = self.links.group.clone();
         tracing::warn!(group = %group.group(), instance = %next, %token, ?members, "an instance is made primary");
         let led = promote(this, &mut self.links, next, token, members).await;
+        self.ordered = !led;
         if led {
             tracing::warn!(group = %group.group(), instance = %next, %token, "the primary was replaced");
             group.expect_primary(next);
@@ -321,6 +325,11 @@
         if !new.is_empty() {
             let states = order(this, links, &new, &Own::Pause(term.0)).await;
             tracing::warn!(%group, ?states, "an instance appeared during a change of primary");
+            if states.values().any(|s| s.role == Role::Primary) {
+                // The old primary is back, under another id even: it goes on leading, and
+                // the order is made void before it acknowledges what the next one lacks.
+                return false;
+            }
             known.extend(new);
         }
         let states = order(this, links, std::slice::from_ref(next), &Own::Status).await;
@@ -339,7 +348,8 @@
 /// while the replicas were stopped: once they receive again, one of them may acknowledge
 /// what the instance of that order lacks. So the present primary is ordered first, which
 /// changes nothing but the token that the platform has seen: the late order is refused.
-async fn resume(this: &Coordinator, links: &mut Links) {
+/// `ordered` says that an order is known to be on its way; it is made void in any case.
+async fn resume(this: &Coordinator, links: &mut Links, ordered: bool) {
     let known = entries(this, &links.group);
     let known: Vec<_> = known.into_iter().map(|(entry, _)| entry).collect();
     let states = links.each(&known, &Own::Status).await;
@@ -348,7 +358,7 @@
         state.is_some_and(|s| s.role == Role::Replica && s.paused.0 > 0)
     };
     let stopped: Vec<_> = known.iter().filter(stopped).cloned().collect();
-    if stopped.is_empty() {
+    if stopped.is_empty() && !ordered {
         return;
     }
     let newest = states.values().map(|s| s.term.max(s.received.term)).max();
@@ -359,6 +369,9 @@
     if !settle(this, links, primary).await {
         return;
     }
+    if stopped.is_empty() {
+        return;
+    }
     let states = links.each(&stopped, &Own::Resume).await;
     tracing::info!(group = %links.group.group(), ?states, "replicas were told to receive again");
 }
--- a/crates/front/src/directory/state.rs
+++ b/crates/front/src/directory/state.rs
@@ -29,8 +29,10 @@
 const GONE_AFTER: Span = Span::from_millis(2_300);
 
 /// Time for which an instance that is gone stays known to the coordinator, which must not
-/// forget a replica that may hold an acknowledged write.
-const REMEMBERED: Span = Span::from_millis(60_000);
+/// forget a replica that may come back with an acknowledged write, or acknowledge one.
+/// Crashed instances are back within some seconds. Harm of a longer time: a primary that is
+/// announced and out of reach is not replaced as long as such an instance is remembered.
+const REMEMBERED: Span = Span::from_millis(12_000);
 
 /// What a proxy announces of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
