Forget an instance whose address another one has taken over

Cause: a crashed instance restarts under another id at its address. Ruled out: the coordinator's cut (the duty passed on within 0.3 s of the lease's end). Change: an instance at the address of an older one replaces it; older is who is no longer announced, or who was born earlier.

--- a/crates/front/src/directory/state.rs
+++ b/crates/front/src/directory/state.rs
@@ -248,9 +248,11 @@
         if known.is_some_and(|k| k.entry == entry && k.missing_since.is_none()) {
             return;
         }
+        self.forget_replaced(&entry);
         tracing::info!(
             instance = %entry.id,
             group = %entry.group,
+            address = %entry.address,
             leaving = entry.leaving,
             claims_primary = entry.claims_primary,
             born = entry.born,
@@ -265,6 +267,29 @@
         self.instances.insert(known.entry.id.clone(), known);
     }
 
+    /// Forgets instances whose address another one has taken over.
+    ///
+    /// Load: a crashed instance that restarts under another id. Harm without it: the old id
+    /// counts as a replica that may come back, and as long as it does, a primary that is
+    /// silent as well is not replaced before it is no longer announced, 4 s and more. Two
+    /// processes cannot have one address, so the older one does not come back. Which one is
+    /// older is told by their clocks; one that is no longer announced is older in any case.
+    fn forget_replaced(&mut self, by: &Entry) {
+        let replaced = |known: &Known| {
+            let older = known.missing_since.is_some() || known.entry.born < by.born;
+            known.entry.address == by.address && known.entry.id != by.id && older
+        };
+        let groups = &mut self.changed_groups;
+        self.instances.retain(|id, known| {
+            let replaced = replaced(known);
+            if replaced {
+                tracing::info!(instance = %id, by = %by.id, "an instance was replaced at its address");
+                groups.insert(known.entry.group.clone());
+            }
+            !replaced
+        });
+    }
+
     fn delete(&mut self, key: &str, revision: Revision, now: Time) {
         if let Some(id) = key.strip_prefix(entry::PREFIX) {
             if let Ok(id) = id.parse() {
@@ -291,6 +316,14 @@
             tracing::info!(instance = %id, group = %known.entry.group, "an instance is no longer announced");
             known.missing_since = Some(now);
         }
+        let address = known.entry.address;
+        let by = self
+            .instances
+            .values()
+            .find(|k| k.entry.address == address && k.entry.id != *id && k.missing_since.is_none());
+        if let Some(by) = by.map(|k| k.entry.clone()) {
+            self.forget_replaced(&by);
+        }
     }
 
     /// Takes out instances whose entries have been missing for long; says whether a group
