Give the coordinator a lease of its own, and let a restarted one take its key over

Cause: while a coordinator is dead and its lease runs, no primary is replaced. Ruled out: a shorter lease for all (renewals are priced, and a paused proxy would lose its place). Change: the duty has its own lease of 2 s, renewed every 0.6 s by its holder alone; a key that holds this proxy's name and another process's nonce is taken over at once; leaving is final.

--- /dev/null
+++ b/crates/front/src/member/duty.rs
@@ -0,0 +1,184 @@
+//! The duty to coordinate changes of primary, which one proxy holds at a time.
+//!
+//! It is a key of the store under a lease of its own. The lease is shorter than that of the
+//! proxy's place: while a coordinator is dead and its lease runs, no primary is replaced.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use model::id::ProxyId;
+use model::position::Revision;
+use model::unit::Span;
+use platform::kv;
+use policy::takeover::Token;
+use rand::Rng as _;
+use store::client::Client;
+use store::error::Error;
+use store::kv::{Outcome, Record};
+use store::lease::LeaseId;
+
+use super::lease::{self, Lease};
+use crate::clock;
+use crate::directory::{COORDINATOR, Directory};
+
+/// Time after which a silent coordinator loses the duty. With 4 s, a primary that went
+/// together with the coordinator was replaced 5 s later, with this 3 s. Shorter would lose
+/// the duty in a pause of the store of a few hundred milliseconds.
+const LEASE: Duration = Duration::from_millis(2_000);
+
+/// Pause between two renewals: one may be lost, and the next takes the store's time limit
+/// of 500 ms, before the lease ends.
+const RENEW: Span = Span::from_millis(600);
+
+/// Pause between two looks at the key.
+const LOOK: Span = Span::from_millis(100);
+
+/// Longest random pause before an empty duty is taken, so that not all ask at once.
+const SPREAD_MS: u64 = 60;
+
+/// This process's claim to the duty.
+pub(super) struct Duty {
+    id: ProxyId,
+    /// Written into the key: tells this process from an earlier one of the same name.
+    nonce: String,
+    lease: Cell<Option<Lease>>,
+    /// Whether the process stops: it must not take the duty again that it gives up.
+    left: Cell<bool>,
+}
+
+/// Whose the key is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Holder {
+    Nobody,
+    Ours,
+    /// An earlier process of this proxy, which has ended.
+    Predecessor(Revision),
+    Another,
+}
+
+impl Duty {
+    /// A process without the duty.
+    pub(super) fn new(id: ProxyId) -> Self {
+        let nonce = format!("{id} {:016x}", rand::rng().random::<u64>());
+        Self {
+            id,
+            nonce,
+            lease: Cell::new(None),
+            left: Cell::new(false),
+        }
+    }
+
+    /// The first token of this holder, while this process is sure to hold the duty.
+    pub(super) fn token(&self, directory: &Directory) -> Option<Token> {
+        let lease = self.lease.get()?;
+        if clock::now() >= lease.until {
+            return None;
+        }
+        directory.with(|state| {
+            let held = state.coordinator()?;
+            let ours = self.holder(Some(held)) == Holder::Ours;
+            ours.then(|| Token::first(held.revision.0))
+        })
+    }
+
+    fn holder(&self, held: Option<&Record>) -> Holder {
+        let Some(held) = held else {
+            return Holder::Nobody;
+        };
+        if held.value == self.nonce.as_bytes() {
+            return Holder::Ours;
+        }
+        let name = held.value.split(|b| *b == b' ').next();
+        if name == Some(self.id.as_str().as_bytes()) {
+            return Holder::Predecessor(held.revision);
+        }
+        Holder::Another
+    }
+
+    /// Takes the duty whenever nobody has it, and keeps it.
+    pub(super) async fn keep(
+        self: Rc<Self>,
+        directory: Directory,
+        client: Client,
+        least: Duration,
+    ) {
+        let ttl = LEASE.max(least);
+        let mut renew = clock::now();
+        while !self.left.get() {
+            let known = directory.with(|s| {
+                let holder = self.holder(s.coordinator());
+                (s.revision() > Revision(0)).then_some(holder)
+            });
+            let done = match known {
+                Some(Holder::Ours) if clock::now() >= renew => {
+                    renew = clock::now() + RENEW;
+                    self.renew(&client, ttl).await
+                }
+                Some(Holder::Nobody) => self.stand(&directory, &client, ttl, Revision(0)).await,
+                Some(Holder::Predecessor(at)) => self.stand(&directory, &client, ttl, at).await,
+                Some(Holder::Ours | Holder::Another) | None => Ok(()),
+            };
+            if let Err(e) = done {
+                tracing::info!(cause = %e, "the coordinator's key or lease was not written");
+            }
+            clock::sleep_until(clock::now() + LOOK).await;
+        }
+    }
+
+    async fn renew(&self, client: &Client, ttl: Duration) -> Result<(), Error> {
+        let Some(held) = self.lease.get() else {
+            return Ok(());
+        };
+        let kept = lease::renew(client, held.id, ttl).await?;
+        if kept.is_none() {
+            tracing::warn!("the coordinator's lease has ended");
+        }
+        self.lease.set(kept);
+        Ok(())
+    }
+
+    /// Asks for the duty, whose key was changed last at `expected`. The answer may be lost;
+    /// whoever holds the duty is read from the key.
+    async fn stand(
+        &self,
+        directory: &Directory,
+        client: &Client,
+        ttl: Duration,
+        expected: Revision,
+    ) -> Result<(), Error> {
+        let pause = rand::rng().random_range(0..=SPREAD_MS);
+        compio::time::sleep(Duration::from_millis(pause)).await;
+        let at = |record: &Record| record.revision;
+        let taken = directory.with(|s| s.coordinator().map_or(Revision(0), at)) != expected;
+        if taken || self.left.get() {
+            return Ok(());
+        }
+        let lease = lease::grant(client, ttl).await?;
+        self.lease.set(Some(lease));
+        let nonce = self.nonce.as_bytes();
+        match kv::swap(client, COORDINATOR, expected, nonce, lease.id).await? {
+            Outcome::Applied(revision) => {
+                tracing::info!(%revision, "this proxy coordinates changes of primary");
+            }
+            Outcome::Conflict(_) => self.give_up(client, lease.id).await,
+            Outcome::Unknown => {}
+        }
+        Ok(())
+    }
+
+    async fn give_up(&self, client: &Client, lease: LeaseId) {
+        self.lease.set(None);
+        if let Err(e) = kv::end(client, lease).await {
+            tracing::info!(cause = %e, "a lease was not ended; it lapses");
+        }
+    }
+
+    /// Gives the duty up, so that another proxy can take it at once.
+    pub(super) async fn leave(&self, client: &Client) {
+        self.left.set(true);
+        if let Some(lease) = self.lease.get() {
+            self.give_up(client, lease.id).await;
+        }
+    }
+}
--- a/crates/front/tests/env/mod.rs
+++ b/crates/front/tests/env/mod.rs
@@ -2,6 +2,8 @@
 //! Each test binary uses its own part of it.
 #![allow(dead_code)]
 
+pub(crate) mod process;
+
 use std::io::{BufRead as _, BufReader, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
--- /dev/null
+++ b/crates/front/tests/env/process.rs
@@ -0,0 +1,66 @@
+//! Proxies as processes of their own.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+use rustix::process::{Pid, Signal, kill_process};
+use standin::managed::Managed;
+
+use super::settings;
+
+/// A proxy process; ended when dropped.
+pub(crate) struct Proxy {
+    /// Where it takes callers.
+    pub(crate) listen: SocketAddr,
+    file: PathBuf,
+    log: PathBuf,
+    child: Child,
+}
+
+impl Proxy {
+    pub(crate) fn start(managed: &Managed, folder: &Path, name: &str) -> Self {
+        let (settings, listen) = settings(managed, name);
+        let file = folder.join(format!("{name}.jsonc"));
+        std::fs::write(&file, settings.to_string()).unwrap();
+        let log = folder.join(format!("{name}.log"));
+        let child = spawn(&file, &log);
+        Self {
+            listen,
+            file,
+            log,
+            child,
+        }
+    }
+
+    pub(crate) fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child);
+        // A process that has just ended needs no signal.
+        let _ = kill_process(pid, signal);
+    }
+
+    pub(crate) fn restart(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        self.child = spawn(&self.file, &self.log);
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn spawn(file: &Path, log: &Path) -> Child {
+    let log = File::options().create(true).append(true).open(log).unwrap();
+    Command::new(env!("CARGO_BIN_EXE_pomelo-front"))
+        .arg("--config")
+        .arg(file)
+        .stdout(Stdio::from(log.try_clone().unwrap()))
+        .stderr(Stdio::from(log))
+        .spawn()
+        .unwrap()
+}
--- a/crates/front/tests/path.rs
+++ b/crates/front/tests/path.rs
@@ -95,6 +95,20 @@
     assert_eq!(managed.log().first().unwrap(), "a=before");
 }
 
+/// The coordinator is killed and restarts while a primary is lost. Its key still holds the
+/// name of the earlier process, whose lease runs on: callers would see no writes until it
+/// lapses. The new process knows that the earlier one has ended and takes the key over.
+#[test]
+fn a_restarted_coordinator_takes_its_duty_over() {
+    let managed = platform();
+    managed.put("pomelo/coordinator", b"p1 00000000000000aa");
+    let mut session = caller(proxy(&managed, "p1"), "filing");
+    session.insist("WRITE a 1");
+    managed.set_fault(managed.primary(), Fault::Down);
+    session.insist("WRITE a 2");
+    assert_eq!(managed.log(), ["a=1", "a=2"]);
+}
+
 /// One replica has received nothing for a while when the primary goes down. The other one
 /// holds the acknowledged write and must be named, although either could lead.
 #[test]
--- a/crates/front/tests/soak.rs
+++ b/crates/front/tests/soak.rs
@@ -9,20 +9,18 @@
 mod env;
 
 use std::collections::BTreeMap;
-use std::fs::File;
 use std::io::Write as _;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use env::{Caller, DATABASES, configuration, settings, wait};
+use env::process::Proxy;
+use env::{Caller, DATABASES, configuration, wait};
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::Signal;
 use standin::managed::{Fault, Managed};
 
 const PROXIES: usize = 3;
@@ -34,60 +32,6 @@
 /// Length of a run without settings.
 const SECONDS: u64 = 6;
 
-/// A proxy process; ended when dropped.
-struct Proxy {
-    listen: SocketAddr,
-    file: PathBuf,
-    log: PathBuf,
-    child: Child,
-}
-
-impl Proxy {
-    fn start(managed: &Managed, folder: &Path, name: &str) -> Self {
-        let (settings, listen) = settings(managed, name);
-        let file = folder.join(format!("{name}.jsonc"));
-        std::fs::write(&file, settings.to_string()).unwrap();
-        let log = folder.join(format!("{name}.log"));
-        let child = spawn(&file, &log);
-        Self {
-            listen,
-            file,
-            log,
-            child,
-        }
-    }
-
-    fn signal(&self, signal: Signal) {
-        let pid = Pid::from_child(&self.child);
-        // A process that has just ended needs no signal.
-        let _ = kill_process(pid, signal);
-    }
-
-    fn restart(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        self.child = spawn(&self.file, &self.log);
-    }
-}
-
-impl Drop for Proxy {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-fn spawn(file: &Path, log: &Path) -> Child {
-    let log = File::options().create(true).append(true).open(log).unwrap();
-    Command::new(env!("CARGO_BIN_EXE_pomelo-front"))
-        .arg("--config")
-        .arg(file)
-        .stdout(Stdio::from(log.try_clone().unwrap()))
-        .stderr(Stdio::from(log))
-        .spawn()
-        .unwrap()
-}
-
 /// What a caller was told of a write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Outcome {
