Tell the coordinator concerns past the store, and help groups whose replicas all lag

Cause 1: replicas apply the log in order. Ruled out: other proofs or ages for the reads (the replicas truly lacked 20 s of the log); a longer queue before the primary (more late answers, not more served). Change: proxies report doubts and lags straight to the coordinator, over the connections between proxies, and to the store as before. One doubt suffices about an instance that is no longer announced. Where no replica holds what the most tolerant reads need, for 300 ms and by a third of the holders, another instance is made primary as in a planned change: it has received everything, and the old primary becomes a replica that does not lag. Answers show how far an instance's log reaches, which is kept for this.

--- a/crates/front/src/conn.rs
+++ b/crates/front/src/conn.rs
@@ -79,6 +79,8 @@
     state: TxState,
     /// Time of the last statement that an instance worked on.
     took: Option<Span>,
+    /// End of the instance's log, as its last answer showed it.
+    shown: Option<Point>,
 }
 
 /// What a connection must hold before a statement runs on it.
@@ -135,6 +137,7 @@
             proof: None,
             state: TxState::Idle,
             took: None,
+            shown: None,
         }
     }
 
@@ -156,9 +159,15 @@
     }
 
     /// Takes over what came of statements that another proxy ran.
-    pub fn set_outcome(&mut self, proof: Option<Proof>, took: Option<Span>) {
+    pub fn set_outcome(&mut self, proof: Option<Proof>, took: Option<Span>, shown: Option<Point>) {
         self.proof = proof;
         self.took = took;
+        self.shown = shown;
+    }
+
+    /// End of the instance's log, if an answer showed it since the last call.
+    pub fn take_shown(&mut self) -> Option<Point> {
+        self.shown.take()
     }
 
     /// Both directions, for passing lines on as they are.
@@ -325,6 +334,7 @@
             match line::reply(text)? {
                 Reply::Ready { state, point } => {
                     self.state = state;
+                    self.shown = point.or(self.shown);
                     return Ok(Answer {
                         code,
                         state,
--- a/crates/front/src/coordinator.rs
+++ b/crates/front/src/coordinator.rs
@@ -8,14 +8,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use indexmap::IndexSet;
-use model::id::{GroupId, InstanceId};
-use model::unit::Span;
+use indexmap::{IndexMap, IndexSet};
+use model::id::{GroupId, InstanceId, ProxyId};
+use model::unit::{Span, Time};
+use policy::agree;
 use policy::takeover::{Answer, Cause, Token};
 use store::client::Client;
 use store::error::Error;
 
 use crate::clock;
+use crate::concern::Concern;
 use crate::cx::Cx;
 use crate::directory::Directory;
 use crate::group;
@@ -35,6 +37,31 @@
 /// Pause between two looks at the instances, or two orders to the platform.
 const PAUSE: Duration = Duration::from_millis(60);
 
+/// Least time between two changes of a group's primary because its replicas lag. A change
+/// leaves one replica that does not lag; where all of them lag for good, changing the
+/// primary again and again helps nobody.
+const LAG_PAUSE: Span = Span::from_millis(10_000);
+
+/// The same after a change that came to nothing.
+const LAG_RETRY: Span = Span::from_millis(1_500);
+
+/// Before which time the primary of a group is not changed because its replicas lag.
+#[derive(Clone, Default)]
+pub struct LagHandled(Rc<RefCell<IndexMap<GroupId, Time>>>);
+
+impl LagHandled {
+    fn due(&self, group: &GroupId) -> bool {
+        let next = self.0.borrow().get(group).copied();
+        next.is_none_or(|next| clock::now() >= next)
+    }
+
+    fn note(&self, group: &GroupId, led: bool) {
+        let pause = if led { LAG_PAUSE } else { LAG_RETRY };
+        let next = clock::now() + pause;
+        self.0.borrow_mut().insert(group.clone(), next);
+    }
+}
+
 /// What the coordinator works with.
 #[derive(Clone)]
 pub struct Coordinator {
@@ -50,6 +77,8 @@
     pub orders: Client,
     /// The token of the last order.
     pub last: Rc<Cell<Token>>,
+    /// Changes because of lagging replicas.
+    pub lag_handled: LagHandled,
 }
 
 /// Groups that a task is at work on; one at a time for each.
@@ -133,7 +162,9 @@
     /// Whether the group's primary is to be replaced, and why.
     async fn trigger(&self, group: &group::Handle) -> Option<(InstanceId, Cause)> {
         let view = group.view().await;
-        if let Some(doubted) = self.doubted(group.group(), view.primary.as_ref()) {
+        let id = group.group();
+        let told = self.cx.concerns.about(id, clock::now());
+        if let Some(doubted) = self.doubted(id, &told, view.primary.as_ref()) {
             return Some((doubted, Cause::Doubted));
         }
         let primary = view.primary?;
@@ -142,33 +173,40 @@
         let successor = members
             .iter()
             .any(|(e, listed)| e.id != primary && *listed && !e.leaving);
-        (leaving && successor).then_some((primary, Cause::Leaving))
+        if leaving && successor {
+            return Some((primary, Cause::Leaving));
+        }
+        let lags = successor && self.lags(id, &told);
+        lags.then_some((primary, Cause::Lagging))
     }
 
-    /// The instance that a third of the proxies doubt which hold connections to the group,
-    /// two at least.
-    ///
-    /// One proxy alone may be cut off itself, and its callers can reach another proxy. A
-    /// third of the callers without writes is worth a change, which costs all of them less
-    /// than a second. A proxy that is alone decides alone.
-    fn doubted(&self, group: &GroupId, primary: Option<&InstanceId>) -> Option<InstanceId> {
+    /// The instance that enough proxies doubt, by the store or by their reports.
+    fn doubted(
+        &self,
+        group: &GroupId,
+        told: &[(ProxyId, Concern)],
+        primary: Option<&InstanceId>,
+    ) -> Option<InstanceId> {
+        let reported = told.iter().filter_map(|(proxy, concern)| {
+            let (instance, _) = concern.doubt.as_ref()?;
+            Some((proxy.clone(), instance.clone()))
+        });
         self.directory.with(|state| {
-            let doubts: Vec<_> = state.doubts(group).collect();
-            // While a primary is known, doubts about another instance are late: they come
-            // from proxies that have not heard of the change yet.
-            let newest = match primary {
-                Some(primary) => doubts.iter().find(|i| **i == primary)?,
-                None => doubts.first()?,
-            };
-            let same = doubts.iter().filter(|i| *i == newest).count();
+            let doubts = state.doubts(group).chain(reported).collect();
             let holders = state.holders(group) as usize;
-            let needed = holders.div_ceil(3).max(2.min(holders));
-            (same >= needed).then(|| (**newest).clone())
+            agree::doubted(&doubts, primary, holders, |id| state.is_announced(id))
         })
     }
+
+    /// Whether enough proxies find that no replica holds what reads need.
+    fn lags(&self, group: &GroupId, told: &[(ProxyId, Concern)]) -> bool {
+        let lags = told.iter().filter(|(_, concern)| concern.lags).count();
+        let holders = self.directory.with(|state| state.holders(group));
+        lags >= agree::needed(holders as usize) && self.lag_handled.due(group)
+    }
 }
 
 /// Whether some time has passed.
-fn over(since: model::unit::Time, limit: Span) -> bool {
+fn over(since: Time, limit: Span) -> bool {
     clock::now().since(since) >= limit
 }
--- a/crates/front/src/coordinator/takeover.rs
+++ b/crates/front/src/coordinator/takeover.rs
@@ -15,6 +15,10 @@
 /// Longest time of one attempt; then the triggers are looked at anew.
 const LIMIT: Span = Span::from_millis(12_000);
 
+/// The same where the primary is well and only its replicas lag: nothing is lost by
+/// leaving it as it is, and stopped replicas fall further behind.
+const LAG_LIMIT: Span = Span::from_millis(1_500);
+
 /// Longest wait from an order until the instance leads.
 const LEADS: Span = Span::from_millis(2_500);
 
@@ -36,9 +40,15 @@
         cause,
         hold: None,
         ordered: false,
+        led: false,
         links: Links::new(group),
     };
-    while !over(begun, LIMIT) {
+    let limit = if cause == Cause::Lagging {
+        LAG_LIMIT
+    } else {
+        LIMIT
+    };
+    while !over(begun, limit) {
         if this.member.duty(&this.directory) != Some(first) {
             // Whoever holds the duty now lets the replicas receive again, by `mend`.
             tracing::warn!(group = %id, "the duty was lost during a change of primary");
@@ -50,6 +60,9 @@
     }
     let took_ms = clock::now().since(begun).as_millis();
     tracing::info!(group = %id, took_ms, "a change of primary ends");
+    if cause == Cause::Lagging {
+        this.lag_handled.note(&id, change.led);
+    }
     let mut links = change.links;
     resume::resume(this, &mut links, change.ordered).await;
     links.end();
@@ -63,6 +76,8 @@
     hold: Option<Hold>,
     /// Whether an order was given that may still be carried out.
     ordered: bool,
+    /// Whether another instance was made primary.
+    led: bool,
     links: Links,
 }
 
@@ -138,6 +153,7 @@
         tracing::warn!(group = %group.group(), instance = %next, %token, ?members, "an instance is made primary");
         let led = promote(this, &mut self.links, next, token, members).await;
         self.ordered = !led;
+        self.led = led;
         if led {
             tracing::warn!(group = %group.group(), instance = %next, %token, "the primary was replaced");
             group.expect_primary(next);
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -11,6 +11,7 @@
 use model::unit::Span;
 use policy::pool::{Ask, Reason, Refused};
 
+use crate::concern;
 use crate::group::{self, Lent};
 use crate::logs;
 use crate::metrics::Metrics;
@@ -38,8 +39,11 @@
     routes: RefCell<Arc<Routes>>,
     groups: RefCell<IndexMap<GroupId, group::Handle>>,
     through: RefCell<IndexMap<GroupId, Vec<Carrier>>>,
-    relay: relay::Client,
+    /// Speaks to other proxies.
+    pub relay: relay::Client,
     sessions: Cell<usize>,
+    /// What proxies find wrong with primaries.
+    pub concerns: concern::Board,
     ways: Ways,
     /// Bounds the lines about served statements.
     pub served_lines: logs::Budget,
@@ -58,6 +62,7 @@
             through: RefCell::default(),
             relay: relay::Client::default(),
             sessions: Cell::new(0),
+            concerns: concern::Board::default(),
             ways,
             served_lines: logs::Budget::default(),
             metrics,
@@ -90,7 +95,13 @@
         if let Some(handle) = self.group(group) {
             return handle;
         }
-        let handle = group::spawn(group.clone(), self.ways.clone(), self.metrics.clone());
+        let board = self.concerns.clone();
+        let handle = group::spawn(
+            group.clone(),
+            self.ways.clone(),
+            self.metrics.clone(),
+            board,
+        );
         let mut groups = self.groups.borrow_mut();
         groups.insert(group.clone(), handle.clone());
         handle
--- a/crates/front/src/directory.rs
+++ b/crates/front/src/directory.rs
@@ -14,6 +14,7 @@
 use policy::carry::Proxy;
 use store::client::Client;
 use store::error::Error;
+use store::kv::Record;
 use store::lease::LeaseId;
 
 use crate::clock;
@@ -83,6 +84,11 @@
         read(&self.state.borrow())
     }
 
+    /// Takes over what a call's answer told about the coordinator's key.
+    pub fn note_coordinator(&self, record: Record) {
+        self.state.borrow_mut().note_coordinator(record);
+    }
+
     /// Notes in the store that replicas of a group are told to receive again; gives the
     /// note's revision.
     pub async fn note_resume(&self, client: &Client, group: &GroupId) -> Result<Revision, Error> {
--- a/crates/front/src/directory/state.rs
+++ b/crates/front/src/directory/state.rs
@@ -95,10 +95,24 @@
         self.coordinator.as_ref()
     }
 
+    /// The proxy that coordinates: its name leads the key's value.
+    pub fn coordinator_name(&self) -> Option<ProxyId> {
+        let value = &self.coordinator.as_ref()?.value;
+        let name = value.split(|b| *b == b' ').next()?;
+        std::str::from_utf8(name).ok()?.parse().ok()
+    }
+
     /// Proxies that doubt a group's primary, with the instance that each doubts.
-    pub fn doubts(&self, group: &GroupId) -> impl Iterator<Item = &InstanceId> {
+    pub fn doubts(&self, group: &GroupId) -> impl Iterator<Item = (ProxyId, InstanceId)> {
         let of = move |(at, _): &(&(GroupId, ProxyId), &InstanceId)| at.0 == *group;
-        self.doubts.iter().filter(of).map(|(_, instance)| instance)
+        let doubts = self.doubts.iter().filter(of);
+        doubts.map(|((_, proxy), instance)| (proxy.clone(), instance.clone()))
+    }
+
+    /// Whether an instance is announced.
+    pub fn is_announced(&self, id: &InstanceId) -> bool {
+        let known = self.instances.get(id);
+        known.is_some_and(|k| k.missing_since.is_none())
     }
 
     /// A group's instances, those included that went a short time ago; the flag says
@@ -127,7 +141,8 @@
         self.resumes
             .retain(|group, _| has(&format!("{RESUMES}{group}")));
         if !has(COORDINATOR) {
-            self.coordinator = None;
+            let listed = listing.revision;
+            self.coordinator.take_if(|known| known.revision <= listed);
         }
         self.revision = self.revision.max(listing.revision);
         for record in listing.records {
@@ -152,7 +167,7 @@
         } else if record.key.starts_with(entry::PREFIX) {
             self.put_entry(&record);
         } else if record.key == COORDINATOR {
-            self.coordinator = Some(record);
+            self.note_coordinator(record);
         } else if let Some(proxy) = record.key.strip_prefix(PROXIES) {
             self.put_proxy(proxy, &record.value);
         } else if let Some(at) = doubt_key(&record.key) {
@@ -165,6 +180,15 @@
         }
     }
 
+    /// Takes over who coordinates, from the store's changes or from a call's own answer,
+    /// which may be ahead of them.
+    pub fn note_coordinator(&mut self, record: Record) {
+        let known = self.coordinator.as_ref();
+        if known.is_none_or(|known| known.revision < record.revision) {
+            self.coordinator = Some(record);
+        }
+    }
+
     /// Replicas of a group are told to receive again.
     pub fn note_resume(&mut self, group: GroupId, noted: Revision, now: Time) {
         let known = self.resumes.get(&group);
@@ -296,7 +320,7 @@
                 self.miss(&id, now);
             }
         } else if key == COORDINATOR {
-            self.coordinator = None;
+            self.coordinator.take_if(|known| known.revision <= revision);
         } else if let Some(proxy) = key.strip_prefix(PROXIES) {
             if let Ok(proxy) = proxy.parse::<ProxyId>() {
                 self.proxies.shift_remove(&proxy);
--- a/crates/front/src/group.rs
+++ b/crates/front/src/group.rs
@@ -15,9 +15,10 @@
 use model::unit::{Span, Time};
 use policy::pool::{self, Action, Ask, Grant, OpenFault, Pool, Refused};
 use policy::proof::Proof;
-use policy::watch::{Doubt, Watch};
+use policy::watch::Watch;
 
 use crate::clock;
+use crate::concern::{self, Concern};
 use crate::conn::{Conn, ConnError};
 use crate::metrics::Metrics;
 use crate::place::Ways;
@@ -31,6 +32,10 @@
 /// Time between two looks at the pool and the primary.
 const TICK: Span = Span::from_millis(50);
 
+/// Time for which no replica must have held what reads need before the coordinator is
+/// told. Shorter takes a burst of writes for a lag.
+const LAGS: Span = Span::from_millis(300);
+
 type Reply = flume::Sender<Result<Grant<Conn>, Refused>>;
 
 /// A message to the group's task.
@@ -68,6 +73,7 @@
     conn: Option<Conn>,
     proof: Option<Proof>,
     took: Option<Span>,
+    shown: Option<Point>,
 }
 
 /// Who holds connections to the group's instances.
@@ -88,8 +94,6 @@
     pub primary: Option<InstanceId>,
     /// End of the primary's log, as seen last.
     pub end: Option<Point>,
-    /// The doubt about the primary, if there is one.
-    pub doubt: Option<(InstanceId, Doubt)>,
     /// Statements that wait for a connection.
     pub waiting: usize,
     /// Connections open or lent.
@@ -104,11 +108,12 @@
     own: bool,
     ways: Ways,
     metrics: Metrics,
+    board: concern::Board,
     tx: flume::Sender<Message>,
 }
 
 /// Starts the task of a group.
-pub fn spawn(group: GroupId, ways: Ways, metrics: Metrics) -> Handle {
+pub fn spawn(group: GroupId, ways: Ways, metrics: Metrics, board: concern::Board) -> Handle {
     let (tx, rx) = flume::unbounded();
     let id = Rc::new(group);
     let task = Group {
@@ -118,6 +123,7 @@
         own: true,
         ways,
         metrics,
+        board,
         tx: tx.clone(),
     };
     compio::runtime::spawn(task.run(rx)).detach();
@@ -149,6 +155,7 @@
             if now >= tick {
                 tick = now + TICK;
                 self.look(now);
+                self.voice(now);
             }
         }
     }
@@ -190,6 +197,9 @@
         if let Some(proof) = returned.proof {
             self.proved(&returned.instance, proof);
         }
+        if let Some(point) = returned.shown {
+            self.pool.showed(&returned.instance, point);
+        }
         let conn = returned.conn;
         self.pool
             .give_back(&returned.instance, conn, returned.took, now)
@@ -263,12 +273,21 @@
         View {
             primary: self.pool.primary().cloned(),
             end: self.pool.newest_proof().map(|p| p.point),
-            doubt: self.watch.doubt(clock::now()),
             waiting: self.pool.waiting(),
             connections: self.pool.instances().map(pool::Instance::count).sum(),
         }
     }
 
+    /// Puts up what is wrong with the group, if anything is.
+    fn voice(&self, now: Time) {
+        let lags_for = self.pool.lags_for(now);
+        let concern = Concern {
+            doubt: self.watch.doubt(now),
+            lags: lags_for.is_some_and(|lags| lags >= LAGS),
+        };
+        self.board.set_own(&self.id, concern);
+    }
+
     fn act(&mut self, actions: Vec<Action<Conn, Reply>>) {
         let mut queue = actions;
         while let Some(action) = queue.pop() {
--- a/crates/front/src/group/lent.rs
+++ b/crates/front/src/group/lent.rs
@@ -98,6 +98,7 @@
                     instance: self.instance.clone(),
                     proof: conn.take_proof(),
                     took: conn.take_time(),
+                    shown: conn.take_shown(),
                     conn: usable.then_some(conn),
                 };
                 handle.send(Message::GiveBack(returned));
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod cli;
 pub mod clock;
+pub mod concern;
 pub mod config;
 pub mod conn;
 pub mod coordinator;
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -3,6 +3,7 @@
 
 mod duty;
 mod lease;
+mod report;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -78,6 +79,8 @@
         let duty = self.duty.clone();
         let keep_duty = duty.keep(directory.clone(), client.clone(), least);
         compio::runtime::spawn(keep_duty).detach();
+        let report = report::run(self.id.clone(), cx.clone(), directory);
+        compio::runtime::spawn(report).detach();
         let ttl = LEASE.max(least);
         let mut renew = clock::now();
         let mut lost: Option<Time> = None;
@@ -121,9 +124,12 @@
             kv::put(client, &key, &value, lease).await?;
             self.announced.set(true);
         }
-        for group in cx.groups() {
-            let doubt = group.view().await.doubt;
-            self.tell(client, group.group(), doubt, lease).await?;
+        let concerns = cx.concerns.own();
+        let mut groups: Vec<_> = self.doubts.borrow().keys().cloned().collect();
+        groups.extend(concerns.keys().cloned());
+        for group in groups {
+            let doubt = concerns.get(&group).and_then(|c| c.doubt.clone());
+            self.tell(client, &group, doubt, lease).await?;
         }
         Ok(())
     }
--- a/crates/front/src/member/duty.rs
+++ b/crates/front/src/member/duty.rs
@@ -34,6 +34,10 @@
 /// Pause between two looks at the key.
 const LOOK: Span = Span::from_millis(100);
 
+/// Pause after a failure. Load: the store turns many proxies away, and each finds the duty
+/// empty. Harm without it: each asks ten times a second, and the operators pay for all.
+const AFTER_FAILURE: Span = Span::from_millis(500);
+
 /// Longest random pause before an empty duty is taken, so that not all ask at once.
 const SPREAD_MS: u64 = 60;
 
@@ -121,6 +125,7 @@
             };
             if let Err(e) = done {
                 tracing::info!(cause = %e, "the coordinator's key or lease was not written");
+                clock::sleep_until(clock::now() + AFTER_FAILURE).await;
             }
             clock::sleep_until(clock::now() + LOOK).await;
         }
@@ -154,19 +159,44 @@
         if taken || self.left.get() {
             return Ok(());
         }
-        let lease = lease::grant(client, ttl).await?;
-        self.lease.set(Some(lease));
+        let lease = self.usable_lease(client, ttl).await?;
         let nonce = self.nonce.as_bytes();
+        // The watch may tell of the outcome a second later: without taking it over from
+        // the answer, the key would seem free until then and be asked for again.
         match kv::swap(client, COORDINATOR, expected, nonce, lease.id).await? {
             Outcome::Applied(revision) => {
                 tracing::info!(%revision, "this proxy coordinates changes of primary");
+                directory.note_coordinator(Record {
+                    key: COORDINATOR.to_owned(),
+                    value: nonce.to_vec(),
+                    revision,
+                });
+            }
+            Outcome::Conflict(held) => {
+                let ours = self.holder(held.as_ref()) == Holder::Ours;
+                if let Some(held) = held {
+                    directory.note_coordinator(held);
+                }
+                if !ours {
+                    self.give_up(client, lease.id).await;
+                }
             }
-            Outcome::Conflict(_) => self.give_up(client, lease.id).await,
             Outcome::Unknown => {}
         }
         Ok(())
     }
 
+    /// The lease of an earlier claim whose answer was lost, as the key may be written under
+    /// it, or a new one.
+    async fn usable_lease(&self, client: &Client, ttl: Duration) -> Result<Lease, Error> {
+        if let Some(lease) = self.lease.get().filter(|l| clock::now() < l.until) {
+            return Ok(lease);
+        }
+        let lease = lease::grant(client, ttl).await?;
+        self.lease.set(Some(lease));
+        Ok(lease)
+    }
+
     async fn give_up(&self, client: &Client, lease: LeaseId) {
         self.lease.set(None);
         if let Err(e) = kv::end(client, lease).await {
--- a/crates/front/src/pages.rs
+++ b/crates/front/src/pages.rs
@@ -78,19 +78,22 @@
 }
 
 async fn text(cx: &Cx, store: &Client) -> String {
-    let (mut waiting, mut connections, mut doubts) = (0, 0, 0);
+    let (mut waiting, mut connections) = (0, 0);
+    let concerns = cx.concerns.own();
+    let doubts = concerns.values().filter(|c| c.doubt.is_some()).count();
+    let lagging = concerns.values().filter(|c| c.lags).count();
     for group in cx.groups() {
         let view = group.view().await;
         waiting += view.waiting as u64;
         connections += u64::from(view.connections);
-        doubts += u64::from(view.doubt.is_some());
     }
     let gauges = [
         ("sessions", cx.sessions() as u64),
         ("configuration_version", cx.routes().version),
         ("statements_waiting", waiting),
         ("connections", connections),
-        ("doubted_primaries", doubts),
+        ("doubted_primaries", doubts as u64),
+        ("lagging_groups", lagging as u64),
     ];
     match cx.metrics.render(store.calls(), &gauges) {
         Ok(text) => text,
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use model::id::{GroupId, InstanceId};
+use model::id::{GroupId, InstanceId, ProxyId};
 use model::position::Point;
 use model::route::Guarantee;
 use model::statement::{Access, Shape};
@@ -22,6 +22,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock;
+use crate::concern::Concerns;
 use crate::group::Note;
 
 pub use carrier::serve;
@@ -60,6 +61,8 @@
     },
     /// Gives it back.
     Return(Returned),
+    /// Tells what the sender finds wrong with the groups; it is answered by `Heard`.
+    Report { by: ProxyId, concerns: Concerns },
 }
 
 /// What is known of a connection that comes back.
@@ -73,6 +76,8 @@
     /// this was earlier, so reads get fresher data than they need, never older.
     proof: Option<Point>,
     took: Option<Span>,
+    /// End of the instance's log, as its last answer showed it.
+    shown: Option<Point>,
     notes: Vec<Note>,
 }
 
--- a/crates/front/src/relay/carrier.rs
+++ b/crates/front/src/relay/carrier.rs
@@ -41,6 +41,11 @@
     let (mut reader, mut writer) = stream::split(stream)?;
     loop {
         let request = decode::<ToCarrier>(reader.line().await?);
+        if let Some(ToCarrier::Report { by, concerns }) = request {
+            cx.concerns.told(by, concerns, clock::now());
+            writer.send(encode(&FromCarrier::Heard)).await?;
+            continue;
+        }
         let Some((group, ask)) = request.and_then(from_wire) else {
             return Err(StreamError::Closed);
         };
@@ -101,7 +106,7 @@
     if let Some(conn) = lent.conn() {
         conn.set_held(&returned.held);
         let proof = returned.proof.map(|point| Proof { since, point });
-        conn.set_outcome(proof, returned.took);
+        conn.set_outcome(proof, returned.took, returned.shown);
     }
     lent.give_back();
 }
--- a/crates/front/src/relay/client.rs
+++ b/crates/front/src/relay/client.rs
@@ -12,6 +12,7 @@
 
 use super::{FromCarrier, HEARD, Returned, ToCarrier, decode, encode, to_wire};
 use crate::clock;
+use crate::concern::Concerns;
 use crate::conn::{Conn, ConnError};
 use crate::group::{Lent, Note};
 
@@ -85,6 +86,49 @@
         })
     }
 
+    /// Tells a proxy another one's concerns; says whether it heard them.
+    pub async fn report(
+        &self,
+        to: &ProxyId,
+        address: SocketAddr,
+        by: &ProxyId,
+        concerns: &Concerns,
+    ) -> bool {
+        let report = ToCarrier::Report {
+            by: by.clone(),
+            concerns: concerns.clone(),
+        };
+        let idle = self.0.idle.borrow_mut().get_mut(to).and_then(Vec::pop);
+        match self.try_report(idle, to, address, &report).await {
+            Ok(()) => true,
+            Err(e) => {
+                tracing::info!(%to, cause = %e, "a report was not heard");
+                false
+            }
+        }
+    }
+
+    async fn try_report(
+        &self,
+        conn: Option<Conn>,
+        to: &ProxyId,
+        address: SocketAddr,
+        report: &ToCarrier,
+    ) -> Result<(), ConnError> {
+        let mut conn = match conn {
+            Some(conn) => conn,
+            None => connect(address).await?,
+        };
+        conn.send(encode(report)).await?;
+        match read(&mut conn, Span::from(HEARD)).await? {
+            FromCarrier::Heard => {
+                self.keep(to, conn);
+                Ok(())
+            }
+            _ => Err(ConnError::Silent),
+        }
+    }
+
     async fn try_on(
         &self,
         conn: Option<Conn>,
@@ -96,16 +140,17 @@
         let request = to_wire(group, ask).ok_or(Trouble::Elsewhere)?;
         let mut conn = match conn {
             Some(conn) => conn,
-            None => connect(address).await?,
+            None => connect(address).await.map_err(Trouble::Broken)?,
         };
         conn.send(encode(&request)).await.map_err(Trouble::Broken)?;
-        match read(&mut conn, Span::from(HEARD)).await? {
+        let heard = read(&mut conn, Span::from(HEARD)).await;
+        match heard.map_err(Trouble::Broken)? {
             FromCarrier::Heard => {}
             _ => return self.elsewhere(carrier, conn),
         }
         let left = ask.give_up.since(clock::now());
         let left = Span::from_micros(left.as_micros() + GRACE.as_micros());
-        match read(&mut conn, left).await? {
+        match read(&mut conn, left).await.map_err(Trouble::Broken)? {
             FromCarrier::Granted {
                 instance,
                 after,
@@ -149,6 +194,7 @@
             held: conn.held(),
             proof: conn.take_proof().map(|p| p.point),
             took: conn.take_time(),
+            shown: conn.take_shown(),
             notes,
         };
         let this = self.clone();
@@ -173,18 +219,15 @@
     Broken(ConnError),
 }
 
-async fn connect(address: SocketAddr) -> Result<Conn, Trouble> {
+async fn connect(address: SocketAddr) -> Result<Conn, ConnError> {
     let connecting = compio::time::timeout(HEARD, TcpStream::connect(address));
-    let stream = match connecting.await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(e)) => return Err(Trouble::Broken(ConnError::from(e))),
-        Err(_) => return Err(Trouble::Broken(ConnError::Silent)),
-    };
-    Conn::bare(stream).map_err(Trouble::Broken)
+    match connecting.await {
+        Ok(stream) => Conn::bare(stream?),
+        Err(_) => Err(ConnError::Silent),
+    }
 }
 
-async fn read(conn: &mut Conn, limit: Span) -> Result<FromCarrier, Trouble> {
-    let line = conn.line(limit.as_duration()).await;
-    let line = line.map_err(Trouble::Broken)?;
-    decode(line).ok_or(Trouble::Broken(ConnError::Silent))
+async fn read(conn: &mut Conn, limit: Span) -> Result<FromCarrier, ConnError> {
+    let line = conn.line(limit.as_duration()).await?;
+    decode(line).ok_or(ConnError::Silent)
 }
--- a/crates/front/tests/path.rs
+++ b/crates/front/tests/path.rs
@@ -187,6 +187,32 @@
     assert_eq!(managed.log(), ["a=1", "a=2", "a=3"]);
 }
 
+/// Both replicas apply the log late, and go on doing so. All reads went to the primary, and
+/// a third of them were refused for twenty seconds. One of the replicas is made primary:
+/// it has received everything, and the old primary serves reads as a replica.
+#[test]
+fn replicas_that_all_lag_get_another_primary() {
+    let managed = platform();
+    let proxy = proxy(&managed, "p1");
+    let (mut writer, mut reader) = (caller(proxy, "filing"), caller(proxy, "lookup"));
+    writer.insist("WRITE a 0");
+    managed.set_fault(1, Fault::Lagging);
+    managed.set_fault(2, Fault::Lagging);
+    let mut n = 0;
+    wait(|| {
+        n += 1;
+        writer.insist(&format!("WRITE a {n}"));
+        reader.ask("READ a");
+        (managed.primary() != 0).then_some(())
+    });
+    writer.insist("WRITE a last");
+    assert_eq!(managed.log().len(), n + 2, "no write is lost");
+    // One change is enough: the old primary does not lag.
+    thread::sleep(Duration::from_secs(2));
+    let named: Vec<_> = managed.orders().iter().map(|(id, _)| id.clone()).collect();
+    assert_eq!(named.len(), 1, "{named:?}");
+}
+
 /// A coordinator stops both replicas from receiving and dies before it names a primary.
 /// Writes would stall for good, as no replica acknowledges them; the next coordinator
 /// finds the replicas stopped and lets them receive again.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admit;
 pub mod adopt;
+pub mod agree;
 pub mod carry;
 pub mod confirm;
 pub mod decision;
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -29,6 +29,9 @@
 /// up to 1 s until the next one leads.
 const CHANGE_TAKES: Span = Span::from_millis(2_500);
 
+/// Time for which an age that a read accepted counts.
+const ACCEPTED_KEPT: Span = Span::from_millis(1_000);
+
 /// Statements that may wait for one group at once. Load: a burst at several times the
 /// capacity. Harm without it: all of it waits, and is refused late. At 3 instances with 3
 /// slots and 20 ms a statement this many wait for about a second.
@@ -53,6 +56,10 @@
     proxies: u32,
     /// Whether this proxy is one of those.
     own: bool,
+    /// Since when no replica holds what reads need, if so.
+    lagging_since: Option<Time>,
+    /// Greatest age that a read accepted lately, and when it was asked for.
+    accepted: (Span, Time),
 }
 
 impl<C, W> Pool<C, W> {
@@ -67,6 +74,8 @@
             connections: 1,
             proxies: 1,
             own: true,
+            lagging_since: None,
+            accepted: Default::default(),
         }
     }
 
@@ -158,6 +167,7 @@
 
     /// Asks for a connection.
     pub fn ask(&mut self, ask: Ask, who: W, now: Time) -> Vec<Action<C, W>> {
+        self.note_age(&ask.kind, now);
         if self.waiting.len() >= MAX_WAITING || self.hopeless(&ask, now) {
             let refused = self.refusal(&ask);
             return vec![Action::Refuse(who, refused)];
@@ -233,6 +243,55 @@
         }
     }
 
+    /// An answer of the instance showed the end of its log.
+    pub fn showed(&mut self, id: &InstanceId, point: Point) {
+        if let Some(instance) = self.instances.get_mut(id) {
+            instance.showed(point);
+        }
+    }
+
+    /// For how long no replica has held what the most tolerant reads need, so that the
+    /// primary must serve all of them.
+    pub fn lags_for(&self, now: Time) -> Option<Span> {
+        self.lagging_since.map(|since| now.since(since))
+    }
+
+    fn note_lag(&mut self, now: Time) {
+        let lagging = self.lags(now);
+        match (lagging, self.lagging_since) {
+            (true, None) => self.lagging_since = Some(now),
+            (false, Some(_)) => self.lagging_since = None,
+            _ => {}
+        }
+    }
+
+    fn lags(&self, now: Time) -> bool {
+        let (age, asked) = self.accepted;
+        if self.primary.is_none() || now.since(asked) > ACCEPTED_KEPT {
+            return false;
+        }
+        let Some(point) = self.proofs.end_before(age, now) else {
+            return false;
+        };
+        let mut replicas = self
+            .instances
+            .values()
+            .filter(|i| self.primary.as_ref() != Some(i.id()) && !i.entry().leaving)
+            .peekable();
+        replicas.peek().is_some() && replicas.all(|i| i.lacks_certainly(point, now))
+    }
+
+    /// Remembers what age reads accept: the greatest one of late.
+    fn note_age(&mut self, kind: &Kind, now: Time) {
+        let Kind::Read(Guarantee::Bounded(age) | Guarantee::OwnWrites(age)) = *kind else {
+            return;
+        };
+        let (known, asked) = self.accepted;
+        if age >= known || now.since(asked) > ACCEPTED_KEPT {
+            self.accepted = (age, now);
+        }
+    }
+
     /// The instance refused a statement for want of capacity.
     pub fn refused(&mut self, id: &InstanceId, now: Time) {
         if let Some(instance) = self.instances.get_mut(id) {
@@ -249,6 +308,7 @@
             let refused = self.refusal(&w.ask);
             actions.push(Action::Refuse(w.who, refused));
         }
+        self.note_lag(now);
         let kept = self.kept();
         for instance in self.instances.values_mut() {
             actions.extend(instance.trim(kept, now).map(Action::Close));
--- a/crates/policy/src/pool/instance.rs
+++ b/crates/policy/src/pool/instance.rs
@@ -33,6 +33,10 @@
 /// some ten milliseconds; a replica that lags for long costs a refused read this often.
 const BEHIND_FOR: Span = Span::from_millis(120);
 
+/// Time for which a refusal for a log that is too short says that an instance lags. Under
+/// load one is asked again after [`BEHIND_FOR`], so that several refusals fall into it.
+const BEHIND_KNOWN: Span = Span::from_millis(500);
+
 /// Reads that may be in flight before anything is known.
 const FIRST_ROOM: f64 = 8.0;
 
@@ -89,6 +93,8 @@
     room: f64,
     /// A point that its log lacked, and when.
     behind: Option<(Point, Time)>,
+    /// Newest end of its log that an answer showed.
+    shown: Point,
     /// Connections beyond which it said that it is full, and when.
     ceiling: Option<(u32, Time)>,
 }
@@ -108,6 +114,7 @@
             learned: Time::default(),
             room: FIRST_ROOM,
             behind: None,
+            shown: Point::default(),
             ceiling: None,
         }
     }
@@ -126,6 +133,8 @@
             return Vec::new();
         }
         self.no_open_before = Time::default();
+        self.behind = None;
+        self.shown = Point::default();
         self.drain_idle()
     }
 
@@ -231,6 +240,21 @@
         self.behind = Some((point, now));
     }
 
+    /// An answer showed the end of its log.
+    pub(super) fn showed(&mut self, point: Point) {
+        self.shown = self.shown.max(point);
+        self.behind.take_if(|(lacked, _)| *lacked <= point);
+    }
+
+    /// Whether it lacks a point for certain: it said a moment ago that its log is too
+    /// short, and no answer showed the point.
+    pub(super) fn lacks_certainly(&self, point: Point, now: Time) -> bool {
+        let refused = self
+            .behind
+            .is_some_and(|(_, at)| now.since(at) <= BEHIND_KNOWN);
+        refused && self.shown < point
+    }
+
     /// Whether its log may hold a point by now.
     ///
     /// Load: replicas that lag for seconds. Harm without it: reads go from one lagging
--- a/crates/policy/src/proof.rs
+++ b/crates/policy/src/proof.rs
@@ -21,6 +21,16 @@
 /// Kept back of an accepted age, against the rounding of clocks.
 const MARGIN: Span = Span::from_millis(5);
 
+/// Distance from an age at which a proof still tells what the log was then; the primary is
+/// asked for a proof every 250 ms.
+const NEAR: Span = Span::from_millis(500);
+
+/// Since when a proof must be for a read that accepts `age`.
+fn bound(age: Span, now: Time) -> Time {
+    let at = now.as_micros() + MARGIN.as_micros();
+    Time::from_micros(at.saturating_sub(age.as_micros()))
+}
+
 /// Every write acknowledged before `since` lies at or before `point`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Proof {
@@ -80,12 +90,23 @@
             Guarantee::Bounded(age) => (age, None),
             Guarantee::OwnWrites(age) => (age, own),
         };
-        let oldest = arrived.as_micros() + MARGIN.as_micros();
-        let oldest = Time::from_micros(oldest.saturating_sub(age.as_micros()));
-        let first = self.kept.partition_point(|p| p.since < oldest);
-        match self.kept.get(first) {
+        match self.oldest(age, arrived) {
             Some(proof) => Need::Holds(own.map_or(proof.point, |own| own.max(proof.point))),
             None => Need::Primary,
         }
     }
+
+    /// The oldest proof that is not older than `age`.
+    fn oldest(&self, age: Span, now: Time) -> Option<&Proof> {
+        let first = self.kept.partition_point(|p| p.since < bound(age, now));
+        self.kept.get(first)
+    }
+
+    /// Where the log ended about `age` ago; `None` if nothing is known of that time, as in
+    /// a process that has just begun to look.
+    pub fn end_before(&self, age: Span, now: Time) -> Option<Point> {
+        let proof = self.oldest(age, now)?;
+        let near = proof.since.since(bound(age, now)) <= NEAR;
+        near.then_some(proof.point)
+    }
 }
--- a/crates/policy/src/takeover.rs
+++ b/crates/policy/src/takeover.rs
@@ -95,6 +95,12 @@
     Doubted,
     /// It is being taken out of service.
     Leaving,
+    /// No replica holds what reads need, so that all reads are served by the primary.
+    ///
+    /// Replicas receive the log at once and apply it late. One that is made primary has
+    /// applied what it received, and the old primary becomes a replica that lags no more:
+    /// reads have two instances again in place of one, after a change without a write gap.
+    Lagging,
 }
 
 /// Why nothing is done now.
@@ -109,6 +115,9 @@
     /// The candidate has not received yet what another holds.
     #[error("the candidate has not received what another replica holds")]
     CatchingUp,
+    /// Only the replicas lag, and the primary does not answer.
+    #[error("the primary, which would become a replica, does not answer")]
+    PrimarySilent,
     /// An order to receive again may still be carried out, and the old primary is silent.
     #[error("a replica may still be told to receive again by an earlier order")]
     ResumePending,
@@ -156,9 +165,17 @@
     } = look;
     let newest = newest_term(members);
     let primary = leader(members);
-    if *cause == Cause::Leaving && !primary.is_some_and(|p| p.leaving) && primary.is_some() {
+    let needless = match cause {
+        Cause::Doubted => false,
+        Cause::Leaving => primary.is_some_and(|p| !p.leaving),
+        Cause::Lagging => primary.is_some_and(|p| p.id != *old),
+    };
+    if needless {
         return Step::Abandon;
     }
+    if *cause == Cause::Lagging && primary.is_none() {
+        return Step::Hold(Hold::PrimarySilent);
+    }
     let Some(candidate) = candidate(members, old, newest) else {
         return Step::Hold(Hold::NoCandidate);
     };
--- a/crates/policy/src/watch.rs
+++ b/crates/policy/src/watch.rs
@@ -40,7 +40,7 @@
 const SETTLING: Span = Span::from_millis(2_000);
 
 /// Why the primary is doubted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Doubt {
     /// It does not answer, or does not lead.
     Unreachable,
--- a/crates/policy/tests/pool.rs
+++ b/crates/policy/tests/pool.rs
@@ -356,3 +356,75 @@
         prop_assert!(oracle.waiting.is_empty(), "{:?} wait", oracle.waiting);
     }
 }
+
+/// A pool whose primary's log grew by one write every 100 ms until `end`, before reads
+/// that accept an age of 1,500 ms.
+fn pool_with_history(end: u64) -> Pool<u32, u32> {
+    let mut pool = pool(34, 6);
+    for n in 0..=end / 100 {
+        let proof = Proof {
+            since: at(n * 100),
+            point: Point::new(1, n),
+        };
+        pool.proved(&id("p"), proof);
+    }
+    pool.ask(ask(Kind::Read(AGE), end), 1, at(end));
+    pool
+}
+
+/// A replica refuses a read for which its log is too short, and shows where its log ends.
+fn lags(pool: &mut Pool<u32, u32>, name: &str, shown: u64, now: u64) {
+    pool.lacks(&id(name), Point::new(1, now / 100), at(now));
+    pool.showed(&id(name), Point::new(1, shown));
+}
+
+/// Load: both replicas apply the log many seconds late, and go on doing so long after the
+/// cause is gone, since they apply in order. Harm: all reads go to the primary, which has a
+/// third of the slots. The pool tells that no replica holds what reads need.
+#[test]
+fn lagging_replicas_are_told_of() {
+    let mut pool = pool_with_history(5_000);
+    lags(&mut pool, "a", 20, 5_000);
+    lags(&mut pool, "b", 30, 5_000);
+    pool.tick(at(5_010));
+    pool.tick(at(5_310));
+    assert_eq!(pool.lags_for(at(5_310)), Some(Span::from_millis(300)));
+}
+
+/// One replica lags, and the other holds what reads of that age need although it refused
+/// one that had to see a newer write of its own.
+#[test]
+fn one_replica_that_is_fresh_enough_is_no_lag() {
+    let mut pool = pool_with_history(5_000);
+    lags(&mut pool, "a", 20, 5_000);
+    lags(&mut pool, "b", 45, 5_000);
+    pool.tick(at(5_010));
+    assert_eq!(pool.lags_for(at(5_010)), None);
+}
+
+/// A proxy that has just begun to look at a group knows nothing of the log of two seconds
+/// ago, and must not take replicas for lagging that lack what was written just now.
+#[test]
+fn a_pool_without_history_tells_of_no_lag() {
+    let mut pool = pool(34, 6);
+    let proof = Proof {
+        since: at(5_000),
+        point: Point::new(1, 50),
+    };
+    pool.proved(&id("p"), proof);
+    pool.ask(ask(Kind::Read(AGE), 5_010), 1, at(5_010));
+    lags(&mut pool, "a", 49, 5_020);
+    lags(&mut pool, "b", 49, 5_020);
+    pool.tick(at(5_030));
+    assert_eq!(pool.lags_for(at(5_030)), None);
+}
+
+/// Replicas that were refused half a second ago and not asked since are not judged.
+#[test]
+fn an_old_refusal_is_no_lag() {
+    let mut pool = pool_with_history(5_000);
+    lags(&mut pool, "a", 20, 4_400);
+    lags(&mut pool, "b", 30, 4_400);
+    pool.tick(at(5_010));
+    assert_eq!(pool.lags_for(at(5_010)), None);
+}
--- a/crates/policy/tests/takeover.rs
+++ b/crates/policy/tests/takeover.rs
@@ -399,3 +399,24 @@
         }
     }
 }
+
+/// All replicas lag while the primary is well. One of them is made primary as in a planned
+/// change, so that the old primary becomes a replica that lags no more; a primary that does
+/// not answer, or is another one already, changes nothing.
+#[test]
+fn lagging_replicas_are_helped_only_by_a_living_primary() {
+    let members = |old| {
+        [
+            member("p", old),
+            member("a", state(Role::Replica, 9, 0)),
+            member("b", state(Role::Replica, 9, 2)),
+        ]
+    };
+    let step = |members: &[Member]| takeover::next_step(&look(members, Cause::Lagging, Some(9)));
+    let well = members(state(Role::Primary, 9, 0));
+    assert_eq!(step(&well), Step::Promote(id("a")));
+    assert_eq!(step(&members(None)), Step::Hold(Hold::PrimarySilent));
+    let mut other = members(state(Role::Replica, 9, 0));
+    other[1].state = state(Role::Primary, 9, 0);
+    assert_eq!(step(&other), Step::Abandon);
+}
--- a/crates/standin/src/managed.rs
+++ b/crates/standin/src/managed.rs
@@ -33,6 +33,8 @@
     LosesAnswers,
     /// It receives nothing of the primary's log.
     Deaf,
+    /// It receives the log and applies nothing of it while it follows.
+    Lagging,
     /// Statements are refused, as with all slots taken.
     Busy,
 }
--- a/crates/standin/src/managed/instance.rs
+++ b/crates/standin/src/managed/instance.rs
@@ -17,6 +17,8 @@
     id: String,
     address: SocketAddr,
     received: usize,
+    /// What it has applied of that, which is what reads see.
+    applied: usize,
     paused: u64,
     leaving: bool,
     fault: Fault,
@@ -44,6 +46,7 @@
             id: format!("i-{}", self.instances.len()),
             address,
             received: 0,
+            applied: 0,
             paused: 0,
             leaving: false,
             fault: Fault::None,
@@ -130,7 +133,9 @@
             for instance in &mut self.instances {
                 instance.paused = 0;
                 instance.received = instance.received.min(kept);
+                instance.applied = instance.applied.min(kept);
             }
+            self.instances[at].applied = kept;
         }
         self.replicate();
         self.instances.len()
@@ -153,6 +158,9 @@
             if at == leader || (!deaf && instance.paused == 0) {
                 instance.received = end;
             }
+            if at == leader || instance.fault != Fault::Lagging {
+                instance.applied = instance.received;
+            }
         }
     }
 
@@ -163,19 +171,20 @@
     }
 
     fn read(&self, at: usize, item: &str) -> String {
-        let received = &self.log[..self.instances[at].received];
-        let found = received.iter().rev().find(|(key, _)| key == item);
+        let applied = &self.log[..self.instances[at].applied];
+        let found = applied.iter().rev().find(|(key, _)| key == item);
         found.map_or("-", |(_, data)| data).to_owned()
     }
 
     fn point(&self, at: usize) -> String {
-        format!("{}.{}", self.term, self.instances[at].received)
+        format!("{}.{}", self.term, self.instances[at].applied)
     }
 
     fn status(&self, at: usize) -> String {
         let role = if self.leads(at) { "primary" } else { "replica" };
         let paused = self.instances[at].paused;
-        format!("ROW {role} {} {} {paused} 0 0 1", self.term, self.point(at))
+        let (term, received) = (self.term, self.instances[at].received);
+        format!("ROW {role} {term} {term}.{received} {paused} 0 0 1")
     }
 }
 
@@ -278,7 +287,7 @@
                 .and_then(|n| n.parse::<usize>().ok())
         };
         let needed = after.as_deref().and_then(number).unwrap_or_default();
-        if self.managed.lock().group.instances[self.at].received < needed {
+        if self.managed.lock().group.instances[self.at].applied < needed {
             return "ERR LAGGING behind".to_owned();
         }
         let words: Vec<_> = text.split(' ').collect();
