Go through another proxy where instances are out of reach; end doubts when nobody looks

Cause 1: a cut leaves some proxies on the wrong side of a new primary, or an instance has no connection left for a proxy that just started. Ruled out for 2: real failures (the instance proved its lead to all others); the quorum. Change: the pool says at once that nothing that could serve a request is in reach; one statement asks other proxies for all, three in a round, those of each data centre that would carry the group first; who was found serves until it cannot. Doubts need a failed question within 1.5 s, and doubts about an instance that was made primary 1.5 s ago or less do not count.

--- a/crates/front/src/coordinator.rs
+++ b/crates/front/src/coordinator.rs
@@ -11,7 +11,7 @@
 use indexmap::{IndexMap, IndexSet};
 use model::id::{GroupId, InstanceId, ProxyId};
 use model::unit::{Span, Time};
-use policy::agree;
+use policy::agree::{self, Doubts};
 use policy::takeover::{Answer, Cause, Token};
 use store::client::Client;
 use store::error::Error;
@@ -62,6 +62,27 @@
     }
 }
 
+/// Time for which doubts about a new primary are not counted: by then every proxy has heard
+/// of the change, or its doubt is a new one.
+const SETTLES: Span = Span::from_millis(1_500);
+
+/// The instance of each group that was made primary last, and when.
+#[derive(Clone, Default)]
+pub struct Named(Rc<RefCell<IndexMap<GroupId, (InstanceId, Time)>>>);
+
+impl Named {
+    fn note(&self, group: &GroupId, instance: &InstanceId) {
+        let named = (instance.clone(), clock::now());
+        self.0.borrow_mut().insert(group.clone(), named);
+    }
+
+    fn settling(&self, group: &GroupId) -> Option<InstanceId> {
+        let named = self.0.borrow();
+        let (instance, at) = named.get(group)?;
+        (!over(*at, SETTLES)).then(|| instance.clone())
+    }
+}
+
 /// What the coordinator works with.
 #[derive(Clone)]
 pub struct Coordinator {
@@ -77,6 +98,8 @@
     pub orders: Client,
     /// The token of the last order.
     pub last: Rc<Cell<Token>>,
+    /// Who was made primary last.
+    pub named: Named,
     /// Changes because of lagging replicas.
     pub lag_handled: LagHandled,
 }
@@ -192,9 +215,13 @@
             Some((proxy.clone(), instance.clone()))
         });
         self.directory.with(|state| {
-            let doubts = state.doubts(group).chain(reported).collect();
-            let holders = state.holders(group) as usize;
-            agree::doubted(&doubts, primary, holders, |id| state.is_announced(id))
+            let doubts = Doubts {
+                by: state.doubts(group).chain(reported).collect(),
+                primary: primary.cloned(),
+                settling: self.named.settling(group),
+                holders: state.holders(group) as usize,
+            };
+            agree::doubted(&doubts, |id| state.is_announced(id))
         })
     }
 
--- a/crates/front/src/coordinator/links.rs
+++ b/crates/front/src/coordinator/links.rs
@@ -189,5 +189,6 @@
         give_up: now + Span::from(limit),
         priority: 0,
         avoid: None,
+        patient: true,
     }
 }
--- a/crates/front/src/coordinator/takeover.rs
+++ b/crates/front/src/coordinator/takeover.rs
@@ -175,6 +175,7 @@
         self.led = led;
         if led {
             tracing::warn!(group = %group.group(), instance = %next, %token, "the primary was replaced");
+            this.named.note(group.group(), next);
             group.expect_primary(next);
         }
         led
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -1,44 +1,28 @@
 //! What all tasks of the process share.
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use indexmap::IndexMap;
-use model::id::{GroupId, ProxyId};
+use model::id::GroupId;
 use model::route::Routes;
-use model::unit::Span;
-use policy::pool::{Ask, Reason, Refused};
 
 use crate::concern;
-use crate::group::{self, Lent};
+use crate::group;
+use crate::lend::Roads;
 use crate::logs;
 use crate::metrics::Metrics;
 use crate::place::Ways;
 use crate::relay;
 use crate::stop::Stop;
 
-/// Carriers that one request tries; each that does not answer takes some of its time.
-const CARRIERS: usize = 3;
-
-/// Hint while a group is not known yet: the store tells of it within a second.
-const UNKNOWN_RETRY: Span = Span::from_millis(500);
-
-/// A proxy through which a group is reached.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Carrier {
-    /// Which one.
-    pub proxy: ProxyId,
-    /// Where it lends connections; `None` for this proxy itself.
-    pub address: Option<SocketAddr>,
-}
-
 /// Shared by the tasks of one process; the directory's task writes, the others read.
 pub struct Cx {
     routes: RefCell<Arc<Routes>>,
     groups: RefCell<IndexMap<GroupId, group::Handle>>,
-    through: RefCell<IndexMap<GroupId, Vec<Carrier>>>,
+    /// The ways to groups past this proxy's own pools.
+    pub roads: Roads,
     /// Speaks to other proxies.
     pub relay: relay::Client,
     sessions: Cell<usize>,
@@ -59,7 +43,7 @@
         Self {
             routes: RefCell::default(),
             groups: RefCell::default(),
-            through: RefCell::default(),
+            roads: Roads::default(),
             relay: relay::Client::default(),
             sessions: Cell::new(0),
             concerns: concern::Board::default(),
@@ -112,44 +96,6 @@
         handle
     }
 
-    /// Takes over through which proxies a group is reached; none if by this one itself.
-    pub fn set_through(&self, group: &GroupId, through: Vec<Carrier>) {
-        self.through.borrow_mut().insert(group.clone(), through);
-    }
-
-    /// Waits for a connection to a group, of this proxy or of a carrier.
-    ///
-    /// A carrier that does not answer at once is passed over for the next one, and in the
-    /// end this proxy opens a connection of its own: a carrier that is gone costs its data
-    /// centre a moment, not the service.
-    pub async fn lend(&self, group: &GroupId, ask: Ask) -> Result<Lent, Refused> {
-        let through = self
-            .through
-            .borrow()
-            .get(group)
-            .cloned()
-            .unwrap_or_default();
-        for carrier in through.iter().take(CARRIERS) {
-            let Some(address) = carrier.address else {
-                // This proxy itself.
-                break;
-            };
-            let asked = self.relay.ask(&carrier.proxy, address, group, &ask).await;
-            match asked {
-                Ok(lent) => return Ok(lent),
-                Err(relay::Miss::Refused(refused)) => return Err(refused),
-                Err(relay::Miss::Elsewhere) => {}
-            }
-        }
-        match self.group(group) {
-            Some(handle) => handle.ask(ask).await,
-            None => Err(Refused {
-                reason: Reason::NoInstance,
-                retry_after: UNKNOWN_RETRY,
-            }),
-        }
-    }
-
     /// Sessions that are open.
     pub fn sessions(&self) -> usize {
         self.sessions.get()
--- a/crates/front/src/directory.rs
+++ b/crates/front/src/directory.rs
@@ -18,10 +18,11 @@
 use store::lease::LeaseId;
 
 use crate::clock;
-use crate::cx::{Carrier, Cx};
+use crate::cx::Cx;
 use crate::group::Shares;
-use state::RESUMES;
+use crate::lend::Carrier;
 pub use state::{Announced, COORDINATOR, DOUBTS, PROXIES, State};
+use state::{Placement, RESUMES};
 
 /// Longest wait of one watch. An open connection can go silent for good, and is noticed
 /// only when the wait is over; each watch costs the operators one call.
@@ -196,13 +197,8 @@
             if let Some(entries) = state.take_entries(group) {
                 handle.set_entries(entries);
             }
-            if let Some(plan) = state.take_plan(group, limits.connections, &self.me) {
-                let carrier = |proxy: &ProxyId| Carrier {
-                    proxy: proxy.clone(),
-                    address: state.relay(proxy).filter(|_| *proxy != self.me.id),
-                };
-                let through = plan.through.iter().map(carrier).collect();
-                self.cx.set_through(group, through);
+            if let Some(placement) = state.take_placement(group, limits.connections, &self.me) {
+                self.place(&state, group, &placement);
             }
             let shares = Shares {
                 connections: limits.connections,
@@ -214,4 +210,17 @@
         // A message that waits already says the same.
         let _ = self.changed.try_send(());
     }
+
+    /// Takes over through which proxies a group is reached.
+    fn place(&self, state: &State, group: &GroupId, placement: &Placement) {
+        let carrier = |proxy: &ProxyId| Carrier {
+            proxy: proxy.clone(),
+            address: state.relay(proxy).filter(|_| *proxy != self.me.id),
+        };
+        let through = placement.plan.through.iter().map(carrier).collect();
+        self.cx.roads.set_through(group, through);
+        let address = |peer: &ProxyId| Some((peer.clone(), state.relay(peer)?));
+        let peers = placement.peers.iter().filter_map(address).collect();
+        self.cx.roads.set_peers(group, peers);
+    }
 }
--- a/crates/front/src/directory/state.rs
+++ b/crates/front/src/directory/state.rs
@@ -10,6 +10,7 @@
 use model::unit::{Span, Time};
 use platform::{entry, routes};
 use policy::carry::{self, Plan, Proxy};
+use policy::detour;
 use serde::{Deserialize, Serialize};
 use store::kv::{Listing, Record};
 use store::watch::{Batch, Change};
@@ -50,6 +51,23 @@
     pub relay: SocketAddr,
 }
 
+/// How a group is reached.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    /// Who holds connections to it.
+    pub plan: Plan,
+    /// The other proxies, in the order in which they are asked when it is out of reach.
+    pub peers: Vec<ProxyId>,
+}
+
+/// A plan, and what it was made for.
+#[derive(Clone, Debug)]
+struct Placed {
+    plan: Plan,
+    connections: u32,
+    live: u64,
+}
+
 #[derive(Clone, Debug)]
 struct Known {
     entry: Entry,
@@ -70,8 +88,10 @@
     routes_changed: bool,
     instances: IndexMap<InstanceId, Known>,
     changed_groups: IndexSet<GroupId>,
-    plans: IndexMap<GroupId, (Plan, u32)>,
+    placed: IndexMap<GroupId, Placed>,
     proxies: IndexMap<ProxyId, Option<Announced>>,
+    /// Rises whenever `proxies` changes.
+    live: u64,
     coordinator: Option<Record>,
     doubts: IndexMap<(GroupId, ProxyId), InstanceId>,
     /// Orders to receive again that may have had no answer: the note's revision, and when
@@ -135,7 +155,9 @@
         for id in gone {
             self.miss(&id, now);
         }
+        let live = self.proxies.len();
         self.proxies.retain(|id, _| has(&format!("{PROXIES}{id}")));
+        self.live += u64::from(live != self.proxies.len());
         self.doubts
             .retain(|(group, proxy), _| has(&format!("{DOUBTS}{group}/{proxy}")));
         self.resumes
@@ -228,7 +250,11 @@
         if let Err(e) = &announced {
             tracing::warn!(proxy = %id, cause = %e, "a proxy's announcement cannot be read");
         }
-        self.proxies.insert(id, announced.ok());
+        let announced = announced.ok();
+        if self.proxies.get(&id) != Some(&announced) {
+            self.proxies.insert(id, announced);
+            self.live += 1;
+        }
     }
 
     /// A configuration that is older than the one in force is left out, also when the
@@ -324,6 +350,7 @@
         } else if let Some(proxy) = key.strip_prefix(PROXIES) {
             if let Ok(proxy) = proxy.parse::<ProxyId>() {
                 self.proxies.shift_remove(&proxy);
+                self.live += 1;
             }
         } else if let Some(at) = doubt_key(key) {
             self.doubts.shift_remove(&at);
@@ -393,8 +420,17 @@
         Some(self.proxies.get(proxy)?.as_ref()?.relay)
     }
 
-    /// Who holds connections to a group, if that changed since the last call.
-    pub fn take_plan(&mut self, group: &GroupId, connections: u32, me: &Proxy) -> Option<Plan> {
+    /// How a group is reached, if that may have changed since the last call.
+    pub fn take_placement(
+        &mut self,
+        group: &GroupId,
+        connections: u32,
+        me: &Proxy,
+    ) -> Option<Placement> {
+        let known = self.placed.get(group);
+        if known.is_some_and(|p| p.connections == connections && p.live == self.live) {
+            return None;
+        }
         let live: Vec<_> = self
             .proxies
             .iter()
@@ -407,20 +443,25 @@
             })
             .collect();
         let plan = carry::plan(group, connections, me, &live);
-        let planned = (plan.clone(), connections);
-        let old = self.plans.insert(group.clone(), planned.clone());
-        (old != Some(planned)).then_some(plan)
+        let placed = Placed {
+            plan: plan.clone(),
+            connections,
+            live: self.live,
+        };
+        self.placed.insert(group.clone(), placed);
+        let peers = detour::peers(group, me, &live);
+        Some(Placement { plan, peers })
     }
 
     /// Whether this proxy holds connections to a group.
     pub fn holds(&self, group: &GroupId) -> bool {
-        self.plans.get(group).is_none_or(|(plan, _)| plan.own)
+        self.placed.get(group).is_none_or(|p| p.plan.own)
     }
 
     /// Proxies that hold connections to a group.
     pub fn holders(&self, group: &GroupId) -> u32 {
-        let plan = self.plans.get(group);
-        plan.map_or_else(|| self.proxies(), |(plan, _)| plan.holders)
+        let placed = self.placed.get(group);
+        placed.map_or_else(|| self.proxies(), |p| p.plan.holders)
     }
 }
 
--- a/crates/front/src/group.rs
+++ b/crates/front/src/group.rs
@@ -49,6 +49,7 @@
     Note(InstanceId, Note),
     View(flume::Sender<View>),
     Primary(InstanceId),
+    Release,
 }
 
 /// What a session learned about an instance.
@@ -184,6 +185,7 @@
                 let _ = reply.send(self.view());
                 Vec::new()
             }
+            Message::Release => self.pool.release(now),
             Message::Primary(id) => {
                 self.watch.expect(&id);
                 self.look(now);
--- a/crates/front/src/group/handle.rs
+++ b/crates/front/src/group/handle.rs
@@ -59,6 +59,11 @@
         self.send(Message::Primary(instance.clone()));
     }
 
+    /// Another proxy reaches the group: who waits here for instances out of reach goes there.
+    pub fn release(&self) {
+        self.send(Message::Release);
+    }
+
     /// What the task knows.
     pub async fn view(&self) -> View {
         let (tx, rx) = flume::bounded(1);
--- /dev/null
+++ b/crates/front/src/lend.rs
@@ -0,0 +1,159 @@
+//! Which way a statement gets its connection: from this proxy's own pool, from a carrier of
+//! its data centre, or from any other proxy that reaches the group.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use model::id::{GroupId, ProxyId};
+use model::unit::Span;
+use policy::detour::{Detour, Way};
+use policy::pool::{Ask, Reason, Refused};
+
+use crate::clock;
+use crate::cx::Cx;
+use crate::group::Lent;
+use crate::relay;
+
+/// Carriers that one request tries; each that does not answer takes some of its time.
+const CARRIERS: usize = 3;
+
+/// Hint while a group is not known yet: the store tells of it within a second.
+const UNKNOWN_RETRY: Span = Span::from_millis(500);
+
+/// A proxy through which a group is reached.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Carrier {
+    /// Which one.
+    pub proxy: ProxyId,
+    /// Where it lends connections; `None` for this proxy itself.
+    pub address: Option<SocketAddr>,
+}
+
+/// The ways to each group past this proxy's own pool.
+#[derive(Default)]
+pub struct Roads(RefCell<IndexMap<GroupId, Road>>);
+
+/// The ways to one group.
+#[derive(Default)]
+struct Road {
+    /// Carriers of this data centre; none where this proxy holds connections itself.
+    through: Vec<Carrier>,
+    /// Where all other proxies lend connections, the best one first.
+    peers: IndexMap<ProxyId, SocketAddr>,
+    detour: Detour,
+}
+
+impl Roads {
+    fn with<T>(&self, group: &GroupId, act: impl FnOnce(&mut Road) -> T) -> T {
+        let mut roads = self.0.borrow_mut();
+        act(roads.entry(group.clone()).or_default())
+    }
+
+    /// Takes over through which proxies a group is reached; none if by this one itself.
+    pub fn set_through(&self, group: &GroupId, through: Vec<Carrier>) {
+        self.with(group, |road| road.through = through);
+    }
+
+    /// Takes over the other proxies, the best one first.
+    pub fn set_peers(&self, group: &GroupId, peers: IndexMap<ProxyId, SocketAddr>) {
+        self.with(group, |road| road.peers = peers);
+    }
+
+    fn through(&self, group: &GroupId) -> Vec<Carrier> {
+        self.with(group, |road| road.through.clone())
+    }
+
+    fn way(&self, group: &GroupId) -> Way {
+        self.with(group, |road| {
+            let peers: Vec<_> = road.peers.keys().cloned().collect();
+            road.detour.way(&peers, clock::now())
+        })
+    }
+
+    fn address(&self, group: &GroupId, peer: &ProxyId) -> Option<SocketAddr> {
+        self.with(group, |road| road.peers.get(peer).copied())
+    }
+
+    fn found(&self, group: &GroupId, peer: &ProxyId) -> bool {
+        self.with(group, |road| road.detour.found(peer))
+    }
+
+    fn lost(&self, group: &GroupId, peer: &ProxyId) {
+        self.with(group, |road| road.detour.lost(peer));
+    }
+}
+
+impl Cx {
+    /// Waits for a connection to a group, of this proxy or of another one.
+    ///
+    /// A carrier that does not answer at once is passed over for the next one, and in the
+    /// end this proxy opens a connection of its own: a carrier that is gone costs its data
+    /// centre a moment, not the service.
+    pub async fn lend(&self, group: &GroupId, ask: Ask) -> Result<Lent, Refused> {
+        for carrier in self.roads.through(group).iter().take(CARRIERS) {
+            let Some(address) = carrier.address else {
+                // This proxy itself.
+                break;
+            };
+            let asked = self.relay.ask(&carrier.proxy, address, group, &ask).await;
+            match asked {
+                Ok(lent) => return Ok(lent),
+                Err(relay::Miss::Refused(refused)) => return Err(refused),
+                Err(relay::Miss::Elsewhere) => {}
+            }
+        }
+        self.lend_here(group, ask).await
+    }
+
+    /// Waits for a connection of this proxy, or goes through another one if no instance that
+    /// could serve the request is in reach from here.
+    async fn lend_here(&self, group: &GroupId, mut ask: Ask) -> Result<Lent, Refused> {
+        let Some(handle) = self.group(group) else {
+            return Err(Refused {
+                reason: Reason::NoInstance,
+                retry_after: UNKNOWN_RETRY,
+            });
+        };
+        loop {
+            match handle.ask(ask.clone()).await {
+                Err(refused) if refused.reason == Reason::OutOfReach && !ask.patient => {}
+                end => return end,
+            }
+            match self.lend_elsewhere(group, &ask).await {
+                Some(end) => return end,
+                None => ask.patient = true,
+            }
+        }
+    }
+
+    /// Asks other proxies; `None` if none of them serves the request, or another statement
+    /// is asking just now.
+    async fn lend_elsewhere(&self, group: &GroupId, ask: &Ask) -> Option<Result<Lent, Refused>> {
+        let peers = match self.roads.way(group) {
+            Way::Known(peer) => vec![peer],
+            Way::Search(peers) => peers,
+            Way::None => return None,
+        };
+        for peer in peers {
+            let Some(address) = self.roads.address(group, &peer) else {
+                self.roads.lost(group, &peer);
+                continue;
+            };
+            match self.relay.ask(&peer, address, group, ask).await {
+                Ok(lent) => {
+                    if self.roads.found(group, &peer) {
+                        tracing::info!(%group, %peer, instance = %lent.instance, "a group out of reach is served through another proxy");
+                        if let Some(handle) = self.group(group) {
+                            handle.release();
+                        }
+                    }
+                    return Some(Ok(lent));
+                }
+                Err(relay::Miss::Refused(refused)) => return Some(Err(refused)),
+                Err(relay::Miss::Elsewhere) => self.roads.lost(group, &peer),
+            }
+        }
+        None
+    }
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod cx;
 pub mod directory;
 pub mod group;
+pub mod lend;
 pub mod logs;
 pub mod member;
 pub mod metrics;
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -106,7 +106,7 @@
     },
     /// There is none.
     Refused(Refused),
-    /// The carrier stops, or does not know the group: ask another one.
+    /// The carrier stops, does not know the group, or does not reach it: ask another one.
     Elsewhere,
 }
 
@@ -172,6 +172,7 @@
         give_up: now + left,
         priority,
         avoid,
+        patient: false,
     };
     Some((group, ask))
 }
--- a/crates/front/src/relay/carrier.rs
+++ b/crates/front/src/relay/carrier.rs
@@ -5,6 +5,7 @@
 use compio::net::{TcpListener, TcpStream};
 use futures_util::future::{self, Either};
 use model::unit::{Span, Time};
+use policy::pool::Reason;
 use policy::proof::Proof;
 
 use super::{FromCarrier, MARK, Returned, ToCarrier, decode, encode, from_wire};
@@ -60,6 +61,9 @@
         let _entered = cx.enter();
         match handle.ask(ask).await {
             Ok(lent) => carry(lent, &mut reader, &mut writer).await?,
+            Err(refused) if refused.reason == Reason::OutOfReach => {
+                writer.send(encode(&FromCarrier::Elsewhere)).await?;
+            }
             Err(refused) => writer.send(encode(&FromCarrier::Refused(refused))).await?,
         }
     }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -83,6 +83,7 @@
         store: store.clone(),
         orders,
         last: Rc::default(),
+        named: Default::default(),
         lag_handled: Default::default(),
     };
     compio::runtime::spawn(coordinator.run(changes)).detach();
--- a/crates/front/src/session/attempt.rs
+++ b/crates/front/src/session/attempt.rs
@@ -256,6 +256,7 @@
         give_up: job.arrived + route.time_limit,
         priority: route.priority,
         avoid: None,
+        patient: false,
     }
 }
 
--- a/crates/front/src/session/tx.rs
+++ b/crates/front/src/session/tx.rs
@@ -286,6 +286,7 @@
                 give_up,
                 priority: route.priority,
                 avoid: avoid.take(),
+                patient: false,
             };
             let mut lent = self.cx.lend(&route.group, ask).await?;
             let setup = Setup {
--- a/crates/front/tests/path.rs
+++ b/crates/front/tests/path.rs
@@ -225,6 +225,24 @@
     assert!(lost.is_empty(), "{lost:?} of {done:?}");
 }
 
+/// Instances have no connection left: one proxy holds them, and another that starts gets
+/// none. Its callers are served through the first one, at once and not when a connection
+/// comes free.
+#[test]
+fn a_proxy_without_connections_serves_through_another() {
+    let managed = platform();
+    managed.configure(&with_connections(2, &DATABASES, 2));
+    let first = proxy(&managed, "p1");
+    caller(first, "filing").insist("WRITE a 1");
+    caller(first, "lookup").insist("READ a");
+    managed.set_max_connections(1);
+    let mut session = caller(proxy(&managed, "p2"), "filing");
+    session.insist("WRITE a 2");
+    assert_eq!(session.ask("READ a").lines[0], "ROW 2");
+    assert_eq!(caller(first, "filing").insist("READ a").lines[0], "ROW 2");
+    assert_eq!(managed.log(), ["a=1", "a=2"]);
+}
+
 /// Both replicas apply the log late, and go on doing so. All reads went to the primary, and
 /// a third of them were refused for twenty seconds. One of the replicas is made primary:
 /// it has received everything, and the old primary serves reads as a replica.
@@ -451,6 +469,25 @@
     assert_eq!(managed.log().len(), 6);
 }
 
+/// A proxy without connections of its own looked at a lost primary while somebody waited,
+/// and went on doubting it long after the change, as nobody waited any more. When the group
+/// changed back to that instance it was replaced again and again.
+#[test]
+fn doubts_end_with_the_change() {
+    let (managed, proxies) = scarce();
+    let mut sessions: Vec<_> = proxies.iter().map(|p| caller(*p, "filing")).collect();
+    managed.set_fault(0, Fault::Dark);
+    let callers: Vec<_> = sessions
+        .drain(..)
+        .map(|mut session| thread::spawn(move || session.ask("WRITE a 1")))
+        .collect();
+    for caller in callers {
+        caller.join().unwrap();
+    }
+    wait(|| (managed.primary() != 0).then_some(()));
+    wait(|| managed.keys("pomelo/doubt/").is_empty().then_some(()));
+}
+
 /// A caller leaves in the middle of a transaction that runs on a carrier's connection. The
 /// work is dropped and the connection serves the next caller, who finds no transaction.
 #[test]
--- a/crates/policy/src/agree.rs
+++ b/crates/policy/src/agree.rs
@@ -18,25 +18,39 @@
     holders.div_ceil(PART).max(LEAST.min(holders)).max(1)
 }
 
+/// Doubts about a group's instances.
+#[derive(Clone, Debug, Default)]
+pub struct Doubts {
+    /// The instance that each proxy doubts.
+    pub by: IndexMap<ProxyId, InstanceId>,
+    /// The instance that proved last that it leads.
+    pub primary: Option<InstanceId>,
+    /// An instance that was made primary a moment ago.
+    pub settling: Option<InstanceId>,
+    /// Proxies that hold connections to the group.
+    pub holders: usize,
+}
+
 /// The instance that enough proxies doubt.
 ///
 /// While a primary is known, doubts about another instance are late: they come from
 /// proxies that have not heard of the change yet. One doubt suffices about an instance that
 /// the platform no longer announces: it has sent no heartbeat for seconds, and a proxy finds
 /// that it does not serve; the proxies that could agree may be cut off together with it.
-pub fn doubted(
-    doubts: &IndexMap<ProxyId, InstanceId>,
-    primary: Option<&InstanceId>,
-    holders: usize,
-    is_announced: impl Fn(&InstanceId) -> bool,
-) -> Option<InstanceId> {
-    let suspect = match primary {
-        Some(primary) => doubts.values().find(|i| *i == primary)?,
-        None => doubts.values().next()?,
+///
+/// An instance that was just made primary is not doubted. Load: a group that changes its
+/// primary back to one that was doubted before. Harm without it: the proxies that have not
+/// heard of the change still doubt it, it is replaced at once, and so on for as long as
+/// changes come faster than the news of them.
+pub fn doubted(doubts: &Doubts, is_announced: impl Fn(&InstanceId) -> bool) -> Option<InstanceId> {
+    let of = |i: &&InstanceId| doubts.settling.as_ref() != Some(*i);
+    let suspect = match &doubts.primary {
+        Some(primary) => doubts.by.values().filter(of).find(|i| *i == primary)?,
+        None => doubts.by.values().find(of)?,
     };
-    let same = doubts.values().filter(|i| *i == suspect).count();
+    let same = doubts.by.values().filter(|i| *i == suspect).count();
     let needed = if is_announced(suspect) {
-        needed(holders)
+        needed(doubts.holders)
     } else {
         1
     };
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod carry;
 pub mod confirm;
 pub mod decision;
+pub mod detour;
 pub mod fresh;
 pub mod group;
 pub mod lead;
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -32,6 +32,10 @@
 /// Time for which an age that a read accepted counts.
 const ACCEPTED_KEPT: Span = Span::from_millis(1_000);
 
+/// Time for which no primary must have been known before other proxies are asked. A primary
+/// that was just lost is lost to all of them, mostly.
+const LOST_FOR: Span = Span::from_millis(300);
+
 /// Statements that may wait for one group at once. Load: a burst at several times the
 /// capacity. Harm without it: all of it waits, and is refused late. At 3 instances with 3
 /// slots and 20 ms a statement this many wait for about a second.
@@ -168,6 +172,10 @@
     /// Asks for a connection.
     pub fn ask(&mut self, ask: Ask, who: W, now: Time) -> Vec<Action<C, W>> {
         self.note_age(&ask.kind, now);
+        if !ask.patient && self.is_out_of_reach(&ask, now) {
+            let refused = out_of_reach();
+            return vec![Action::Refuse(who, refused)];
+        }
         if self.waiting.len() >= MAX_WAITING || self.hopeless(&ask, now) {
             let refused = self.refusal(&ask);
             return vec![Action::Refuse(who, refused)];
@@ -177,17 +185,57 @@
         self.settle(now)
     }
 
+    /// Refuses everybody who waits for instances that are out of reach, since another proxy
+    /// was found that reaches them.
+    pub fn release(&mut self, now: Time) -> Vec<Action<C, W>> {
+        let mut actions = Vec::new();
+        let mut at = 0;
+        while at < self.waiting.len() {
+            if self.is_out_of_reach(&self.waiting[at].ask, now) {
+                let waiter = self.waiting.remove(at);
+                actions.push(Action::Refuse(waiter.who, out_of_reach()));
+            } else {
+                at += 1;
+            }
+        }
+        actions
+    }
+
+    /// Whether no instance that could serve the request is in reach of this proxy, while
+    /// another proxy may reach one.
+    fn is_out_of_reach(&self, ask: &Ask, now: Time) -> bool {
+        match self.need(ask) {
+            None => false,
+            Some(Need::Primary) => match &self.primary {
+                None => self.lost_since.is_some_and(|at| now.since(at) >= LOST_FOR),
+                Some(id) => self.instances.get(id).is_none_or(Instance::is_out_of_reach),
+            },
+            Some(Need::Holds(point)) => self
+                .instances
+                .values()
+                .all(|i| i.is_out_of_reach() || i.lacks_certainly(point, now)),
+        }
+    }
+
+    /// What the request's instance must be or hold; `None` for a question to a certain one.
+    fn need(&self, ask: &Ask) -> Option<Need> {
+        match ask.kind {
+            Kind::Control(_) => None,
+            Kind::Write => Some(Need::Primary),
+            Kind::Read(guarantee) => Some(self.proofs.need(guarantee, ask.own, ask.arrived)),
+        }
+    }
+
     /// Whether a request that needs a primary would wait for nothing.
     ///
     /// Load: a group without a primary for longer than a change of primary takes, for
     /// instance because the store is away. Harm without it: all of its callers wait until
     /// their time is up and learn only then that they must come back.
     fn hopeless(&mut self, ask: &Ask, now: Time) -> bool {
-        if self.primary.is_some() {
-            return false;
-        }
-        let since = *self.lost_since.get_or_insert(now);
-        let long = now.since(since) >= CHANGE_TAKES;
+        self.note_loss(now);
+        let long = self
+            .lost_since
+            .is_some_and(|at| now.since(at) >= CHANGE_TAKES);
         long && matches!(ask.kind, Kind::Write | Kind::Read(Guarantee::Newest))
     }
 
@@ -256,6 +304,12 @@
         self.lagging_since.map(|since| now.since(since))
     }
 
+    fn note_loss(&mut self, now: Time) {
+        if self.primary.is_none() {
+            self.lost_since.get_or_insert(now);
+        }
+    }
+
     fn note_lag(&mut self, now: Time) {
         let lagging = self.lags(now);
         match (lagging, self.lagging_since) {
@@ -308,6 +362,7 @@
             let refused = self.refusal(&w.ask);
             actions.push(Action::Refuse(w.who, refused));
         }
+        self.note_loss(now);
         self.note_lag(now);
         let kept = self.kept();
         for instance in self.instances.values_mut() {
@@ -377,10 +432,7 @@
         let mut coming: IndexMap<InstanceId, u32> = IndexMap::new();
         while at < self.waiting.len() {
             let ask = &self.waiting[at].ask;
-            let need = match ask.kind {
-                Kind::Write | Kind::Control(_) => Need::Primary,
-                Kind::Read(guarantee) => self.proofs.need(guarantee, ask.own, ask.arrived),
-            };
+            let need = self.need(ask).unwrap_or(Need::Primary);
             match self.place(ask, need, now) {
                 Some(id) => {
                     let Some(conn) = self.instances.get_mut(&id).and_then(Instance::take) else {
@@ -459,7 +511,7 @@
             _ => Reason::Busy,
         };
         let retry_after = match reason {
-            Reason::NoPrimary | Reason::NoInstance => FAILOVER_RETRY,
+            Reason::NoPrimary | Reason::NoInstance | Reason::OutOfReach => FAILOVER_RETRY,
             Reason::Busy => MIN_RETRY.times(1 + self.waiting.len() as u64 / 4),
         };
         Refused {
@@ -475,6 +527,13 @@
     }
 }
 
+fn out_of_reach() -> Refused {
+    Refused {
+        reason: Reason::OutOfReach,
+        retry_after: MIN_RETRY,
+    }
+}
+
 fn grant<C>(instance: InstanceId, conn: C, kind: &Kind, need: Need) -> Grant<C> {
     let after = match need {
         Need::Holds(point) => Some(point),
--- a/crates/policy/src/pool/instance.rs
+++ b/crates/policy/src/pool/instance.rs
@@ -82,6 +82,8 @@
     idle: Vec<(C, Time)>,
     lent: u32,
     opening: u32,
+    /// Whether the last try to open a connection failed.
+    failing: bool,
     /// No connection is opened before this time.
     no_open_before: Time,
     /// No read is given to it before this time.
@@ -108,6 +110,7 @@
             idle: Vec::new(),
             lent: 0,
             opening: 0,
+            failing: false,
             no_open_before: Time::default(),
             rests_until: Time::default(),
             usual: None,
@@ -133,6 +136,7 @@
             return Vec::new();
         }
         self.no_open_before = Time::default();
+        self.failing = false;
         self.behind = None;
         self.shown = Point::default();
         self.drain_idle()
@@ -163,6 +167,11 @@
         self.opening
     }
 
+    /// Whether this proxy has no connection to it and could open none.
+    pub(super) fn is_out_of_reach(&self) -> bool {
+        self.failing && self.idle.is_empty() && self.lent == 0
+    }
+
     /// Whether a connection is idle.
     pub fn has_idle(&self) -> bool {
         !self.idle.is_empty()
@@ -191,6 +200,7 @@
 
     pub(super) fn opened(&mut self, result: Result<C, OpenFault>, now: Time) {
         self.opening = self.opening.saturating_sub(1);
+        self.failing = result.is_err();
         match result {
             Ok(conn) => self.keep(conn, now),
             Err(fault) => {
--- a/crates/policy/src/pool/request.rs
+++ b/crates/policy/src/pool/request.rs
@@ -31,6 +31,9 @@
     pub priority: u8,
     /// An instance that just could not serve it.
     pub avoid: Option<InstanceId>,
+    /// Whether it waits also while no instance that could serve it is in reach; otherwise
+    /// it is refused at once, to try another proxy.
+    pub patient: bool,
 }
 
 impl Ask {
@@ -67,6 +70,9 @@
     /// No instance can serve it.
     #[error("no instance can serve it")]
     NoInstance,
+    /// Instances that could serve it are not in reach of this proxy.
+    #[error("no instance that can serve it is in reach")]
+    OutOfReach,
 }
 
 /// A refusal; the statement has not run.
--- a/crates/policy/src/watch.rs
+++ b/crates/policy/src/watch.rs
@@ -28,6 +28,10 @@
 /// neither an open connection nor a new one brought any.
 const FAILURES: u32 = 2;
 
+/// Time for which a failed question counts. While a primary fails it is asked all the while,
+/// and a question takes 0.8 s at most.
+const FAILURE_KEPT: Span = Span::from_millis(1_500);
+
 /// Writes without an answer that make a primary doubtful although it answers: it cannot
 /// reach its replicas. One alone may have met a slow statement.
 const STALLS: u32 = 2;
@@ -75,6 +79,8 @@
     /// The instance that proved last that it leads.
     leader: Option<InstanceId>,
     failing_since: Option<Time>,
+    /// When the last question to it failed.
+    failed_at: Time,
     failures: u32,
     stalls: u32,
     stalled_at: Time,
@@ -185,6 +191,7 @@
         if doubtful {
             self.failures += if finding == Finding::Silent { 2 } else { 1 };
             self.failing_since.get_or_insert(now);
+            self.failed_at = now;
         }
         if finding == Finding::Follows {
             self.expected.take_if(|e| e == id);
@@ -222,6 +229,10 @@
     }
 
     /// The instance that is doubted, and why.
+    ///
+    /// A proxy without connections of its own looks only while somebody waits. Load: a group
+    /// changes back to an instance that such a proxy found lost earlier. Harm without an end
+    /// of its doubt: the instance is replaced again and again although it is well.
     pub fn doubt(&self, now: Time) -> Option<(InstanceId, Doubt)> {
         let claims = || {
             let claims = self.candidates.iter().find(|(_, c)| c.claims);
@@ -231,7 +242,8 @@
         let failing = self
             .failing_since
             .is_some_and(|at| now.since(at) >= FAILING);
-        if failing && self.failures >= FAILURES {
+        let fresh = now.since(self.failed_at) <= FAILURE_KEPT;
+        if failing && fresh && self.failures >= FAILURES {
             return Some((suspect, Doubt::Unreachable));
         }
         let stalled = self.stalls >= STALLS && now.since(self.stalled_at) <= STALL_KEPT;
--- a/crates/policy/tests/agree.rs
+++ b/crates/policy/tests/agree.rs
@@ -2,15 +2,21 @@
 
 use indexmap::IndexMap;
 use model::id::{InstanceId, ProxyId};
-use policy::agree;
+use policy::agree::{self, Doubts};
 use test_case::test_case;
 
-fn doubts(of: &[(&str, &str)]) -> IndexMap<ProxyId, InstanceId> {
+fn doubts(of: &[(&str, &str)], primary: Option<&str>, holders: usize) -> Doubts {
     let parse = |(proxy, instance): &(&str, &str)| {
         let instance: InstanceId = instance.parse().unwrap();
         (proxy.parse::<ProxyId>().unwrap(), instance)
     };
-    of.iter().map(parse).collect()
+    let by: IndexMap<_, _> = of.iter().map(parse).collect();
+    Doubts {
+        by,
+        primary: primary.map(instance),
+        settling: None,
+        holders,
+    }
 }
 
 fn instance(id: &str) -> InstanceId {
@@ -30,10 +36,8 @@
 /// the others.
 #[test]
 fn one_proxy_alone_changes_no_announced_primary() {
-    let doubts = doubts(&[("a", "p")]);
-    let primary = instance("p");
-    let doubted = agree::doubted(&doubts, Some(&primary), 9, |_| true);
-    assert_eq!(doubted, None);
+    let doubts = doubts(&[("a", "p")], Some("p"), 9);
+    assert_eq!(agree::doubted(&doubts, |_| true), None);
 }
 
 /// A primary is cut off from the store together with most proxies: they cannot tell what
@@ -41,9 +45,8 @@
 /// store no longer announces it, so the one that is heard suffices.
 #[test]
 fn one_doubt_suffices_about_an_instance_that_is_no_longer_announced() {
-    let doubts = doubts(&[("a", "p")]);
-    let primary = instance("p");
-    let doubted = agree::doubted(&doubts, Some(&primary), 9, |i| *i != primary);
+    let doubts = doubts(&[("a", "p")], Some("p"), 9);
+    let doubted = agree::doubted(&doubts, |i| *i != instance("p"));
     assert_eq!(doubted, Some(instance("p")));
 }
 
@@ -51,9 +54,22 @@
 /// not replaced for it.
 #[test]
 fn late_doubts_do_not_count_against_a_new_primary() {
-    let doubts = doubts(&[("a", "old"), ("b", "old"), ("c", "old")]);
-    let primary = instance("new");
-    assert_eq!(agree::doubted(&doubts, Some(&primary), 3, |_| true), None);
-    let lost = agree::doubted(&doubts, None, 3, |_| true);
-    assert_eq!(lost, Some(instance("old")));
+    let late = [("a", "old"), ("b", "old"), ("c", "old")];
+    let known = doubts(&late, Some("new"), 3);
+    assert_eq!(agree::doubted(&known, |_| true), None);
+    let lost = doubts(&late, None, 3);
+    assert_eq!(agree::doubted(&lost, |_| true), Some(instance("old")));
+}
+
+/// A group changed its primary twenty times in half a minute: each change went back to an
+/// instance that proxies still doubted from the change before, and so was doubted at once.
+#[test]
+fn an_instance_that_was_just_made_primary_is_not_doubted() {
+    let mut doubts = doubts(&[("a", "back"), ("b", "back")], Some("back"), 3);
+    doubts.settling = Some(instance("back"));
+    assert_eq!(agree::doubted(&doubts, |_| true), None);
+    doubts.primary = None;
+    assert_eq!(agree::doubted(&doubts, |_| true), None);
+    doubts.settling = None;
+    assert_eq!(agree::doubted(&doubts, |_| true), Some(instance("back")));
 }
--- a/crates/policy/tests/pool.rs
+++ b/crates/policy/tests/pool.rs
@@ -43,6 +43,7 @@
         give_up: at(now + 800),
         priority: 1,
         avoid: None,
+        patient: false,
     }
 }
 
@@ -428,3 +429,63 @@
     pool.tick(at(5_010));
     assert_eq!(pool.lags_for(at(5_010)), None);
 }
+
+fn refused(actions: &[Action<u32, u32>]) -> Vec<(u32, Reason)> {
+    let refuse = |a: &Action<u32, u32>| match a {
+        Action::Refuse(who, refused) => Some((*who, refused.reason)),
+        _ => None,
+    };
+    actions.iter().filter_map(refuse).collect()
+}
+
+/// Load: all VMs are back after a loss of power, and instances still hold the connections of
+/// before. Harm: a proxy that got none let its callers wait for three seconds, while another
+/// one beside it had three. Who needs the primary is told at once to try another proxy.
+#[test]
+fn a_primary_without_a_free_connection_is_out_of_reach() {
+    let mut pool = pool(34, 6);
+    pool.ask(ask(Kind::Write, 1_100), 1, at(1_100));
+    pool.opened(&id("p"), Err(OpenFault::Full), at(1_110));
+    let actions = pool.ask(ask(Kind::Write, 1_120), 2, at(1_120));
+    assert_eq!(refused(&actions), [(2, Reason::OutOfReach)]);
+    // Who tried other proxies in vain waits here, and so does who came before.
+    let mut patient = ask(Kind::Write, 1_120);
+    patient.patient = true;
+    assert!(refused(&pool.ask(patient, 3, at(1_120))).is_empty());
+    // Another proxy was found: all go there.
+    let released = refused(&pool.release(at(1_130)));
+    assert_eq!(released, [(1, Reason::OutOfReach), (3, Reason::OutOfReach)]);
+}
+
+/// A primary that was just lost is lost to every proxy: a change takes a second, and a
+/// storm of questions to all others would not make it shorter. After a while one that
+/// another proxy knows of may be asked for.
+#[test]
+fn a_lost_primary_is_out_of_reach_after_a_while() {
+    let mut pool = pool(34, 6);
+    pool.disproved(&id("p"));
+    pool.tick(at(2_000));
+    let early = pool.ask(ask(Kind::Write, 2_100), 1, at(2_100));
+    assert!(refused(&early).is_empty());
+    let later = pool.ask(ask(Kind::Write, 2_400), 2, at(2_400));
+    assert_eq!(refused(&later), [(2, Reason::OutOfReach)]);
+}
+
+/// A cut leaves this proxy without the two instances that hold what a read needs, and with
+/// one that receives nothing any more.
+#[test]
+fn reads_are_out_of_reach_where_only_a_lagging_instance_is_left() {
+    let mut pool = pool(34, 6);
+    pool.ask(ask(Kind::Read(AGE), 1_100), 1, at(1_100));
+    for name in ["p", "a"] {
+        pool.opened(&id(name), Err(OpenFault::Unreachable), at(1_110));
+    }
+    pool.opened(&id("b"), Ok(1), at(1_110));
+    pool.lacks(&id("b"), Point::new(1, 7), at(1_120));
+    let actions = pool.ask(ask(Kind::Read(AGE), 1_130), 2, at(1_130));
+    assert_eq!(refused(&actions), [(2, Reason::OutOfReach)]);
+    // Once it shows what is needed, it serves.
+    pool.showed(&id("b"), Point::new(1, 7));
+    let actions = pool.ask(ask(Kind::Read(AGE), 1_140), 3, at(1_140));
+    assert!(refused(&actions).is_empty());
+}
--- a/crates/policy/tests/watch.rs
+++ b/crates/policy/tests/watch.rs
@@ -123,3 +123,15 @@
         [id("p")]
     );
 }
+
+/// A proxy without connections of its own found a primary lost, and then nobody waited there
+/// any more, so it asked no further. Twenty changes of primary later it still doubted that
+/// instance, which led again and was well.
+#[test]
+fn a_doubt_ends_when_nobody_looks_any_more() {
+    let mut watch = watch();
+    watch.failed(&id("p"), Finding::Silent, at(1_000));
+    assert!(watch.doubt(at(1_300)).is_some());
+    assert!(watch.doubt(at(2_400)).is_some());
+    assert_eq!(watch.doubt(at(2_600)), None);
+}
--- a/crates/standin/src/managed.rs
+++ b/crates/standin/src/managed.rs
@@ -43,6 +43,8 @@
 struct World {
     store: Store,
     group: Group,
+    /// Connections that one instance accepts; 0 for any number.
+    max_connections: usize,
     /// Whether the store and the orders answer.
     store_away: bool,
     /// Time after which the next order is carried out, without an answer.
@@ -117,6 +119,11 @@
         self.lock().group.set_fault(instance, fault);
     }
 
+    /// Sets how many connections one instance accepts.
+    pub fn set_max_connections(&self, most: usize) {
+        self.lock().max_connections = most;
+    }
+
     /// Lets the store and the orders fail, or answer again.
     pub fn set_store_away(&self, away: bool) {
         self.lock().store_away = away;
--- a/crates/standin/src/managed/instance.rs
+++ b/crates/standin/src/managed/instance.rs
@@ -22,6 +22,7 @@
     paused: u64,
     leaving: bool,
     fault: Fault,
+    connections: usize,
 }
 
 /// A group: its log, and how far each instance has received it.
@@ -50,6 +51,7 @@
             paused: 0,
             leaving: false,
             fault: Fault::None,
+            connections: 0,
         });
         self.replicate();
         self.instances.len() - 1
@@ -200,8 +202,11 @@
                 tx: None,
                 prepared: BTreeMap::new(),
             };
+            let managed = session.managed.clone();
+            managed.lock().group.instances[at].connections += 1;
             // A proxy that goes away ends its connection.
             let _ = session.run(&stream);
+            managed.lock().group.instances[at].connections -= 1;
         });
     }
 }
@@ -220,6 +225,12 @@
 }
 
 impl Session {
+    fn is_full(&self) -> bool {
+        let world = self.managed.lock();
+        let most = world.max_connections;
+        most > 0 && world.group.instances[self.at].connections > most
+    }
+
     fn fault(&self) -> Fault {
         self.managed.lock().group.instances[self.at].fault
     }
@@ -235,6 +246,10 @@
                 return Ok(());
             }
             if let Some(rest) = line.strip_prefix("START ") {
+                if self.is_full() {
+                    write!(writer, "ERR TOOMANY connections\r\n")?;
+                    return Ok(());
+                }
                 let meant = rest.ends_with(self.managed.lock().group.id(self.at));
                 let answer = if meant {
                     "READY I 1.0"
