Call the store less: doubts past it, longer watches and leases, one claim of the duty

Doubts woke every proxy twice each. Ruled out: keep-alive probes on the store's connection (the HTTP client has no setting for them). Change: doubts go through the store only if the coordinator has not heard them for 300 ms; a watch lasts as long as a change of the configuration may take (2 to 8 s); the proxy's lease is 6 s, renewed every 1.8 s; a free duty is taken after up to 300 ms; changes are gathered for 32 ms a proxy. Test: what_the_coordinator_does_not_hear_goes_through_the_store.

--- a/crates/front/src/concern.rs
+++ b/crates/front/src/concern.rs
@@ -4,7 +4,7 @@
 //! the coordinator, since the way through the store may be cut while the one to the
 //! coordinator is not.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use indexmap::IndexMap;
@@ -16,6 +16,10 @@
 /// Time for which a report counts: a few of the pauses between two of them.
 const KEPT: Span = Span::from_millis(1_000);
 
+/// Time for which the coordinator must not have heard the concerns before they are written
+/// to the store: two tries. Each doubt that is written there wakes every proxy twice.
+const UNHEARD: Span = Span::from_millis(300);
+
 /// What a proxy finds wrong with a group.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Concern {
@@ -36,12 +40,18 @@
 struct Inner {
     own: RefCell<Concerns>,
     told: RefCell<IndexMap<ProxyId, (Concerns, Time)>>,
+    /// Since when the coordinator has not heard this proxy's concerns.
+    unheard_since: Cell<Option<Time>>,
 }
 
 impl Board {
     /// Takes over this proxy's concern about a group.
     pub fn set_own(&self, group: &GroupId, concern: Concern) {
         let mut own = self.0.own.borrow_mut();
+        let known = own.get(group).cloned().unwrap_or_default();
+        if known != concern {
+            note(group, &known, &concern);
+        }
         if concern == Concern::default() {
             own.shift_remove(group);
         } else {
@@ -54,6 +64,24 @@
         self.0.own.borrow().clone()
     }
 
+    /// Notes whether the coordinator heard this proxy's concerns.
+    pub fn set_heard(&self, heard: bool, now: Time) {
+        let since = self.0.unheard_since.get();
+        let since = if heard { None } else { since.or(Some(now)) };
+        self.0.unheard_since.set(since);
+    }
+
+    /// This proxy's concerns, if the coordinator has not heard them for a while: they go
+    /// through the store then.
+    pub fn unheard(&self, now: Time) -> Concerns {
+        let since = self.0.unheard_since.get();
+        if since.is_some_and(|at| now.since(at) >= UNHEARD) {
+            self.own()
+        } else {
+            Concerns::default()
+        }
+    }
+
     /// Takes over another proxy's concerns, all of them.
     pub fn told(&self, by: ProxyId, concerns: Concerns, now: Time) {
         let mut told = self.0.told.borrow_mut();
@@ -74,3 +102,19 @@
         about.collect()
     }
 }
+
+fn note(group: &GroupId, known: &Concern, new: &Concern) {
+    match (&known.doubt, &new.doubt) {
+        (None, None) => {}
+        (Some((instance, _)), None) => {
+            tracing::info!(%group, %instance, "this proxy no longer doubts the primary");
+        }
+        (_, Some((instance, cause))) => {
+            tracing::warn!(%group, %instance, ?cause, "this proxy doubts the primary");
+        }
+    }
+    if known.lags != new.lags {
+        let lags = new.lags;
+        tracing::info!(%group, lags, "whether no replica holds what reads need has changed");
+    }
+}
--- a/crates/front/src/directory.rs
+++ b/crates/front/src/directory.rs
@@ -24,16 +24,17 @@
 pub use state::{Announced, COORDINATOR, DOUBTS, PROXIES, State};
 use state::{Placement, RESUMES};
 
-/// Longest wait of one watch. An open connection can go silent for good, and is noticed
-/// only when the wait is over; each watch costs the operators one call.
-const WATCH: Duration = Duration::from_millis(4_000);
+/// Shortest and longest wait of one watch. An open connection can go silent for good, and
+/// is noticed only when the wait is over, so a watch takes no longer than a change of the
+/// configuration may until it is in force; each watch costs the operators one call.
+const WATCH: (Duration, Duration) = (Duration::from_millis(2_000), Duration::from_millis(8_000));
 
 /// Pause after a change before the next one is asked for, for each proxy that watches.
 ///
 /// Load: as many proxies as watch also write, when all of them start. Harm without it:
 /// each write wakes all of them, which at 91 proxies was 33,000 calls in 48 s. The pause
 /// gathers the changes of that time.
-const GATHER: Duration = Duration::from_millis(16);
+const GATHER: Duration = Duration::from_millis(32);
 
 /// The part of the time in which a change must be in force that the pause may take.
 const GATHER_PART: u32 = 3;
@@ -151,7 +152,8 @@
             *listed = true;
         } else {
             let after = self.state.borrow().revision();
-            let batch = kv::watch(client, "", after, WATCH).await?;
+            let wait = self.in_force_within.clamp(WATCH.0, WATCH.1);
+            let batch = kv::watch(client, "", after, wait).await?;
             if batch.changes.is_empty() {
                 return Ok(());
             }
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -26,10 +26,10 @@
 use lease::Lease;
 
 /// Time after which a silent proxy loses its place; one that pauses for less keeps it.
-const LEASE: Duration = Duration::from_millis(4_000);
+const LEASE: Duration = Duration::from_millis(6_000);
 
 /// Pause between two renewals: two may be lost before the lease ends.
-const RENEW: Span = Span::from_millis(1_200);
+const RENEW: Span = Span::from_millis(1_800);
 
 /// Pause between two looks at doubts.
 const LOOK: Span = Span::from_millis(100);
@@ -124,7 +124,7 @@
             kv::put(client, &key, &value, lease).await?;
             self.announced.set(true);
         }
-        let concerns = cx.concerns.own();
+        let concerns = cx.concerns.unheard(clock::now());
         let mut groups: Vec<_> = self.doubts.borrow().keys().cloned().collect();
         groups.extend(concerns.keys().cloned());
         for group in groups {
@@ -148,13 +148,13 @@
                 if told.as_ref().is_none_or(|(told, _)| *told != instance) =>
             {
                 let written = kv::put(client, &key, instance.as_str().as_bytes(), lease).await?;
-                tracing::warn!(%group, %instance, ?cause, "this proxy doubts the primary");
+                tracing::info!(%group, %instance, ?cause, "a doubt was written to the store: the coordinator does not hear it");
                 let mut doubts = self.doubts.borrow_mut();
                 doubts.insert(group.clone(), (instance, written));
             }
             (Some((instance, written)), None) => {
-                tracing::info!(%group, %instance, "this proxy no longer doubts the primary");
                 kv::delete(client, &key, written).await?;
+                tracing::info!(%group, %instance, "a doubt was taken back from the store");
                 self.doubts.borrow_mut().shift_remove(group);
             }
             _ => {}
--- a/crates/front/src/member/duty.rs
+++ b/crates/front/src/member/duty.rs
@@ -38,8 +38,10 @@
 /// empty. Harm without it: each asks ten times a second, and the operators pay for all.
 const AFTER_FAILURE: Span = Span::from_millis(500);
 
-/// Longest random pause before an empty duty is taken, so that not all ask at once.
-const SPREAD_MS: u64 = 60;
+/// Longest random pause before an empty duty is taken. Load: all proxies start at once and
+/// find it empty. Harm of a shorter one: with 60 ms each of 65 asked for it, and paid two
+/// calls; the news that it is taken needs some tens of milliseconds to reach them.
+const SPREAD_MS: u64 = 300;
 
 /// This process's claim to the duty.
 pub(super) struct Duty {
--- a/crates/front/src/member/report.rs
+++ b/crates/front/src/member/report.rs
@@ -30,7 +30,12 @@
         let own = cx.concerns.own();
         looks += 1;
         let due = own != told || (!own.is_empty() && looks >= AGAIN);
-        if due && tell(&me, &cx, &directory, &own).await {
+        if !due {
+            continue;
+        }
+        let heard = tell(&me, &cx, &directory, &own).await;
+        cx.concerns.set_heard(heard, clock::now());
+        if heard {
             told = own;
             looks = 0;
         }
--- a/crates/front/tests/report.rs
+++ b/crates/front/tests/report.rs
@@ -63,6 +63,22 @@
     });
 }
 
+/// The coordinator is out of reach, or there is none: doubts go through the store, but not
+/// in the usual case, where each would wake every proxy of the fleet.
+#[test]
+fn what_the_coordinator_does_not_hear_goes_through_the_store() {
+    let board = Board::default();
+    board.set_own(&group(), doubt()[&group()].clone());
+    let now = clock::now() + Span::from_millis(10_000);
+    let after = |ms| now + Span::from_millis(ms);
+    board.set_heard(false, now);
+    assert!(board.unheard(after(200)).is_empty());
+    board.set_heard(false, after(250));
+    assert_eq!(board.unheard(after(350)), doubt());
+    board.set_heard(true, after(400));
+    assert!(board.unheard(after(900)).is_empty());
+}
+
 /// A proxy that is cut off stops reporting; what it told last does not count for long.
 #[test]
 fn a_report_is_forgotten() {
