Soak over loopback wires, with late orders, lapsed leases and changing configurations

Cause: the soak sent signals and let instances and the store of the stand-in fail; connections that are delayed, cut one way, reset or silenced, storage that loses answers, history or leases, orders that are carried out late, and configurations in series were not in it. Change: loopback wires before instances, store and callers; the stand-in's store refuses, is slow, loses answers, forgets its history and ends leases; instances apply late, are stopped by DEMOTE, and carry orders out late. Readers check primary and bounded routes while it runs, and every version of the configuration must be in force for good once it was. 4 proxies, up to as many as asked for.

--- a/crates/front/tests/env/mod.rs
+++ b/crates/front/tests/env/mod.rs
@@ -18,7 +18,7 @@
 const PATIENCE: Duration = Duration::from_secs(30);
 
 /// Longest wait of a caller that gives up; longer than a proxy is ever paused.
-const CALLER_LIMIT: Duration = Duration::from_secs(8);
+const CALLER_LIMIT: Duration = Duration::from_secs(3);
 
 static IDS: AtomicU64 = AtomicU64::new(1);
 
@@ -111,6 +111,8 @@
 pub(crate) struct Caller {
     reader: BufReader<TcpStream>,
     writer: TcpStream,
+    /// Whether an answer did not come: what comes later would be taken for the next one.
+    given_up: bool,
 }
 
 /// What a caller was told.
@@ -145,6 +147,7 @@
         let mut caller = Self {
             reader: BufReader::new(stream.try_clone().unwrap()),
             writer: stream,
+            given_up: false,
         };
         let line = caller.exchange(&format!("START {database} me"));
         match line {
@@ -160,6 +163,7 @@
         let mut caller = Self {
             reader: BufReader::new(stream.try_clone().ok()?),
             writer: stream,
+            given_up: false,
         };
         let line = caller.exchange(&format!("START {database} me"))?;
         line.starts_with("READY I").then_some(caller)
@@ -183,8 +187,17 @@
         told.unwrap_or_else(|| panic!("the session ended at {text:?}"))
     }
 
-    /// The same; `None` when the answer does not come.
+    /// The same; `None` when the answer does not come, and for all that is asked after that.
     pub(crate) fn try_ask(&mut self, text: &str) -> Option<Told> {
+        if self.given_up {
+            return None;
+        }
+        let told = self.ask_once(text);
+        self.given_up = told.is_none();
+        told
+    }
+
+    fn ask_once(&mut self, text: &str) -> Option<Told> {
         let id = format!("{:08x}", IDS.fetch_add(1, Ordering::Relaxed));
         write!(self.writer, "QUERY {id} {text}\r\n").ok()?;
         let mut lines = Vec::new();
--- a/crates/front/tests/env/process.rs
+++ b/crates/front/tests/env/process.rs
@@ -21,7 +21,18 @@
 
 impl Proxy {
     pub(crate) fn start(managed: &Managed, folder: &Path, name: &str) -> Self {
-        let (settings, listen) = settings(managed, name);
+        Self::start_with(managed, folder, name, |_| {})
+    }
+
+    /// Starts a process whose settings are changed first.
+    pub(crate) fn start_with(
+        managed: &Managed,
+        folder: &Path,
+        name: &str,
+        change: impl FnOnce(&mut serde_json::Value),
+    ) -> Self {
+        let (mut settings, listen) = settings(managed, name);
+        change(&mut settings);
         let file = folder.join(format!("{name}.jsonc"));
         std::fs::write(&file, settings.to_string()).unwrap();
         let log = folder.join(format!("{name}.log"));
--- a/crates/front/tests/path.rs
+++ b/crates/front/tests/path.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use env::{Caller, DATABASES, configuration, proxy, wait, with_connections};
-use standin::managed::{Fault, Managed};
+use standin::managed::{Fault, Managed, StoreFault};
 use test_case::test_case;
 
 fn platform() -> Managed {
@@ -383,11 +383,11 @@
     let managed = platform();
     let mut session = caller(proxy(&managed, "p1"), "filing");
     session.insist("WRITE a 1");
-    managed.set_store_away(true);
+    managed.set_store_fault(StoreFault::Away);
     for n in 2..6 {
         assert!(session.ask(&format!("WRITE a {n}")).done());
     }
-    managed.set_store_away(false);
+    managed.set_store_fault(StoreFault::None);
     wait(|| (managed.keys("pomelo/proxy/").len() == 1).then_some(()));
     assert!(session.ask("WRITE a 6").done());
 }
--- a/crates/standin/src/managed.rs
+++ b/crates/standin/src/managed.rs
@@ -6,6 +6,7 @@
 mod http;
 mod instance;
 mod store;
+pub mod wire;
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -39,14 +40,29 @@
     Busy,
 }
 
+/// What the store and the orders do wrong.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Calls are refused, and watches that wait end.
+    Away,
+    /// Calls are refused for want of capacity.
+    Crowded,
+    /// Answers take longer.
+    Slow(Duration),
+    /// Calls are carried out and not answered.
+    LosesAnswers,
+}
+
 #[derive(Default)]
 struct World {
     store: Store,
     group: Group,
     /// Connections that one instance accepts; 0 for any number.
     max_connections: usize,
-    /// Whether the store and the orders answer.
-    store_away: bool,
+    store_fault: StoreFault,
     /// Time after which the next order is carried out, without an answer.
     late_order: Option<Duration>,
     /// Time that the platform takes to make an instance lead.
@@ -124,9 +140,30 @@
         self.lock().max_connections = most;
     }
 
-    /// Lets the store and the orders fail, or answer again.
-    pub fn set_store_away(&self, away: bool) {
-        self.lock().store_away = away;
+    /// Lets the store and the orders fail, or answer again by [`StoreFault::None`].
+    pub fn set_store_fault(&self, fault: StoreFault) {
+        self.lock().store_fault = fault;
+    }
+
+    /// Lets the store forget its history: watches from earlier revisions are refused.
+    pub fn forget_history(&self) {
+        self.lock().store.forget_history();
+    }
+
+    /// Ends every lease, as a store does whose clock jumped.
+    pub fn lapse_leases(&self) {
+        self.lock().store.lapse_all();
+    }
+
+    /// Announces an instance at another address, one that leads to its own.
+    pub fn announce_at(&self, instance: usize, address: SocketAddr) {
+        self.lock().group.set_address(instance, address);
+        self.announce(instance);
+    }
+
+    /// Where an instance is announced.
+    pub fn instance_address(&self, instance: usize) -> SocketAddr {
+        self.lock().group.address(instance)
     }
 
     /// Leaves the next order without an answer and carries it out after a while.
--- a/crates/standin/src/managed/http.rs
+++ b/crates/standin/src/managed/http.rs
@@ -7,7 +7,7 @@
 
 use serde_json::{Value, json};
 
-use super::Managed;
+use super::{Managed, StoreFault};
 
 /// Pause between two looks for changes that a watch waits for.
 const LOOK: Duration = Duration::from_millis(5);
@@ -45,7 +45,12 @@
     let mut reader = BufReader::new(stream.try_clone()?);
     let mut writer = stream.try_clone()?;
     while let Some(request) = read(&mut reader)? {
-        let Some((status, body)) = answer(managed, &request) else {
+        let answered = answer(managed, &request);
+        let fault = managed.lock().store_fault;
+        if let StoreFault::Slow(delay) = fault {
+            thread::sleep(delay);
+        }
+        let Some((status, body)) = answered.filter(|_| fault != StoreFault::LosesAnswers) else {
             return Ok(());
         };
         let body = body.to_string();
@@ -100,8 +105,10 @@
 
 /// The answer to a request; `None` closes the connection without one.
 fn answer(managed: &Managed, request: &Request) -> Option<(u16, Value)> {
-    if managed.lock().store_away {
-        return Some((503, json!({})));
+    match managed.lock().store_fault {
+        StoreFault::Away => return Some((503, json!({}))),
+        StoreFault::Crowded => return Some((429, json!({}))),
+        StoreFault::None | StoreFault::Slow(_) | StoreFault::LosesAnswers => {}
     }
     let path = request.path.as_str();
     Some(match (request.method.as_str(), path) {
@@ -138,10 +145,12 @@
     let end = Instant::now() + Duration::from_millis(request.number("waitMs"));
     loop {
         let mut world = managed.lock();
-        if world.store_away {
+        if world.store_fault == StoreFault::Away {
             return (503, json!({}));
         }
-        let events = world.store.events(request.number("after"));
+        let Some(events) = world.store.events(request.number("after")) else {
+            return (410, json!({}));
+        };
         if events["events"].as_array().is_some_and(|e| !e.is_empty()) || Instant::now() >= end {
             return (200, events);
         }
--- a/crates/standin/src/managed/instance.rs
+++ b/crates/standin/src/managed/instance.rs
@@ -78,6 +78,14 @@
         self.instances.iter().position(|i| i.id == id)
     }
 
+    pub(super) fn address(&self, at: usize) -> SocketAddr {
+        self.instances[at].address
+    }
+
+    pub(super) fn set_address(&mut self, at: usize, address: SocketAddr) {
+        self.instances[at].address = address;
+    }
+
     pub(super) fn id(&self, at: usize) -> &str {
         &self.instances[at].id
     }
--- a/crates/standin/src/managed/store.rs
+++ b/crates/standin/src/managed/store.rs
@@ -19,6 +19,8 @@
     items: BTreeMap<String, Item>,
     revision: u64,
     history: Vec<Value>,
+    /// Revision up to which the history is forgotten.
+    forgotten: u64,
     leases: BTreeMap<u64, (Duration, Instant)>,
 }
 
@@ -75,11 +77,25 @@
         json!({ "items": items, "truncated": false, "storeRevision": self.revision })
     }
 
-    pub(super) fn events(&mut self, after: u64) -> Value {
+    pub(super) fn forget_history(&mut self) {
+        self.forgotten = self.revision;
+        self.history.clear();
+    }
+
+    pub(super) fn lapse_all(&mut self) {
+        self.leases.clear();
+        self.lapse();
+    }
+
+    /// Changes after a revision; `None` if the history does not reach back to it.
+    pub(super) fn events(&mut self, after: u64) -> Option<Value> {
         self.lapse();
+        if after < self.forgotten {
+            return None;
+        }
         let new = |event: &&Value| event["revision"].as_u64().unwrap_or_default() > after;
         let events: Vec<_> = self.history.iter().filter(new).collect();
-        json!({ "events": events, "storeRevision": self.revision })
+        Some(json!({ "events": events, "storeRevision": self.revision }))
     }
 
     pub(super) fn txn(&mut self, body: &Value) -> (u16, Value) {
