--- a/crates/front/src/conn.rs
+++ b/crates/front/src/conn.rs
@@ -81,6 +81,8 @@
     took: Option<Span>,
     /// End of the instance's log, as its last answer showed it.
     shown: Option<Point>,
+    /// When it was known to be open.
+    opened: Time,
 }
 
 /// What a connection must hold before a statement runs on it.
@@ -113,7 +115,10 @@
             writer.send(buf).await?;
             let mut conn = Self::new(reader, writer);
             match line::reply(conn.reader.line().await?)? {
-                Reply::Ready { .. } => Ok(conn),
+                Reply::Ready { .. } => {
+                    conn.opened = clock::now();
+                    Ok(conn)
+                }
                 Reply::Error(code) => Err(ConnError::Refused(code)),
                 Reply::Row | Reply::Done => Err(line::LineError::Word.into()),
             }
@@ -138,9 +143,15 @@
             state: TxState::Idle,
             took: None,
             shown: None,
+            opened: clock::now(),
         }
     }
 
+    /// When it was known to be open.
+    pub fn opened(&self) -> Time {
+        self.opened
+    }
+
     /// What the instance holds for this connection.
     pub fn held(&self) -> Held {
         let prepared = self.prepared.iter();
@@ -313,17 +324,30 @@
 
     /// Sends a statement that is answered with the instance's role and log.
     pub async fn state(&mut self, own: &Own<'_>, limit: Duration) -> Result<State, ConnError> {
+        let answer = self.tell(own, limit).await?;
+        match answer.code {
+            Some(code) => Err(ConnError::Refused(code)),
+            None => parse_state(&answer),
+        }
+    }
+
+    /// End of the log that the instance holds at least: what it has received, or without a
+    /// slot for the question what it has applied of that.
+    pub async fn log_end(&mut self, limit: Duration) -> Result<Option<Point>, ConnError> {
+        let answer = self.tell(&Own::Status, limit).await?;
+        // The time says nothing about callers' statements.
+        self.took = None;
+        match answer.code {
+            Some(Code::Busy) => Ok(answer.point),
+            Some(code) => Err(ConnError::Refused(code)),
+            None => parse_state(&answer).map(|state| Some(state.received)),
+        }
+    }
+
+    async fn tell(&mut self, own: &Own<'_>, limit: Duration) -> Result<Answer, ConnError> {
         let mut buf = Vec::new();
         line::put_own(&mut buf, own);
-        let answer = self.run(buf, limit).await?;
-        if let Some(code) = answer.code {
-            return Err(ConnError::Refused(code));
-        }
-        let row = answer.lines.split(|b| *b == b'\r').next();
-        let row = row.and_then(|r| std::str::from_utf8(r).ok());
-        let row = row.and_then(|r| r.strip_prefix("ROW "));
-        let state = row.and_then(status::parse);
-        state.ok_or_else(|| line::LineError::Field.into())
+        self.run(buf, limit).await
     }
 
     async fn read_answer(&mut self) -> Result<Answer, ConnError> {
@@ -360,6 +384,14 @@
     }
 }
 
+fn parse_state(answer: &Answer) -> Result<State, ConnError> {
+    let row = answer.lines.split(|b| *b == b'\r').next();
+    let row = row.and_then(|r| std::str::from_utf8(r).ok());
+    let row = row.and_then(|r| r.strip_prefix("ROW "));
+    let state = row.and_then(status::parse);
+    state.ok_or_else(|| line::LineError::Field.into())
+}
+
 /// Outcome of [`Conn::set_up`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Setting {
--- a/crates/front/src/coordinator.rs
+++ b/crates/front/src/coordinator.rs
@@ -2,6 +2,7 @@
 
 mod links;
 mod newcomers;
+mod noting;
 mod order;
 mod report;
 mod resume;
--- a/crates/front/src/coordinator/links.rs
+++ b/crates/front/src/coordinator/links.rs
@@ -1,4 +1,4 @@
-//! The coordinator's connections to the instances of one group.
+//! The coordinator's questions and orders to the instances of one group.
 
 use std::time::Duration;
 
@@ -16,7 +16,7 @@
 use super::newcomers::{self, Start};
 use crate::clock;
 use crate::conn::ConnError;
-use crate::group::{self, Lent};
+use crate::group;
 
 /// Longest wait for an instance's answer to a question or an order. A question waits for
 /// a slot of the instance, behind statements of some tens of milliseconds.
@@ -30,12 +30,11 @@
 /// its answer. One that lives answers within a round trip, or after some statements.
 const DOUBTED_ANSWER: Duration = Duration::from_millis(150);
 
-/// Connections to the group's instances, kept for the whole change.
+/// Asks the group's instances, for the whole change.
 pub(super) struct Links {
     pub(super) group: group::Handle,
     /// The revision at which this proxy took the duty under which it acts.
     pub(super) duty: Revision,
-    conns: IndexMap<InstanceId, Lent>,
     /// The primary that is doubted.
     doubted: Option<InstanceId>,
     /// Instances that refused the last question, for want of a slot for instance.
@@ -53,7 +52,6 @@
         Self {
             group,
             duty,
-            conns: IndexMap::new(),
             doubted: None,
             refused: IndexSet::new(),
             silent: IndexSet::new(),
@@ -95,36 +93,29 @@
         }
     }
 
-    /// Gives every connection back.
-    pub(super) fn end(self) {
-        for (_, lent) in self.conns {
-            lent.give_back();
-        }
-    }
-
     /// Sends a statement to each of the instances and gives what each answered.
     ///
     /// The connections come from the pool, before everything else that waits for one: an
     /// instance whose connections are all in use accepts no further one, and a replica
-    /// that cannot be heard for that reason would hold up the whole change.
+    /// that cannot be heard for that reason would hold up the whole change. They go back at
+    /// once, since proofs of writes need them as well, and no new one counts for those.
     pub(super) async fn each(
         &mut self,
         entries: &[Entry],
         own: &Own<'_>,
     ) -> IndexMap<InstanceId, State> {
         let calls = entries.iter().map(|entry| {
-            let lent = self.conns.shift_remove(&entry.id);
             let limit = self.limit(&entry.id);
             let group = self.group.clone();
             async move {
-                let lent = match lent {
-                    Some(lent) => Some(lent),
-                    None => group.ask(control(entry, limit)).await.ok(),
-                };
-                let mut lent = lent.ok_or(ConnError::Silent)?;
+                let lent = group.ask(control(entry, limit)).await;
+                let mut lent = lent.map_err(|_| ConnError::Silent)?;
                 let conn = lent.conn().ok_or(ConnError::Silent)?;
-                let state = conn.state(own, limit).await?;
-                Ok::<_, ConnError>((lent, state))
+                let state = conn.state(own, limit).await;
+                if matches!(state, Ok(_) | Err(ConnError::Refused(_))) {
+                    lent.give_back();
+                }
+                state
             }
         });
         let calls: Vec<_> = calls.collect();
@@ -133,8 +124,7 @@
         for (entry, answer) in entries.iter().zip(answers) {
             self.refused.shift_remove(&entry.id);
             match answer {
-                Ok((lent, state)) => {
-                    self.conns.insert(entry.id.clone(), lent);
+                Ok(state) => {
                     states.insert(entry.id.clone(), state);
                 }
                 Err(e) => {
--- a/crates/front/src/coordinator/resume.rs
+++ b/crates/front/src/coordinator/resume.rs
@@ -22,7 +22,6 @@
     }
     let mut links = Links::new(group, duty);
     resume(this, &mut links).await;
-    links.end();
 }
 
 /// Lets replicas receive that were told to stop, unless an order may still be carried out.
@@ -35,6 +34,9 @@
 pub(super) async fn resume(this: &Coordinator, links: &mut Links) {
     let group = links.group.group().clone();
     order::forget_replaced(this, &group).await;
+    let noted = this.directory.with(|s| s.noted(Call::Change, &group));
+    // Without the duty it may be the note of a successor's change.
+    let noted = Some(noted).filter(|noted| *noted > Revision(0) && this.holds(links.duty));
     // An order that lapses during the look may have been carried out after its answers.
     let ordered = order::pending(this, &group);
     let members = links.look(this, |_| true, |_| true).await;
@@ -48,6 +50,11 @@
     if order::unreadable(this, &group) {
         return;
     }
+    // No order for another instance is pending, so that replicas which have forgotten that
+    // they were stopped may count again.
+    if let Some(noted) = noted {
+        order::forget(this, &group, Call::Change, noted).await;
+    }
     order::void_earlier(this, links, &primary.id).await;
     let stopped = stopped(&members);
     if !stopped.is_empty() {
--- a/crates/front/src/coordinator/takeover.rs
+++ b/crates/front/src/coordinator/takeover.rs
@@ -13,6 +13,7 @@
 
 use super::links::Links;
 use super::newcomers::Newcomers;
+use super::noting::Noting;
 use super::report;
 use super::{Coordinator, PAUSE, order, over, resume};
 use crate::metrics::Outcome;
@@ -25,9 +26,12 @@
 /// leaving it as it is, and stopped replicas fall further behind.
 const LAG_LIMIT: Span = Span::from_millis(1_500);
 
+/// Pause before the next look while the change is about to be noted.
+const NOTE_PAUSE: Duration = Duration::from_millis(5);
+
 /// Pause after an order that was not noted, not taken, or had no effect: each try costs the store
 /// a note and the platform an order.
-const REFUSED_PAUSE: Duration = Duration::from_millis(300);
+pub(super) const REFUSED_PAUSE: Duration = Duration::from_millis(300);
 
 /// Pause before the next look while an earlier order stands and the primary is well.
 const UNFINISHED_PAUSE: Duration = Duration::from_millis(500);
@@ -43,6 +47,7 @@
     let id = group.group().clone();
     let begun = clock::now();
     tracing::warn!(group = %id, instance = %old, ?cause, %duty, "a change of primary begins");
+    let noting = Noting::begin(this, &id, duty);
     let links = match cause {
         Cause::Doubted => Links::to_replace(group, duty, old.clone()),
         Cause::Leaving | Cause::Lagging | Cause::Unfinished => Links::new(group, duty),
@@ -50,6 +55,7 @@
     let mut change = Change {
         old,
         cause,
+        noting,
         told_to_stop: None,
         hold: None,
         ordered: false,
@@ -76,7 +82,6 @@
     }
     let mut links = change.links;
     resume::resume(this, &mut links).await;
-    links.end();
 }
 
 /// A change of primary under way.
@@ -84,6 +89,7 @@
     /// The primary that is to be replaced.
     old: InstanceId,
     cause: Cause,
+    noting: Noting,
     /// Since when the old primary has been told to stop leading.
     told_to_stop: Option<Time>,
     /// Why the last look led to nothing.
@@ -109,6 +115,7 @@
     async fn go_on(&mut self, this: &Coordinator) -> bool {
         let group = self.links.group.clone();
         let id = group.group();
+        let noted = self.noting.is_known(this);
         order::forget_replaced(this, id).await;
         // Calls that lapse during the look may have been carried out after its answers.
         let resume_pending = this.directory.with(|s| s.resume_pending(id, clock::now()));
@@ -144,8 +151,15 @@
             resume_pending,
             ordered,
             told_to_stop: told,
+            noted,
         };
-        match takeover::next_step(&look) {
+        self.step(this, &look).await
+    }
+
+    /// Takes the next step; says whether the change is over.
+    async fn step(&mut self, this: &Coordinator, look: &Look) -> bool {
+        let group = self.links.group.clone();
+        match takeover::next_step(look) {
             Step::Abandon => self.end(Outcome::Abandoned),
             Step::Pause(term, who) => {
                 let states = self.links.some(this, &who, &Own::Pause(term.0)).await;
@@ -219,11 +233,12 @@
             this.cx.metrics.change_waits(hold);
         }
         self.hold = Some(hold);
-        compio::time::sleep(self.pause()).await;
+        compio::time::sleep(self.pause(hold)).await;
     }
 
-    const fn pause(&self) -> Duration {
+    const fn pause(&self, hold: Hold) -> Duration {
         match self.cause {
+            _ if matches!(hold, Hold::Unnoted) => NOTE_PAUSE,
             Cause::Unfinished => UNFINISHED_PAUSE,
             Cause::Doubted | Cause::Leaving | Cause::Lagging => PAUSE,
         }
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -8,6 +8,7 @@
 use model::id::GroupId;
 use model::route::Routes;
 
+use crate::changes::Changes;
 use crate::concern;
 use crate::feed::Feed;
 use crate::group;
@@ -31,6 +32,8 @@
     pub feed: Feed,
     /// What proxies find wrong with primaries.
     pub concerns: concern::Board,
+    /// Tells whether changes of primary are under way.
+    pub changes: Changes,
     ways: Ways,
     /// Bounds the lines about served statements.
     pub served_lines: logs::Budget,
@@ -51,6 +54,7 @@
             sessions: Cell::new(0),
             feed: Feed::default(),
             concerns: concern::Board::default(),
+            changes: Changes::default(),
             ways,
             served_lines: logs::Budget::default(),
             metrics,
@@ -89,12 +93,13 @@
             return handle;
         }
         let board = self.concerns.clone();
-        let handle = group::spawn(
-            group.clone(),
-            self.ways.clone(),
-            self.metrics.clone(),
+        let handle = group::spawn(group::Setup {
+            group: group.clone(),
+            ways: self.ways.clone(),
+            metrics: self.metrics.clone(),
             board,
-        );
+            changes: self.changes.clone(),
+        });
         let mut groups = self.groups.borrow_mut();
         groups.insert(group.clone(), handle.clone());
         handle
--- a/crates/front/src/directory.rs
+++ b/crates/front/src/directory.rs
@@ -26,7 +26,7 @@
 use crate::feed::Touch;
 use crate::group::Shares;
 use crate::lend::Carrier;
-pub use keys::{Announced, COORDINATOR, DOUBTS, PROXIES};
+pub use keys::{Announced, COORDINATOR, DOUBTS, PROXIES, noted};
 pub use notes::Call;
 use state::Placement;
 pub use state::State;
@@ -171,6 +171,7 @@
         let mut lost: Option<Time> = None;
         let mut known = Known::Nothing;
         loop {
+            let asked = clock::now();
             match self.hear(&client, &mut known).await {
                 Ok(news) => {
                     if let Some(since) = lost.take() {
@@ -178,7 +179,8 @@
                         tracing::info!(out_ms, touch = ?self.cx.feed.touch(), "the store is in reach again");
                     }
                     self.follow.borrow_mut().answered();
-                    self.take(news).await;
+                    let dated = self.cx.feed.touch() == Touch::Reads;
+                    self.take(news, dated.then_some(asked)).await;
                 }
                 Err(e) => {
                     self.cx.feed.set_touch(Touch::Lost);
@@ -250,9 +252,11 @@
         news
     }
 
-    /// Takes news over, and gathers what comes next.
-    async fn take(&self, news: News) {
+    /// Takes news over, and gathers what comes next; `asked` tells when the store was asked
+    /// for them, if this proxy asked itself.
+    async fn take(&self, news: News, asked: Option<Time>) {
         if matches!(&news, News::Changes(batch) if batch.changes.is_empty()) {
+            self.note_changes(asked);
             return;
         }
         self.cx.feed.take(&news);
@@ -260,6 +264,7 @@
             News::Listing(listing) => self.state.borrow_mut().replace(listing, clock::now()),
             News::Changes(batch) => self.state.borrow_mut().apply(batch, clock::now()),
         }
+        self.note_changes(asked);
         self.hand_out();
         let readers = self.with(State::readers);
         let at_once = (self.coordinates)(self) || self.cx.feed.touch() == Touch::Follows;
@@ -267,6 +272,17 @@
         compio::time::sleep(pause.as_duration()).await;
     }
 
+    /// Passes on which groups have no change of primary under way.
+    fn note_changes(&self, asked: Option<Time>) {
+        let Some(asked) = asked else { return };
+        for group in self.cx.groups() {
+            let group = group.group();
+            if self.with(|s| s.noted(Call::Change, group)) == Revision(0) {
+                self.cx.changes.none_noted(group, asked);
+            }
+        }
+    }
+
     async fn sweep(&self) {
         loop {
             clock::sleep_until(clock::now() + SWEEP).await;
--- a/crates/front/src/directory/keys.rs
+++ b/crates/front/src/directory/keys.rs
@@ -2,8 +2,10 @@
 
 use std::net::SocketAddr;
 
+use indexmap::IndexSet;
 use model::id::{DataCentre, GroupId, ProxyId};
 use serde::{Deserialize, Serialize};
+use store::kv::{Listing, Record};
 
 use super::notes::Call;
 
@@ -31,6 +33,12 @@
     Call::ALL.into_iter().find_map(of)
 }
 
+/// The groups of the notes in a listing.
+pub fn noted(listing: &Listing) -> IndexSet<GroupId> {
+    let group = |record: &Record| note(&record.key).map(|(_, group)| group);
+    listing.records.iter().filter_map(group).collect()
+}
+
 /// The group of a doubt, and who doubts.
 pub(super) fn doubt(key: &str) -> Option<(GroupId, ProxyId)> {
     let (group, proxy) = key.strip_prefix(DOUBTS)?.split_once('/')?;
--- a/crates/front/src/directory/notes.rs
+++ b/crates/front/src/directory/notes.rs
@@ -16,6 +16,9 @@
 /// calls up to 12 s late and up to 1.5 s to carry an order out.
 const LEAD_PENDING: Span = Span::from_millis(16_500);
 
+/// What is noted stands until the note is deleted.
+const FOREVER: Span = Span::from_micros(u64::MAX);
+
 /// A call that may be carried out long after it was made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Call {
@@ -23,16 +26,19 @@
     Receive,
     /// An instance, which the note names, is ordered to lead its group.
     Lead,
+    /// A change of primary is under way: no connection begins to count for proofs of writes.
+    Change,
 }
 
 impl Call {
-    pub(super) const ALL: [Self; 2] = [Self::Receive, Self::Lead];
+    pub(super) const ALL: [Self; 3] = [Self::Receive, Self::Lead, Self::Change];
 
     /// Prefix of the keys of its notes; the group follows.
-    pub(super) const fn prefix(self) -> &'static str {
+    pub const fn prefix(self) -> &'static str {
         match self {
             Self::Receive => "pomelo/resume/",
             Self::Lead => "pomelo/order/",
+            Self::Change => "pomelo/change/",
         }
     }
 
@@ -45,6 +51,7 @@
         match self {
             Self::Receive => RECEIVE_PENDING,
             Self::Lead => LEAD_PENDING,
+            Self::Change => FOREVER,
         }
     }
 }
@@ -72,6 +79,7 @@
 pub(super) struct Notes {
     receive: IndexMap<GroupId, Note>,
     lead: IndexMap<GroupId, Note>,
+    change: IndexMap<GroupId, Note>,
 }
 
 impl Notes {
@@ -79,6 +87,7 @@
         match call {
             Call::Receive => &self.receive,
             Call::Lead => &self.lead,
+            Call::Change => &self.change,
         }
     }
 
@@ -86,6 +95,7 @@
         match call {
             Call::Receive => &mut self.receive,
             Call::Lead => &mut self.lead,
+            Call::Change => &mut self.change,
         }
     }
 
--- a/crates/front/src/group.rs
+++ b/crates/front/src/group.rs
@@ -4,6 +4,7 @@
 mod handle;
 mod lent;
 mod probe;
+mod receipt;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,8 +16,10 @@
 use model::unit::{Span, Time};
 use policy::pool::{self, Action, Ask, Grant, OpenFault, Pool, Refused};
 use policy::proof::Proof;
+use policy::receipt::Replica;
 use policy::watch::Watch;
 
+use crate::changes::Changes;
 use crate::clock;
 use crate::concern::{self, Concern};
 use crate::conn::{Conn, ConnError};
@@ -24,6 +27,7 @@
 use crate::place::Ways;
 pub use handle::Handle;
 pub use lent::Lent;
+use receipt::Prover;
 
 /// Longest time for opening a connection. Load: an instance whose slots are full makes a
 /// handshake wait behind some statements; harm of a shorter one: half-open connections.
@@ -48,6 +52,7 @@
     Probed(probe::Report),
     Note(InstanceId, Note),
     View(flume::Sender<View>),
+    Replicas(flume::Sender<Vec<Replica>>),
     Primary(InstanceId),
     Release,
 }
@@ -101,6 +106,20 @@
     pub connections: u32,
 }
 
+/// What a group's tasks work with.
+pub struct Setup {
+    /// Which group.
+    pub group: GroupId,
+    /// How far data centres are apart.
+    pub ways: Ways,
+    /// Metrics of the process.
+    pub metrics: Metrics,
+    /// Where the tasks put up what is wrong with the group.
+    pub board: concern::Board,
+    /// Tells whether a change of primary is under way.
+    pub changes: Changes,
+}
+
 struct Group {
     id: Rc<GroupId>,
     pool: Pool<Conn, Reply>,
@@ -113,13 +132,20 @@
     tx: flume::Sender<Message>,
 }
 
-/// Starts the task of a group.
-pub fn spawn(group: GroupId, ways: Ways, metrics: Metrics, board: concern::Board) -> Handle {
+/// Starts the tasks of a group.
+pub fn spawn(setup: Setup) -> Handle {
+    let Setup {
+        group,
+        ways,
+        metrics,
+        board,
+        changes,
+    } = setup;
     let (tx, rx) = flume::unbounded();
     let id = Rc::new(group);
     let task = Group {
         id: id.clone(),
-        pool: Pool::new(),
+        pool: Pool::new().by_age(Conn::opened),
         watch: Watch::default(),
         own: true,
         ways,
@@ -128,7 +154,15 @@
         tx: tx.clone(),
     };
     compio::runtime::spawn(task.run(rx)).detach();
-    Handle { tx, group: id }
+    let (proofs, requests) = flume::unbounded();
+    let handle = Handle {
+        tx,
+        proofs,
+        group: id.clone(),
+    };
+    let prover = Prover::new(id, handle.clone(), changes);
+    compio::runtime::spawn(prover.run(requests)).detach();
+    handle
 }
 
 impl Group {
@@ -185,6 +219,10 @@
                 let _ = reply.send(self.view());
                 Vec::new()
             }
+            Message::Replicas(reply) => {
+                let _ = reply.send(self.replicas());
+                Vec::new()
+            }
             Message::Release => self.pool.release(now),
             Message::Primary(id) => {
                 self.watch.expect(&id);
@@ -280,6 +318,17 @@
         }
     }
 
+    fn replicas(&self) -> Vec<Replica> {
+        let primary = self.pool.primary();
+        let others = self.pool.instances().filter(|i| Some(i.id()) != primary);
+        let replica = |i: &pool::Instance<Conn>| Replica {
+            id: i.id().clone(),
+            way: self.ways.round_trip(&i.entry().data_centre),
+            leaving: i.entry().leaving,
+        };
+        others.map(replica).collect()
+    }
+
     /// Puts up what is wrong with the group, if anything is.
     fn voice(&self, now: Time) {
         let lags_for = self.pool.lags_for(now);
--- a/crates/front/src/group/handle.rs
+++ b/crates/front/src/group/handle.rs
@@ -4,15 +4,18 @@
 
 use model::entry::Entry;
 use model::id::{GroupId, InstanceId};
-use model::unit::Span;
+use model::unit::{Span, Time};
 use policy::pool::{Ask, Reason, Refused};
+use policy::receipt::{Replica, Write};
 
+use super::receipt::Request;
 use super::{Lent, Message, Note, Shares, View};
 
 /// Sends messages to a group's task.
 #[derive(Clone)]
 pub struct Handle {
     pub(super) tx: flume::Sender<Message>,
+    pub(super) proofs: flume::Sender<Request>,
     pub(super) group: Rc<GroupId>,
 }
 
@@ -64,6 +67,25 @@
         self.send(Message::Release);
     }
 
+    /// Waits until a replica is known to hold a write; `false` if none is until `give_up`.
+    pub async fn prove(&self, write: Write, give_up: Time) -> bool {
+        let (reply, rx) = flume::bounded(1);
+        let request = Request {
+            write,
+            give_up,
+            reply,
+        };
+        // The task ends only with the process.
+        let _ = self.proofs.send(request);
+        rx.recv_async().await.unwrap_or(false)
+    }
+
+    pub(super) async fn replicas(&self) -> Vec<Replica> {
+        let (tx, rx) = flume::bounded(1);
+        self.send(Message::Replicas(tx));
+        rx.recv_async().await.unwrap_or_default()
+    }
+
     /// What the task knows.
     pub async fn view(&self) -> View {
         let (tx, rx) = flume::bounded(1);
--- a/crates/front/src/group/lent.rs
+++ b/crates/front/src/group/lent.rs
@@ -5,7 +5,9 @@
 
 use model::id::InstanceId;
 use model::position::Point;
+use model::unit::Time;
 use policy::pool::Grant;
+use policy::receipt::Write;
 
 use super::{Handle, Message, Note, Returned, probe};
 use crate::conn::Conn;
@@ -65,6 +67,11 @@
         self.conn.as_mut()
     }
 
+    /// When the connection was known to be open.
+    pub fn opened(&self) -> Option<Time> {
+        self.conn.as_ref().map(Conn::opened)
+    }
+
     /// Gives the connection back for others to use.
     pub fn give_back(mut self) {
         if let Some(conn) = self.conn.take() {
@@ -72,6 +79,29 @@
         }
     }
 
+    /// Gives the connection back after a write, and waits until a replica is known to hold
+    /// it; `false` if none is until `give_up`.
+    pub async fn prove(mut self, point: Point, give_up: Time) -> bool {
+        let Some(conn) = self.conn.take() else {
+            return false;
+        };
+        let write = Write {
+            primary: self.instance.clone(),
+            point,
+        };
+        match &self.home {
+            Home::Here(handle) => {
+                let handle = handle.clone();
+                self.send(conn, true);
+                handle.prove(write, give_up).await
+            }
+            Home::Relayed(way_back, notes) => {
+                let notes = notes.take();
+                way_back.prove(conn, notes, write, give_up).await
+            }
+        }
+    }
+
     /// Tells what the session learned about the instance.
     pub fn note(&self, note: Note) {
         self.noter()(note);
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -4,6 +4,7 @@
 //! directory follows the platform's store; one proxy at a time coordinates changes of
 //! primary. Decisions come from the `policy` crate.
 
+pub mod changes;
 pub mod cli;
 pub mod clock;
 pub mod concern;
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -250,6 +250,7 @@
         Hold::PrimarySilent => "primary_silent",
         Hold::Announcing => "announcing",
         Hold::ResumePending => "resume_pending",
+        Hold::Unnoted => "unnoted",
         Hold::OrderPending => "order_pending",
     }
 }
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -65,6 +65,15 @@
     /// Asks for what the store told after a revision, within a time; it is answered by
     /// `Heard`, and then by `News` or `Elsewhere`.
     Follow { after: Revision, wait: Span },
+    /// Asks whether a replica holds a write that ran on a lent connection; it is answered by
+    /// `Proved`.
+    Prove {
+        group: GroupId,
+        primary: InstanceId,
+        point: Point,
+        /// Time until the caller waits no longer.
+        left: Span,
+    },
     /// Tells what the sender finds wrong with the groups; it is answered by `Heard`.
     Report { by: ProxyId, concerns: Concerns },
 }
@@ -108,6 +117,8 @@
         prove: bool,
         held: Held,
     },
+    /// Whether a replica holds the write.
+    Proved(bool),
     /// There is none.
     Refused(Refused),
     /// What the store told.
--- a/crates/front/src/relay/carrier.rs
+++ b/crates/front/src/relay/carrier.rs
@@ -7,6 +7,7 @@
 use model::unit::{Span, Time};
 use policy::pool::Reason;
 use policy::proof::Proof;
+use policy::receipt::Write;
 
 use super::{FromCarrier, MARK, Returned, ToCarrier, decode, encode, from_wire};
 use crate::clock;
@@ -54,6 +55,22 @@
             writer.send(encode(&news)).await?;
             continue;
         }
+        if let Some(ToCarrier::Prove {
+            group,
+            primary,
+            point,
+            left,
+        }) = request
+        {
+            let _entered = cx.enter();
+            let write = Write { primary, point };
+            let proved = match cx.group(&group) {
+                Some(handle) => handle.prove(write, clock::now() + left).await,
+                None => false,
+            };
+            writer.send(encode(&FromCarrier::Proved(proved))).await?;
+            continue;
+        }
         let Some((group, ask)) = request.and_then(from_wire) else {
             return Err(StreamError::Closed);
         };
--- a/crates/front/src/relay/client.rs
+++ b/crates/front/src/relay/client.rs
@@ -10,6 +10,7 @@
 use model::position::Revision;
 use model::unit::{Span, Time};
 use policy::pool::{Ask, Refused};
+use policy::receipt::Write;
 use store::mirror::News;
 
 use super::{FromCarrier, HEARD, Returned, ToCarrier, decode, encode, to_wire};
@@ -68,6 +69,7 @@
 pub struct WayBack {
     client: Client,
     carrier: ProxyId,
+    group: GroupId,
 }
 
 impl Client {
@@ -230,6 +232,7 @@
                 let way_back = WayBack {
                     client: self.clone(),
                     carrier: carrier.clone(),
+                    group: group.clone(),
                 };
                 Ok(Lent::relayed(way_back, instance, after, prove, conn))
             }
@@ -237,9 +240,10 @@
                 self.keep(carrier, conn);
                 Err(Trouble::Refused(refused))
             }
-            FromCarrier::Heard | FromCarrier::Elsewhere | FromCarrier::News(_) => {
-                self.elsewhere(carrier, conn)
-            }
+            FromCarrier::Heard
+            | FromCarrier::Elsewhere
+            | FromCarrier::News(_)
+            | FromCarrier::Proved(_) => self.elsewhere(carrier, conn),
         }
     }
 
@@ -262,16 +266,42 @@
 }
 
 impl WayBack {
+    /// Gives a loan back after a write, and asks the carrier whether a replica holds it.
+    pub async fn prove(
+        &self,
+        mut conn: Conn,
+        notes: Vec<Note>,
+        write: Write,
+        give_up: Time,
+    ) -> bool {
+        let left = give_up.since(clock::now());
+        let mut lines = encode(&ToCarrier::Return(returned(&mut conn, true, notes)));
+        lines.extend(encode(&ToCarrier::Prove {
+            group: self.group.clone(),
+            primary: write.primary,
+            point: write.point,
+            left,
+        }));
+        let asked = async {
+            conn.send(lines).await?;
+            read(&mut conn, left + GRACE).await
+        };
+        match asked.await {
+            Ok(FromCarrier::Proved(proved)) => {
+                self.client.keep(&self.carrier, conn);
+                proved
+            }
+            Ok(_) => false,
+            Err(e) => {
+                tracing::warn!(carrier = %self.carrier, group = %self.group, cause = %e, "a carrier did not tell whether a write is held");
+                false
+            }
+        }
+    }
+
     /// Gives a loan back; `usable` says whether the connection may be lent again.
     pub fn give_back(&self, mut conn: Conn, usable: bool, notes: Vec<Note>) {
-        let returned = Returned {
-            usable,
-            held: conn.held(),
-            proof: conn.take_proof().map(|p| p.point),
-            took: conn.take_time(),
-            shown: conn.take_shown(),
-            notes,
-        };
+        let returned = returned(&mut conn, usable, notes);
         let this = self.clone();
         compio::runtime::spawn(async move {
             match conn.send(encode(&ToCarrier::Return(returned))).await {
@@ -287,6 +317,17 @@
     }
 }
 
+fn returned(conn: &mut Conn, usable: bool, notes: Vec<Note>) -> Returned {
+    Returned {
+        usable,
+        held: conn.held(),
+        proof: conn.take_proof().map(|p| p.point),
+        took: conn.take_time(),
+        shown: conn.take_shown(),
+        notes,
+    }
+}
+
 /// Why one try brought no loan.
 enum Trouble {
     Refused(Refused),
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -55,6 +55,8 @@
     let pages = pages::serve_metrics(cfg.metrics_listen, cx.clone(), store.clone());
     compio::runtime::spawn(pages).detach();
 
+    compio::runtime::spawn(cx.changes.clone().serve(store.clone())).detach();
+
     let (changed, changes) = flume::bounded(1);
     let relay_listener = listen(cfg.relay_listen).await?;
     compio::runtime::spawn(relay::serve(cx.clone(), relay_listener)).detach();
--- a/crates/front/src/session.rs
+++ b/crates/front/src/session.rs
@@ -50,6 +50,9 @@
     /// The answer was lost.
     #[error("no answer came, and it may have taken effect")]
     LostInDoubt,
+    /// The instance answered, but no replica is known to hold the write.
+    #[error("no replica is known to hold it, and it may be lost")]
+    Unproven,
     /// The transaction was ended because it was idle, or the proxy stops.
     #[error("the transaction was ended: {0}")]
     Ended(&'static str),
@@ -70,7 +73,7 @@
             Self::Refused(_) => Code::Busy,
             Self::Instance(code) => code,
             Self::LostUnkept | Self::Ended(_) => Code::Aborted,
-            Self::LostInDoubt => Code::InDoubt,
+            Self::LostInDoubt | Self::Unproven => Code::InDoubt,
             Self::NotPrepared => Code::NotPrepared,
             Self::Malformed => Code::Malformed,
             Self::NoDatabase => Code::NoDatabase,
@@ -334,6 +337,15 @@
         }
     }
 
+    /// Until when the success of a write waits for the proof that a replica holds it; `None`
+    /// where writes need none.
+    fn prove_until(&self, route: &Route, give_up: Time) -> Option<Time> {
+        let routes = self.cx.routes();
+        let limits = routes.groups.get(&route.group);
+        let needs = limits.is_none_or(|limits| limits.sync_replicas > 0);
+        needs.then_some(give_up)
+    }
+
     /// The route in force, for what begins now.
     fn route(&self) -> Result<Route, Failure> {
         let routes = self.cx.routes();
--- a/crates/front/src/session/attempt.rs
+++ b/crates/front/src/session/attempt.rs
@@ -108,6 +108,27 @@
     }
 }
 
+/// Gives a connection back and, if a time for it is given, waits for the proof that a replica
+/// holds the write that was answered on it.
+pub(super) async fn prove(
+    lent: Lent,
+    point: Option<Point>,
+    until: Option<Time>,
+) -> Result<(), Failure> {
+    let Some(until) = until else {
+        lent.give_back();
+        return Ok(());
+    };
+    let Some(point) = point else {
+        tracing::warn!(instance = %lent.instance, "a write was answered without a position");
+        return Err(Failure::Unproven);
+    };
+    match lent.prove(point, until).await {
+        true => Ok(()),
+        false => Err(Failure::Unproven),
+    }
+}
+
 /// Tells the group what a refusal says about the instance.
 pub(super) fn learn(lent: &Lent, code: Code) {
     match code {
@@ -186,6 +207,7 @@
                 values: &self.values,
                 access: Access::Write,
                 limit: route.time_limit,
+                prove_until: self.prove_until(route, give_up),
             };
             match sending.run(lent).await {
                 Ok(done) => {
@@ -267,6 +289,8 @@
     pub(super) values: &'a Values,
     pub(super) access: Access,
     pub(super) limit: Span,
+    /// Until when its success waits for the proof that a replica holds it, if it needs one.
+    pub(super) prove_until: Option<Time>,
 }
 
 impl Sending<'_> {
@@ -298,10 +322,10 @@
         let writes = self.access == Access::Write;
         let answer = send(&mut lent, self.job, after, self.what, writes, self.limit).await;
         let answer = answer.map_err(Miss::Unanswered)?;
-        self.settle(lent, since, answer)
+        self.settle(lent, since, answer).await
     }
 
-    fn settle(&self, mut lent: Lent, since: Time, answer: Answer) -> Result<Done, Miss> {
+    async fn settle(&self, mut lent: Lent, since: Time, answer: Answer) -> Result<Done, Miss> {
         let Some(code) = answer.code else {
             if self.access == Access::Write {
                 note_proof(&mut lent, since, &answer);
@@ -312,7 +336,9 @@
                 point: answer.point,
                 instance: Some(lent.instance.clone()),
             };
-            lent.give_back();
+            prove(lent, done.point, self.prove_until)
+                .await
+                .map_err(Miss::Final)?;
             return Ok(done);
         };
         learn(&lent, code);
--- a/crates/front/src/session/read.rs
+++ b/crates/front/src/session/read.rs
@@ -95,6 +95,7 @@
             values: &values,
             access: Access::Read,
             limit,
+            prove_until: None,
         };
         sending.run(lent).await
     })
--- a/crates/front/src/session/tx.rs
+++ b/crates/front/src/session/tx.rs
@@ -169,7 +169,8 @@
                         point: answer.point,
                         instance: Some(open.lent.instance.clone()),
                     };
-                    open.lent.give_back();
+                    let until = self.prove_until(&open.route, job.arrived + limit);
+                    attempt::prove(open.lent, done.point, until.filter(|_| open.wrote)).await?;
                     return Ok(done);
                 }
                 Some(Code::Busy) if answer.state == TxState::Open && attempt + 1 < BUSY_TRIES => {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod queue;
 pub mod rank;
 pub mod read;
+pub mod receipt;
 pub mod retry;
 pub mod route;
 pub mod service;
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -65,8 +65,12 @@
     lagging_since: Option<Time>,
     /// Greatest age that a read accepted lately, and when it was asked for.
     accepted: (Span, Time),
+    opened: Opened<C>,
 }
 
+/// When a connection was opened.
+type Opened<C> = fn(&C) -> Time;
+
 impl<C, W> Pool<C, W> {
     /// A pool without instances.
     pub fn new() -> Self {
@@ -81,9 +85,20 @@
             own: true,
             lagging_since: None,
             accepted: Default::default(),
+            opened: |_| Time::default(),
         }
     }
 
+    /// Uses the connection that was opened first, and closes the one that was opened last.
+    ///
+    /// Load: bursts that need a second connection now and then. Harm without it: each burst
+    /// leaves another connection open, and one that counts for proofs of writes is closed.
+    #[must_use]
+    pub fn by_age(mut self, opened: fn(&C) -> Time) -> Self {
+        self.opened = opened;
+        self
+    }
+
     /// Takes over how many connections an instance accepts, how many proxies share them,
     /// and whether this proxy is one of those; if not, it keeps none while they are idle.
     pub fn set_shares(&mut self, connections: u32, proxies: u32, own: bool) {
@@ -275,7 +290,7 @@
 
     /// Takes an idle connection for a probe; it comes back by [`Pool::give_back`].
     pub fn take_idle(&mut self, id: &InstanceId) -> Option<C> {
-        self.instances.get_mut(id)?.take()
+        self.instances.get_mut(id)?.take(self.opened)
     }
 
     /// The instance is not to be given reads for a while: it lags, or did not answer.
@@ -371,10 +386,12 @@
             .map(|i| self.kept(i.entry().slots))
             .collect();
         for (instance, kept) in self.instances.values_mut().zip(kept) {
-            actions.extend(instance.trim(kept, now).map(Action::Close));
+            actions.extend(instance.trim(kept, self.opened, now).map(Action::Close));
             let leads = self.primary.as_ref() == Some(instance.id());
             if instance.entry().leaving && !leads {
-                actions.extend(instance.drain_idle().into_iter().map(Action::Close));
+                // One stays: what the instance holds may be the only proof of a write.
+                let spare = instance.drain_spare(self.opened);
+                actions.extend(spare.into_iter().map(Action::Close));
             }
         }
         actions.extend(self.settle(now));
--- a/crates/policy/src/pool/instance.rs
+++ b/crates/policy/src/pool/instance.rs
@@ -5,7 +5,7 @@
 use model::position::Point;
 use model::unit::{Span, Time};
 
-use super::OpenFault;
+use super::{OpenFault, Opened};
 
 /// Time after which an idle connection beyond the proxy's part is closed. Opening one
 /// costs the instance as much work as a statement, so it should outlast a pause between
@@ -181,9 +181,12 @@
         self.idle.into_iter().map(|(conn, _)| conn)
     }
 
-    pub(super) fn take(&mut self) -> Option<C> {
-        // The one used last: the others can then be closed for lack of use.
-        let (conn, _) = self.idle.pop()?;
+    /// Takes the connection opened first, and of equals the one used last: the others can
+    /// then be closed for lack of use.
+    pub(super) fn take(&mut self, opened: Opened<C>) -> Option<C> {
+        let idle = self.idle.iter().enumerate().rev();
+        let (at, _) = idle.min_by_key(|(_, (conn, _))| opened(conn))?;
+        let (conn, _) = self.idle.remove(at);
         self.lent += 1;
         Some(conn)
     }
@@ -298,11 +301,23 @@
         self.idle.drain(..).map(|(conn, _)| conn).collect()
     }
 
-    /// Closes the connection that was idle longest, if the proxy holds more than `kept`.
-    pub(super) fn trim(&mut self, kept: u32, now: Time) -> Option<C> {
-        let (_, since) = self.idle.first()?;
-        let spare = self.count() > kept && now.since(*since) >= IDLE_CLOSE;
-        spare.then(|| self.idle.remove(0).0)
+    /// Takes every idle connection out but the one opened first.
+    pub(super) fn drain_spare(&mut self, opened: Opened<C>) -> Vec<C> {
+        self.idle.sort_by_key(|(conn, _)| opened(conn));
+        let spare = self.idle.len().min(1);
+        self.idle.drain(spare..).map(|(conn, _)| conn).collect()
+    }
+
+    /// Closes the connection opened last, and of equals the one idle longest, if the proxy
+    /// holds more than `kept` and does not need it.
+    pub(super) fn trim(&mut self, kept: u32, opened: Opened<C>, now: Time) -> Option<C> {
+        if self.count() <= kept {
+            return None;
+        }
+        let idle = self.idle.iter().enumerate().rev();
+        let spare = idle.filter(|(_, (_, since))| now.since(*since) >= IDLE_CLOSE);
+        let (at, _) = spare.max_by_key(|(_, (conn, _))| opened(conn))?;
+        Some(self.idle.remove(at).0)
     }
 
     fn learn(&mut self, took: Span, now: Time) {
--- a/crates/policy/src/pool/serve.rs
+++ b/crates/policy/src/pool/serve.rs
@@ -4,7 +4,7 @@
 use model::id::InstanceId;
 use model::unit::Time;
 
-use super::{Action, Ask, Grant, Instance, Kind, Pool};
+use super::{Action, Ask, Grant, Instance, Kind, Opened, Pool};
 use crate::proof::Need;
 
 /// Connections for each slot of an instance that idle ones leave free, for proxies that
@@ -69,7 +69,7 @@
             let need = self.need(ask).unwrap_or(Need::Primary);
             match self.place(ask, need, now) {
                 Some(id) => {
-                    let Some(conn) = self.instances.get_mut(&id).and_then(Instance::take) else {
+                    let Some(conn) = take(&mut self.instances, &id, self.opened) else {
                         self.expect(&id, &mut coming, now, &mut actions);
                         at += 1;
                         continue;
@@ -139,6 +139,14 @@
     }
 }
 
+fn take<C>(
+    instances: &mut IndexMap<InstanceId, Instance<C>>,
+    id: &InstanceId,
+    opened: Opened<C>,
+) -> Option<C> {
+    instances.get_mut(id)?.take(opened)
+}
+
 fn grant<C>(instance: InstanceId, conn: C, kind: &Kind, need: Need) -> Grant<C> {
     let after = match need {
         Need::Holds(point) => Some(point),
--- /dev/null
+++ b/crates/policy/src/receipt.rs
@@ -0,0 +1,128 @@
+//! When the success of a write may be told to its caller.
+//!
+//! The platform answers a write once any replica has received it. The coordinator makes
+//! writes safe by accounting for every replica that it knows before it names another
+//! primary, and so cannot account for one that just started or restarted. Therefore a
+//! success is told only once a replica has been seen to hold the write on a connection that
+//! counts: it was open at a moment at which the store held no note of a change of primary.
+//! The instance was announced by then, so that every later change looks at it; and if a
+//! later change stops it from receiving, a restart, which ends the stop, ends the connection
+//! as well. No clock and no age of a message matters, so a paused process cannot miss
+//! anything.
+
+use model::id::InstanceId;
+use model::position::Point;
+use model::unit::{Span, Time};
+
+/// Time for which a replica that did not answer is asked after the others.
+const SILENT_FOR: Span = Span::from_millis(1_000);
+
+/// A write that its primary has answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Write {
+    /// The instance that ran it.
+    pub primary: InstanceId,
+    /// End of that instance's log after it.
+    pub point: Point,
+}
+
+impl Write {
+    /// Whether it is held by a replica whose log ends at `received`.
+    ///
+    /// Logs of different terms may have parted before this write. What the primary itself
+    /// holds proves nothing, also once it has become a replica.
+    pub fn is_held(&self, replica: &InstanceId, received: Point) -> bool {
+        let same_log = received.term == self.point.term;
+        *replica != self.primary && same_log && received >= self.point
+    }
+}
+
+/// Connections that count: those opened before a moment without a change of primary.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counted(Option<Time>);
+
+impl Counted {
+    /// The store was asked at `asked` and held no note of a change.
+    pub fn checked(&mut self, asked: Time) {
+        self.0 = self.0.max(Some(asked));
+    }
+
+    /// Whether a connection opened at this time counts.
+    pub fn counts(&self, opened: Time) -> bool {
+        self.0.is_some_and(|checked| opened < checked)
+    }
+}
+
+/// A replica that may be asked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Replica {
+    /// Which one.
+    pub id: InstanceId,
+    /// Round trip to it.
+    pub way: Span,
+    /// Whether it is being taken out of service.
+    pub leaving: bool,
+}
+
+/// The replicas in the order in which they are asked: those that answer first, then those
+/// that stay, then the nearest.
+pub fn in_order(mut replicas: Vec<Replica>, silent: &Silent, now: Time) -> Vec<Replica> {
+    replicas.sort_by_key(|r| (silent.contains(&r.id, now), r.leaving, r.way));
+    replicas
+}
+
+/// Replicas that left a question unanswered.
+#[derive(Debug, Default)]
+pub struct Silent(indexmap::IndexMap<InstanceId, Time>);
+
+impl Silent {
+    /// One did not answer.
+    pub fn add(&mut self, id: InstanceId, now: Time) {
+        self.0.retain(|_, at| now.since(*at) < SILENT_FOR);
+        self.0.insert(id, now);
+    }
+
+    /// One answered.
+    pub fn remove(&mut self, id: &InstanceId) {
+        self.0.swap_remove(id);
+    }
+
+    fn contains(&self, id: &InstanceId, now: Time) -> bool {
+        let at = self.0.get(id);
+        at.is_some_and(|at| now.since(*at) < SILENT_FOR)
+    }
+}
+
+/// Writes without a proof; `R` stands for who waits.
+#[derive(Debug)]
+pub struct Unproven<R>(Vec<(Write, Time, R)>);
+
+impl<R> Default for Unproven<R> {
+    fn default() -> Self {
+        Self(Vec::new())
+    }
+}
+
+impl<R> Unproven<R> {
+    /// Whether nobody waits.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Adds a write, whose caller waits until `give_up`.
+    pub fn add(&mut self, write: Write, give_up: Time, who: R) {
+        self.0.push((write, give_up, who));
+    }
+
+    /// Takes out the writes that this replica is now known to hold.
+    pub fn held(&mut self, replica: &InstanceId, received: Point) -> Vec<R> {
+        let held = |(write, ..): &mut (Write, Time, R)| write.is_held(replica, received);
+        self.0.extract_if(.., held).map(|(.., who)| who).collect()
+    }
+
+    /// Takes out those whose callers wait no longer.
+    pub fn expired(&mut self, now: Time) -> Vec<R> {
+        let over = |(_, give_up, _): &mut (Write, Time, R)| *give_up <= now;
+        self.0.extract_if(.., over).map(|(.., who)| who).collect()
+    }
+}
--- a/crates/policy/src/takeover.rs
+++ b/crates/policy/src/takeover.rs
@@ -137,6 +137,9 @@
     /// An order to receive again may still be carried out, and the old primary is silent.
     #[error("a replica may still be told to receive again by an earlier order")]
     ResumePending,
+    /// Connections may still begin to count for proofs of writes.
+    #[error("the change is not noted in the store yet")]
+    Unnoted,
     /// An earlier order may still be carried out, and can be neither repeated nor made void now.
     #[error("an earlier order may still be carried out")]
     OrderPending,
@@ -185,6 +188,9 @@
     pub ordered: Option<InstanceId>,
     /// For how long the old primary has been told to stop leading.
     pub told_to_stop: Option<Span>,
+    /// Whether the store held the note of this change before the look, and the members are
+    /// those announced before the note at least.
+    pub noted: bool,
 }
 
 impl Look {
@@ -213,6 +219,13 @@
 
 /// Decides the next step.
 pub fn next_step(look: &Look) -> Step {
+    match decide(look) {
+        Step::Promote(_) if !look.noted => Step::Hold(Hold::Unnoted),
+        step => step,
+    }
+}
+
+fn decide(look: &Look) -> Step {
     let Look {
         members,
         old,
--- a/crates/policy/tests/handover/cfg.rs
+++ b/crates/policy/tests/handover/cfg.rs
@@ -5,6 +5,10 @@
 /// A part of the code that an earlier finding added, and that a search leaves out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Guard {
+    /// Callers are told of a write's success once a replica that counts has received it.
+    Counted,
+    /// No replica begins to count during a change of primary.
+    ChangeNoted,
     /// A pending order to receive again is known to the decision.
     ResumePending,
     /// A living primary is told to stop before another is named.
@@ -65,6 +69,8 @@
     pub(crate) depth: usize,
     /// What is left out of the code.
     pub(crate) off: Option<Guard>,
+    /// Any replica that received a write proves it, also one that nobody knows.
+    pub(crate) uncounted: bool,
     /// An instance is announced and stopped before it receives anything.
     pub(crate) announced_first: bool,
     /// Instances may be no longer announced although they run.
@@ -81,6 +87,13 @@
     pub(crate) stale_proofs: bool,
 }
 
+impl Cfg {
+    /// Whether only replicas that count prove writes.
+    pub(crate) fn counted(&self) -> bool {
+        !self.uncounted && self.off != Some(Guard::Counted)
+    }
+}
+
 impl Budget {
     /// One write during one change.
     pub(crate) fn one() -> Self {
--- a/crates/policy/tests/handover/coordinator.rs
+++ b/crates/policy/tests/handover/coordinator.rs
@@ -8,11 +8,21 @@
 
 /// The steps that a coordinator may take now.
 pub(crate) fn events(world: &World, at: usize, cfg: &Cfg) -> Vec<Event> {
+    let this = &world.coordinators[at];
+    let mut events = steps(world, at, cfg);
+    events.extend(this.ends.map(|_| Event::End));
+    events
+}
+
+fn steps(world: &World, at: usize, cfg: &Cfg) -> Vec<Event> {
     let this = &world.coordinators[at];
     match this.doing {
         Doing::Idle => idle(world, at),
         Doing::Change(change) => {
             let mut events = vec![Event::GiveUp];
+            if !change.in_store {
+                events.push(Event::NoteChange);
+            }
             let looks = look::during(world, this, change, cfg);
             let looks = looks.filter(|next| next.doing != this.doing || next.end != this.end);
             for look in looks.map(Event::Look) {
@@ -64,7 +74,7 @@
         events.push(Event::Begin(primary, Kind::Unfinished));
     }
     let stopped = world.instances.iter().any(|i| i.paused > 0);
-    if world.left.mends > 0 && stopped {
+    if world.left.mends > 0 && (stopped || notes.change.is_some()) {
         events.push(Event::Mend);
     }
     if notes.receive.is_some() && !world.may_receive_again() {
@@ -113,11 +123,26 @@
     let doing = world.coordinators[at].doing;
     let next = match (event, doing) {
         (Event::Begin(old, kind), _) => begin(world, at, old, kind, cfg),
+        (Event::End, doing) => {
+            end_change(world, at);
+            doing
+        }
+        (Event::NoteChange, Doing::Change(change)) => {
+            world.noted += 1;
+            world.notes.change = Some(world.noted);
+            world.coordinators[at].notes.change = Some(world.noted);
+            let in_store = true;
+            Doing::Change(Change { in_store, ..change })
+        }
         (Event::GiveUp | Event::Mend, _) => {
             world.left.mends -= u8::from(event == Event::Mend);
             Doing::Resume
         }
-        (Event::Look(next), _) => {
+        (Event::Look(next), doing) => {
+            if doing == Doing::Resume {
+                let known = world.coordinators[at].notes.change;
+                world.coordinators[at].ends = known.filter(|_| at == world.holder && next.over);
+            }
             world.coordinators[at].end = next.end;
             next.doing
         }
@@ -160,6 +185,7 @@
         told: false,
         silent: false,
         noted: false,
+        in_store: false,
     })
 }
 
@@ -219,6 +245,14 @@
     }
 }
 
+/// Instances may begin to count: no order for another than the present primary is pending.
+fn end_change(world: &mut World, at: usize) {
+    let this = &mut world.coordinators[at];
+    let ends = this.ends.take();
+    this.notes.change.take_if(|by| Some(*by) == ends);
+    world.notes.change.take_if(|by| Some(*by) == ends);
+}
+
 fn forget_receive(world: &mut World, at: usize, known: Option<usize>) {
     world.notes.receive.take_if(|by| Some(*by) == known);
     world.coordinators[at].notes.receive = None;
--- a/crates/policy/tests/handover/doing.rs
+++ b/crates/policy/tests/handover/doing.rs
@@ -22,6 +22,8 @@
     /// Replicas are told to receive again; by whom.
     pub(crate) receive: Option<usize>,
     pub(crate) lead: Option<Lead>,
+    /// A change of primary is under way; which one was noted last.
+    pub(crate) change: Option<u8>,
 }
 
 /// Why a primary is replaced.
@@ -55,6 +57,8 @@
     pub(crate) silent: bool,
     /// Whether it has noted an order: its time is over before that note lapses.
     pub(crate) noted: bool,
+    /// Whether the store holds the note that it is under way.
+    pub(crate) in_store: bool,
 }
 
 /// What a look led to.
@@ -121,6 +125,8 @@
     pub(crate) notes: Notes,
     /// Newest end of the primary's log that it saw.
     pub(crate) end: Point,
+    /// The note of a change that it ends, as it was before its last look.
+    pub(crate) ends: Option<u8>,
 }
 
 impl Default for Coordinator {
@@ -129,6 +135,7 @@
             doing: Doing::Idle,
             notes: Notes::default(),
             end: Point::new(1, 0),
+            ends: None,
         }
     }
 }
@@ -138,6 +145,8 @@
 pub(crate) enum Event {
     /// A change of primary begins.
     Begin(Id, Kind),
+    /// It is noted that the change is under way.
+    NoteChange,
     /// Nobody doubts the primary any more, or the change took too long.
     GiveUp,
     Look(Next),
@@ -160,4 +169,6 @@
     NotAllAnswered,
     /// The note is so old that nothing is on its way any more.
     NoteExpires,
+    /// No change is under way any more.
+    End,
 }
--- a/crates/policy/tests/handover/findings.rs
+++ b/crates/policy/tests/handover/findings.rs
@@ -5,7 +5,7 @@
 use crate::search;
 use crate::world::bit;
 
-mod open;
+mod receivers;
 
 fn cfg(depth: usize, budget: Budget) -> Cfg {
     Cfg {
@@ -77,7 +77,7 @@
     let stopped = Cfg {
         leaving: true,
         stopped: bit(2),
-        depth: 28,
+        depth: 32,
         ..cfg
     };
     let guards = [Guard::VoidEarlier];
--- a/crates/policy/tests/handover/findings/open.rs
+++ b/crates/policy/tests/handover/findings/receivers.rs
@@ -1,4 +1,4 @@
-//! Faults of the code that are open; each search finds one.
+//! An instance receives from the old primary before anybody can stop it.
 
 use super::cfg;
 use crate::cfg::{Budget, Cfg};
--- a/crates/policy/tests/handover/guards.rs
+++ b/crates/policy/tests/handover/guards.rs
@@ -1,8 +1,10 @@
 //! The proof of the model: without a guard the search finds again what it was made for, and
-//! with it nothing.
+//! with it nothing. Guards that are older than the rule that only replicas which count prove
+//! writes are searched without that rule.
 
 use crate::cfg::{Budget, Cfg, Guard};
 use crate::search;
+use crate::world::bit;
 
 /// An order to receive again is carried out in the middle of the next change.
 #[test]
@@ -33,6 +35,7 @@
             ..Budget::one()
         },
         depth: 40,
+        uncounted: true,
         ..Cfg::default()
     };
     let guards = [Guard::Demote, Guard::Announcing];
@@ -49,6 +52,7 @@
         },
         gone: Some(1),
         depth: 40,
+        uncounted: true,
         ..Cfg::default()
     };
     search::proves("a replica comes back", &[Guard::Demote], &cfg);
@@ -65,7 +69,43 @@
         },
         depth: 26,
         announced_first: true,
+        uncounted: true,
         ..Cfg::default()
     };
     search::proves("an instance that appears", &[Guard::PauseNew], &cfg);
 }
+
+/// Instances that start, restart or return receive from a primary that only the coordinator
+/// does not reach, while orders are repeated and the duty changes hands.
+#[test_case::test_case(Budget { starts: 1, ..Budget::one() }, 24; "starts")]
+#[test_case::test_case(Budget { crashes: 1, restarts: 1, ..Budget::one() }, 24; "restarts")]
+#[test_case::test_case(Budget { crashes: 1, returns: 1, ..Budget::one() }, 24; "returns")]
+#[test_case::test_case(Budget { starts: 1, lost_duties: 1, changes: 2, orders: 2, ..Budget::one() }, 18; "starts between two coordinators")]
+#[test_case::test_case(Budget { crashes: 1, restarts: 1, lost_duties: 1, changes: 2, orders: 2, ..Budget::one() }, 18; "restarts between two coordinators")]
+fn only_replicas_that_count_prove_writes(budget: Budget, depth: usize) {
+    let cfg = Cfg {
+        budget: Budget { cuts: 1, ..budget },
+        depth,
+        steady: bit(0),
+        ..Cfg::default()
+    };
+    let guards = [Guard::Counted, Guard::ChangeNoted];
+    search::proves("a receiver that nobody knows", &guards, &cfg);
+}
+
+/// A coordinator that has lost its duty ends its change while its successor's is under way.
+#[test]
+fn an_earlier_change_ends_only_itself() {
+    let cfg = Cfg {
+        budget: Budget {
+            starts: 1,
+            lost_duties: 1,
+            changes: 2,
+            ..Budget::one()
+        },
+        depth: 21,
+        leaving: true,
+        ..Cfg::default()
+    };
+    search::holds("an earlier change ends late", &cfg);
+}
--- a/crates/policy/tests/handover/happen.rs
+++ b/crates/policy/tests/handover/happen.rs
@@ -2,7 +2,7 @@
 
 use crate::cfg::{Cfg, Guard};
 use crate::coordinator;
-use crate::world::{Event, Fault, Id, Instance, Listing, Order, Own, World, bit};
+use crate::world::{Event, Fault, Id, Instance, Listing, Order, Own, World, bit, has};
 
 impl World {
     /// Lets something happen.
@@ -19,13 +19,8 @@
                 self.left.writes -= 1;
                 self.instances[self.primary].log |= bit(usize::from(commit));
             }
-            Event::Receive(id) => return self.receive(id),
-            Event::Crash(id) => {
-                self.left.crashes -= 1;
-                self.instances[id].runs = false;
-                // It is down for longer than an order takes.
-                self.orders.retain(|o| !o.accepted || o.instance != id);
-            }
+            Event::Receive(id) => return self.receive(cfg, id),
+            Event::Crash(id) => self.crash(id),
             Event::Restart(id) => {
                 self.left.restarts -= 1;
                 self.instances[id].runs = true;
@@ -41,6 +36,7 @@
                 self.instances[id].listing = Listing::Listed;
                 self.instances[id].hidden = false;
             }
+            Event::Count(id) => self.count(cfg, id),
             Event::Start => self.start(),
             Event::Leave(id) => {
                 self.left.leaves -= 1;
@@ -124,14 +120,36 @@
         coordinator::forget(self, id);
     }
 
-    /// A replica receives all that the primary has, which so becomes acknowledged.
-    fn receive(&mut self, id: Id) -> Result<(), Fault> {
+    fn count(&mut self, cfg: &Cfg, id: Id) {
+        self.counted |= bit(id);
+        self.acknowledge(cfg, id);
+    }
+
+    fn crash(&mut self, id: Id) {
+        self.left.crashes -= 1;
+        self.instances[id].runs = false;
+        self.counted &= !bit(id);
+        // It is down for longer than an order takes.
+        self.orders.retain(|o| !o.accepted || o.instance != id);
+    }
+
+    /// Proxies see what a replica holds. A connection to it ends with its process, so that one
+    /// that restarts counts anew.
+    fn acknowledge(&mut self, cfg: &Cfg, id: Id) {
+        if has(self.counted, id) || !cfg.counted() {
+            self.acknowledged |= self.answered & self.instances[id].log;
+        }
+    }
+
+    /// A replica receives all that the primary has, which so becomes answered.
+    fn receive(&mut self, cfg: &Cfg, id: Id) -> Result<(), Fault> {
         let primary = self.instances[self.primary];
         let i = &mut self.instances[id];
         i.log = primary.log;
         i.held = primary.held;
         i.term = primary.term;
-        self.acknowledged |= primary.log;
+        self.answered |= primary.log;
+        self.acknowledge(cfg, id);
         let leaders = self.instances.iter();
         let leaders = leaders.filter(|i| i.runs && i.leads && i.term == primary.term);
         if leaders.count() > 1 {
--- a/crates/policy/tests/handover/look.rs
+++ b/crates/policy/tests/handover/look.rs
@@ -14,6 +14,8 @@
 pub(crate) struct Next {
     pub(crate) doing: Doing,
     pub(crate) end: Point,
+    /// Whether instances may begin to count again.
+    pub(crate) over: bool,
 }
 
 /// What looks during a change may lead to.
@@ -56,7 +58,8 @@
     };
     if leader.is_some_and(|m| m.id != named(change.old, change.born)) {
         let doing = Doing::Resume;
-        return Some(Next { doing, end });
+        let over = false;
+        return Some(Next { doing, end, over });
     }
     let (void, ordered) = pending(this, leader, cfg);
     change.kind = match change.kind {
@@ -83,7 +86,8 @@
         (_, Err(Step::Abandon)) => Doing::Resume,
         (_, Err(_)) => Doing::Change(change),
     };
-    Some(Next { doing, end })
+    let over = false;
+    Some(Next { doing, end, over })
 }
 
 /// The order that is to be made void first, as its instance leads, or the one that counts.
@@ -112,7 +116,8 @@
         _ => Doing::Note { stopped },
     };
     let end = this.end;
-    Next { doing, end }
+    let over = leader.is_some() && ordered.is_none();
+    Next { doing, end, over }
 }
 
 pub(crate) fn appeared(world: &World, known: Set) -> Set {
@@ -197,6 +202,7 @@
         resume_pending: false,
         ordered: None,
         told_to_stop: change.told.then_some(told_for),
+        noted: change.in_store || cfg.off == Some(Guard::ChangeNoted),
     }
 }
 
--- a/crates/policy/tests/handover/show.rs
+++ b/crates/policy/tests/handover/show.rs
@@ -15,6 +15,7 @@
             Self::Return(id) => write!(f, "{} restarts under another id", name(id)),
             Self::Lapse(id) => write!(f, "{} is no longer announced", name(id)),
             Self::Announce(id) => write!(f, "{} is announced", name(id)),
+            Self::Count(id) => write!(f, "proxies count {} as a replica", name(id)),
             Self::Start => write!(f, "n starts"),
             Self::Leave(id) => write!(f, "{} is being taken out of service", name(id)),
             Self::Cut(id) => write!(f, "{} is cut off from the coordinators", name(id)),
--- a/crates/policy/tests/handover/world.rs
+++ b/crates/policy/tests/handover/world.rs
@@ -3,7 +3,7 @@
 use model::position::{Point, Term};
 use policy::takeover::{Role, State};
 
-use crate::cfg::{Budget, Cfg};
+use crate::cfg::{Budget, Cfg, Guard};
 use crate::coordinator;
 use crate::doing::{self, Coordinator, Notes};
 
@@ -121,8 +121,15 @@
     pub(crate) seen: u8,
     /// Highest token that was used.
     pub(crate) token: u8,
+    /// Notes of changes that were written.
+    pub(crate) noted: u8,
     /// The instance that the platform made lead last.
     pub(crate) primary: Id,
+    /// Replicas whose log proves to a proxy that a commit is safe.
+    pub(crate) counted: Set,
+    /// Commits that some replica received, so that the primary answered them.
+    pub(crate) answered: Set,
+    /// Commits whose callers were told of their success.
     pub(crate) acknowledged: Set,
     /// The notes in the store.
     pub(crate) notes: Notes,
@@ -143,6 +150,8 @@
     Return(Id),
     Lapse(Id),
     Announce(Id),
+    /// Proxies count an instance as a replica from now on.
+    Count(Id),
     Start,
     Leave(Id),
     Cut(Id),
@@ -193,6 +202,8 @@
             instances[gone].runs = false;
             instances[gone].listing = Listing::Lapsed;
         }
+        let running = instances.iter().enumerate().filter(|(_, i)| i.runs);
+        let counted = running.map(|(id, _)| bit(id)).sum();
         Self {
             instances,
             cut: 0,
@@ -202,7 +213,10 @@
             statements: Vec::new(),
             seen: 0,
             token: 0,
+            noted: 0,
             primary: 0,
+            counted,
+            answered: 0,
             acknowledged: 0,
             notes: Notes::default(),
             holder: 0,
@@ -320,6 +334,8 @@
         let unlisted = !listed || i.hidden;
         push(i.runs && unlisted && back, Event::Announce(id));
         let stays = !has(self.leaving, id);
+        let counts = i.runs && !unlisted && !has(self.counted, id);
+        push(counts && self.may_count(cfg), Event::Count(id));
         push(i.runs && stays && left.leaves > 0, Event::Leave(id));
         push(!has(self.cut, id) && left.cuts > 0, Event::Cut(id));
         push(has(self.cut, id) && left.heals > 0, Event::Heal(id));
@@ -328,6 +344,12 @@
         push(full, Event::Free(id));
     }
 
+    /// Proxies count an instance that they reach while no change of primary is noted.
+    fn may_count(&self, cfg: &Cfg) -> bool {
+        let noted = self.notes.change.is_some() && cfg.off != Some(Guard::ChangeNoted);
+        cfg.counted() && !noted
+    }
+
     fn receives(&self, cfg: &Cfg, id: Id) -> bool {
         let (i, primary) = (&self.instances[id], &self.instances[self.primary]);
         let ready = !cfg.announced_first || i.listing == Listing::Listed && !i.hidden;
--- a/crates/policy/tests/takeover.rs
+++ b/crates/policy/tests/takeover.rs
@@ -43,6 +43,7 @@
         resume_pending: false,
         ordered: None,
         told_to_stop: None,
+        noted: true,
     }
 }
 
--- a/crates/standin/src/managed/instance.rs
+++ b/crates/standin/src/managed/instance.rs
@@ -34,6 +34,8 @@
     /// Whether the leader was told to stop leading.
     demoted: bool,
     term: u64,
+    /// Entries of the log that were there when each term began, the first one left out.
+    begun: Vec<usize>,
     runs: BTreeMap<String, usize>,
 }
 
@@ -142,6 +144,8 @@
             self.term += 1;
             let kept = self.instances[at].received;
             self.log.truncate(kept);
+            self.begun.iter_mut().for_each(|at| *at = kept.min(*at));
+            self.begun.push(kept);
             for instance in &mut self.instances {
                 instance.paused = 0;
                 instance.received = instance.received.min(kept);
@@ -188,15 +192,21 @@
         found.map_or("-", |(_, data)| data).to_owned()
     }
 
+    /// The end of a log: the term in which its last entry was written, and its length.
+    fn end(&self, length: usize) -> String {
+        let later = self.begun.iter().filter(|begun| **begun < length);
+        format!("{}.{length}", 1 + later.count())
+    }
+
     fn point(&self, at: usize) -> String {
-        format!("{}.{}", self.term, self.instances[at].applied)
+        self.end(self.instances[at].applied)
     }
 
     fn status(&self, at: usize) -> String {
         let role = if self.leads(at) { "primary" } else { "replica" };
         let paused = self.instances[at].paused;
-        let (term, received) = (self.term, self.instances[at].received);
-        format!("ROW {role} {term} {term}.{received} {paused} 0 0 1")
+        let (term, received) = (self.term, self.end(self.instances[at].received));
+        format!("ROW {role} {term} {received} {paused} 0 0 1")
     }
 }
 
