Date connections by the store's answers to a question, not by its watch

A connection counts for the proof of a write if it was open at a moment at which the store held no note of a change of primary. An answer of the watch without events was taken for such a moment, that of its question. But a watch that is opened while the store drops its history is told nothing for its whole wait (docs/incidents/late-configuration.md): a note may have been written meanwhile, and a newcomer's connection would have counted during the change.

Only the answer to a listing of the notes counts now. One question serves all groups, and those with a change keep the moment before it.

--- a/crates/front/src/changes.rs
+++ b/crates/front/src/changes.rs
@@ -2,6 +2,7 @@
 //! at a moment without a change of primary, as the store tells.
 
 use std::cell::RefCell;
+use std::iter;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,26 +21,38 @@
 
 /// What the store told about changes of primary that are under way.
 ///
-/// Its answers are dated from when it was asked. What it tells a neighbour has no such date:
-/// a change may have begun since.
+/// Only its answers to a question count, dated from when it was asked. A watch may be told
+/// nothing for its whole wait, and a neighbour's news have no date of this process.
 #[derive(Clone)]
 pub struct Changes {
-    counted: Rc<RefCell<IndexMap<GroupId, Counted>>>,
-    tx: flume::Sender<Question>,
-    rx: flume::Receiver<Question>,
+    told: Rc<RefCell<Told>>,
+    tx: flume::Sender<flume::Sender<()>>,
+    rx: flume::Receiver<flume::Sender<()>>,
 }
 
-/// Whoever asked waits for the other end to be dropped.
-struct Question {
-    group: GroupId,
-    _done: flume::Sender<()>,
+#[derive(Default)]
+struct Told {
+    counted: Counted,
+    /// The same for groups with a change under way: as it was before.
+    changing: IndexMap<GroupId, Counted>,
+}
+
+impl Told {
+    fn take(&mut self, asked: Time, noted: &IndexSet<GroupId>) {
+        self.changing.retain(|group, _| noted.contains(group));
+        for group in noted {
+            let before = self.counted;
+            self.changing.entry(group.clone()).or_insert(before);
+        }
+        self.counted.checked(asked);
+    }
 }
 
 impl Default for Changes {
     fn default() -> Self {
         let (tx, rx) = flume::unbounded();
         Self {
-            counted: Rc::default(),
+            told: Rc::default(),
             tx,
             rx,
         }
@@ -49,44 +62,36 @@
 impl Changes {
     /// Whether a connection to the group counts that was opened at this time.
     pub fn counts(&self, group: &GroupId, opened: Time) -> bool {
-        let counted = self.counted.borrow();
-        counted.get(group).is_some_and(|c| c.counts(opened))
+        let told = self.told.borrow();
+        let counted = told.changing.get(group).unwrap_or(&told.counted);
+        counted.counts(opened)
     }
 
-    /// The store was asked at `asked` and held no note of a change of the group's primary.
-    pub fn none_noted(&self, group: &GroupId, asked: Time) {
-        let mut counted = self.counted.borrow_mut();
-        counted.entry(group.clone()).or_default().checked(asked);
+    /// Takes over an answer of the store: it was asked at `asked` and held notes of changes of
+    /// these groups.
+    pub fn take(&self, asked: Time, noted: &IndexSet<GroupId>) {
+        self.told.borrow_mut().take(asked, noted);
     }
 
-    /// Asks the store whether a change is noted. The receiver is closed once it has answered
-    /// or cannot be reached.
-    pub fn ask(&self, group: &GroupId) -> flume::Receiver<()> {
+    /// Asks the store. The receiver is closed once it has answered or cannot be reached.
+    pub fn ask(&self) -> flume::Receiver<()> {
         let (tx, rx) = flume::bounded(1);
-        let question = Question {
-            group: group.clone(),
-            _done: tx,
-        };
         // The other end is kept beside this one.
-        let _ = self.tx.send(question);
+        let _ = self.tx.send(tx);
         rx
     }
 
-    /// Answers for as long as the process runs; those who ask meanwhile share a question.
+    /// Asks for as long as the process runs; those who ask meanwhile share a question.
     pub async fn serve(self, client: Client) {
         while let Ok(first) = self.rx.recv_async().await {
-            let mut questions = vec![first];
-            questions.extend(self.rx.drain());
+            // Dropping them tells those who ask.
+            let asking: Vec<_> = iter::once(first).chain(self.rx.drain()).collect();
             let asked = clock::now();
-            let noted = noted(&client).await;
-            if noted.is_none() {
-                compio::time::sleep(AFTER_FAILURE).await;
-            }
-            for Question { group, .. } in &questions {
-                if noted.as_ref().is_some_and(|noted| !noted.contains(group)) {
-                    self.none_noted(group, asked);
-                }
+            match noted(&client).await {
+                Some(noted) => self.take(asked, &noted),
+                None => compio::time::sleep(AFTER_FAILURE).await,
             }
+            drop(asking);
         }
     }
 }
--- a/crates/front/src/directory.rs
+++ b/crates/front/src/directory.rs
@@ -171,7 +171,6 @@
         let mut lost: Option<Time> = None;
         let mut known = Known::Nothing;
         loop {
-            let asked = clock::now();
             match self.hear(&client, &mut known).await {
                 Ok(news) => {
                     if let Some(since) = lost.take() {
@@ -179,8 +178,7 @@
                         tracing::info!(out_ms, touch = ?self.cx.feed.touch(), "the store is in reach again");
                     }
                     self.follow.borrow_mut().answered();
-                    let dated = self.cx.feed.touch() == Touch::Reads;
-                    self.take(news, dated.then_some(asked)).await;
+                    self.take(news).await;
                 }
                 Err(e) => {
                     self.cx.feed.set_touch(Touch::Lost);
@@ -252,11 +250,9 @@
         news
     }
 
-    /// Takes news over, and gathers what comes next; `asked` tells when the store was asked
-    /// for them, if this proxy asked itself.
-    async fn take(&self, news: News, asked: Option<Time>) {
+    /// Takes news over, and gathers what comes next.
+    async fn take(&self, news: News) {
         if matches!(&news, News::Changes(batch) if batch.changes.is_empty()) {
-            self.note_changes(asked);
             return;
         }
         self.cx.feed.take(&news);
@@ -264,7 +260,6 @@
             News::Listing(listing) => self.state.borrow_mut().replace(listing, clock::now()),
             News::Changes(batch) => self.state.borrow_mut().apply(batch, clock::now()),
         }
-        self.note_changes(asked);
         self.hand_out();
         let readers = self.with(State::readers);
         let at_once = (self.coordinates)(self) || self.cx.feed.touch() == Touch::Follows;
@@ -272,17 +267,6 @@
         compio::time::sleep(pause.as_duration()).await;
     }
 
-    /// Passes on which groups have no change of primary under way.
-    fn note_changes(&self, asked: Option<Time>) {
-        let Some(asked) = asked else { return };
-        for group in self.cx.groups() {
-            let group = group.group();
-            if self.with(|s| s.noted(Call::Change, group)) == Revision(0) {
-                self.cx.changes.none_noted(group, asked);
-            }
-        }
-    }
-
     async fn sweep(&self) {
         loop {
             clock::sleep_until(clock::now() + SWEEP).await;
