Have a connection that counts to each replica before it is needed

Cause: after a change of primary only the other replica can prove writes. The store was asked only when no connection at all counted, which is rare while the near replica proves everything, so that those to the other one did not count when the change began, and could not before its end. Callers of the first 0.8 s after a change were in doubt.

A group's task now asks, at most every 500 ms, while a replica has no idle connection that counts. The oldest connection is kept, so that this ends with one answer.

--- a/crates/front/src/group.rs
+++ b/crates/front/src/group.rs
@@ -40,6 +40,9 @@
 /// told. Shorter takes a burst of writes for a lag.
 const LAGS: Span = Span::from_millis(300);
 
+/// Least time between two questions of one group to the store which connections count.
+const COUNT_PAUSE: Span = Span::from_millis(500);
+
 type Reply = flume::Sender<Result<Grant<Conn>, Refused>>;
 
 /// A message to the group's task.
@@ -129,6 +132,9 @@
     ways: Ways,
     metrics: Metrics,
     board: concern::Board,
+    changes: Changes,
+    /// Before which time the store is not asked which connections count.
+    count_at: Time,
     tx: flume::Sender<Message>,
 }
 
@@ -151,6 +157,8 @@
         ways,
         metrics,
         board,
+        changes: changes.clone(),
+        count_at: Time::default(),
         tx: tx.clone(),
     };
     compio::runtime::spawn(task.run(rx)).detach();
@@ -191,6 +199,7 @@
                 tick = now + TICK;
                 self.look(now);
                 self.voice(now);
+                self.count(now);
             }
         }
     }
@@ -329,6 +338,20 @@
         others.map(replica).collect()
     }
 
+    /// Asks the store while a replica has no idle connection that counts.
+    ///
+    /// Load: a primary is lost, and the replica that proved writes leads next. Harm without it:
+    /// connections to the other one do not count before the change is over, and the first
+    /// writes are in doubt.
+    fn count(&mut self, now: Time) {
+        let counts = |opened| self.changes.counts(&self.id, opened);
+        if now >= self.count_at && !self.pool.oldest_idle().all(counts) {
+            self.count_at = now + COUNT_PAUSE;
+            // Nobody waits for the answer.
+            drop(self.changes.ask());
+        }
+    }
+
     /// Puts up what is wrong with the group, if anything is.
     fn voice(&self, now: Time) {
         let lags_for = self.pool.lags_for(now);
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -153,6 +153,13 @@
         self.instances.get(id)
     }
 
+    /// When the idle connection to each replica was opened that was opened first.
+    pub fn oldest_idle(&self) -> impl Iterator<Item = Time> {
+        let replicas = self.instances.values();
+        let replicas = replicas.filter(|i| self.primary.as_ref() != Some(i.id()));
+        replicas.filter_map(|i| i.oldest_idle(self.opened))
+    }
+
     /// The instance that last proved that it leads.
     pub fn primary(&self) -> Option<&InstanceId> {
         self.primary.as_ref()
--- a/crates/policy/src/pool/instance.rs
+++ b/crates/policy/src/pool/instance.rs
@@ -177,6 +177,10 @@
         !self.idle.is_empty()
     }
 
+    pub(super) fn oldest_idle(&self, opened: Opened<C>) -> Option<Time> {
+        self.idle.iter().map(|(conn, _)| opened(conn)).min()
+    }
+
     pub(super) fn into_idle(self) -> impl Iterator<Item = C> {
         self.idle.into_iter().map(|(conn, _)| conn)
     }
--- a/crates/policy/tests/pool_age.rs
+++ b/crates/policy/tests/pool_age.rs
@@ -70,6 +70,14 @@
     assert_eq!(granted, Some(3));
 }
 
+/// Guards against a replica without a connection that counts when the one that proved writes
+/// becomes the primary: the owner asks for as long as the oldest one is new.
+#[test]
+fn the_oldest_idle_connection_of_each_replica_is_known() {
+    let oldest: Vec<_> = pool(&[5, 3, 4]).oldest_idle().collect();
+    assert_eq!(oldest, [at(3)]);
+}
+
 /// The same, where one too many is idle.
 #[test]
 fn the_connection_opened_last_is_closed_first() {
