Leave a late answer of a write time for its proof

Traced by printing each proof: the write ran through another proxy and its answer came after 0.9 s of 0.8; the carrier was asked for the proof with no time left and its word was not waited for. The caller was told INDOUBT although a replica held the write.

--- a/crates/front/src/session/attempt.rs
+++ b/crates/front/src/session/attempt.rs
@@ -29,6 +29,10 @@
 /// take some tens of milliseconds, and a replica a region away acknowledges within 50 ms.
 const STALL: Duration = Duration::from_millis(400);
 
+/// Least time for the proof that a replica holds a write: a question to a replica, and to one
+/// a region away if that one does not hold it, through a carrier.
+const PROOF_TIME: Span = Span::from_millis(300);
+
 /// A statement whose answer was lost.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Lost;
@@ -123,6 +127,8 @@
         tracing::warn!(instance = %lent.instance, "a write was answered without a position");
         return Err(Failure::Unproven);
     };
+    // An answer that comes at the end of the statement's time is delivered late.
+    let until = until.max(clock::now() + PROOF_TIME);
     match lent.prove(point, until).await {
         true => Ok(()),
         false => Err(Failure::Unproven),
