Count a proxy that is not listed yet among those that share connections

Cause: policy::carry::plan answered *own* to a proxy that does not find itself among the live ones. In a rolling restart each proxy that comes back knows all others and not yet itself, so it opened connections to all 60 instances.

A proxy now counts itself whether it is listed or not, and takes the place that it will have when it is. a_proxy_that_is_not_listed_yet_takes_no_more_than_its_place failed before. One that knows no other still serves alone.

--- a/crates/policy/src/carry.rs
+++ b/crates/policy/src/carry.rs
@@ -7,7 +7,7 @@
 //! proxies of each data centre carry the group's statements for the others, over
 //! connections that stay open and are shared by many.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use model::id::{DataCentre, GroupId, ProxyId};
 
 use crate::rank;
@@ -46,32 +46,32 @@
 /// `connections`.
 ///
 /// All proxies that know the same live ones come to the same plan. Where they do not, for
-/// some seconds, a proxy that is asked to carry does so all the same.
+/// some seconds, a proxy that is asked to carry does so all the same. A proxy counts itself
+/// whether it is among the live ones or not: in a rolling restart of a fleet larger than
+/// the limit, a proxy that is not listed yet must not hold more than its place.
 pub fn plan(group: &GroupId, connections: u32, me: &Proxy, live: &[Proxy]) -> Plan {
-    let count = u32::try_from(live.len()).unwrap_or(u32::MAX).max(1);
-    let mut centres: IndexMap<&DataCentre, Vec<&ProxyId>> = IndexMap::new();
-    for proxy in live {
-        centres
-            .entry(&proxy.data_centre)
-            .or_default()
-            .push(&proxy.id);
+    let mut centres: IndexMap<&DataCentre, IndexSet<&ProxyId>> = IndexMap::new();
+    for proxy in live.iter().chain([me]) {
+        let here = centres.entry(&proxy.data_centre).or_default();
+        here.insert(&proxy.id);
     }
-    let here = centres.get(&me.data_centre).cloned().unwrap_or_default();
-    let enough = connections / count >= OWN_CONNECTIONS;
-    if enough || !here.contains(&&me.id) {
+    let size = |ids: &IndexSet<_>| u32::try_from(ids.len()).unwrap_or(u32::MAX);
+    let count = centres.values().map(size).sum();
+    if connections / count >= OWN_CONNECTIONS {
         return Plan {
             holders: count,
             own: true,
             through: Vec::new(),
         };
     }
-    let centre_count = u32::try_from(centres.len()).unwrap_or(u32::MAX).max(1);
+    let centre_count = u32::try_from(centres.len()).unwrap_or(u32::MAX);
     let each = (connections / (centre_count * CARRIER_CONNECTIONS)).max(1);
-    let holders = centres
-        .values()
-        .map(|ids| each.min(u32::try_from(ids.len()).unwrap_or(u32::MAX)))
-        .sum();
-    let mut ranked = here;
+    let holders = centres.values().map(|ids| each.min(size(ids))).sum();
+    let mut ranked: Vec<_> = centres
+        .swap_remove(&me.data_centre)
+        .into_iter()
+        .flatten()
+        .collect();
     rank::sort(group.as_str(), &mut ranked);
     let own = ranked.iter().take(each as usize).any(|id| **id == me.id);
     Plan {
--- a/crates/policy/tests/carry.rs
+++ b/crates/policy/tests/carry.rs
@@ -56,6 +56,20 @@
     }
 }
 
+/// A rolling restart of a fleet larger than the limit: each proxy that comes back does not
+/// find itself among the live ones yet, and opens connections to every instance.
+#[test]
+fn a_proxy_that_is_not_listed_yet_takes_no_more_than_its_place() {
+    let live = fleet(6, 11);
+    for (at, me) in live.iter().enumerate() {
+        let mut others = live.clone();
+        others.remove(at);
+        let placed = plan(&group(0), 41, me, &live);
+        let unlisted = plan(&group(0), 41, me, &others);
+        assert_eq!(unlisted, placed);
+    }
+}
+
 /// The store is away from the start, and no other proxy is known: this one serves alone.
 #[test]
 fn a_proxy_that_knows_no_other_serves_by_itself() {
