Date connections on loan when asking which ones count

Cause of a part of the store calls: Pool::oldest_idle left out connections on loan. The one opened first is used first, so under steady load it is mostly on loan, and each younger one that was idle beside it made the proxy ask the store whether it counts.

The pool now keeps when each connection on loan was opened. One that breaks on loan is not named by its end, so the oldest is taken for it; after a restart of the instance those on loan are dated anew. Both err towards a question too many, never towards a proof too many: the proof itself looks at the connection that it runs on.

Tests: a_lent_connection_still_counts_by_its_age fails with loans left out as before (run with that line put back), and so does the one on a restart; a third guards the end of a loan. the_oldest_idle_connection_... is the same check under the new name.

--- a/crates/front/src/group.rs
+++ b/crates/front/src/group.rs
@@ -338,14 +338,14 @@
         others.map(replica).collect()
     }
 
-    /// Asks the store while a replica has no idle connection that counts.
+    /// Asks the store while a replica has no connection that counts.
     ///
     /// Load: a primary is lost, and the replica that proved writes leads next. Harm without it:
     /// connections to the other one do not count before the change is over, and the first
     /// writes are in doubt.
     fn count(&mut self, now: Time) {
         let counts = |opened| self.changes.counts(&self.id, opened);
-        if now >= self.count_at && !self.pool.oldest_idle().all(counts) {
+        if now >= self.count_at && !self.pool.oldest().all(counts) {
             self.count_at = now + COUNT_PAUSE;
             // Nobody waits for the answer.
             drop(self.changes.ask());
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -6,6 +6,7 @@
 //! refused at once. `C` is an open connection, `W` stands for who waits.
 
 mod instance;
+mod loans;
 mod request;
 mod serve;
 
@@ -153,11 +154,12 @@
         self.instances.get(id)
     }
 
-    /// When the idle connection to each replica was opened that was opened first.
-    pub fn oldest_idle(&self) -> impl Iterator<Item = Time> {
+    /// When the oldest connection to each replica was opened, idle or lent; a replica without
+    /// one is left out.
+    pub fn oldest(&self) -> impl Iterator<Item = Time> {
         let replicas = self.instances.values();
         let replicas = replicas.filter(|i| self.primary.as_ref() != Some(i.id()));
-        replicas.filter_map(|i| i.oldest_idle(self.opened))
+        replicas.filter_map(|i| i.oldest(self.opened))
     }
 
     /// The instance that last proved that it leads.
@@ -272,7 +274,7 @@
     ) -> Vec<Action<C, W>> {
         let mut actions = Vec::new();
         match self.instances.get_mut(id) {
-            Some(instance) => instance.give_back(conn, took, now),
+            Some(instance) => instance.give_back(conn, took, self.opened, now),
             None => actions.extend(conn.map(Action::Close)),
         }
         actions.extend(self.settle(now));
--- a/crates/policy/src/pool/instance.rs
+++ b/crates/policy/src/pool/instance.rs
@@ -5,6 +5,7 @@
 use model::position::Point;
 use model::unit::{Span, Time};
 
+use super::loans::Loans;
 use super::{OpenFault, Opened};
 
 /// Time after which an idle connection beyond the proxy's part is closed. Opening one
@@ -80,7 +81,7 @@
     leaving_since: Option<Time>,
     /// Idle connections, each with the time since when, the longest idle first.
     idle: Vec<(C, Time)>,
-    lent: u32,
+    loans: Loans,
     opening: u32,
     /// Whether the last try to open a connection failed.
     failing: bool,
@@ -108,7 +109,7 @@
             entry,
             way,
             idle: Vec::new(),
-            lent: 0,
+            loans: Loans::default(),
             opening: 0,
             failing: false,
             no_open_before: Time::default(),
@@ -139,6 +140,7 @@
         self.failing = false;
         self.behind = None;
         self.shown = Point::default();
+        self.loans.renew(now);
         self.drain_idle()
     }
 
@@ -154,12 +156,12 @@
 
     /// Connections that are open, lent or being opened.
     pub fn count(&self) -> u32 {
-        self.idle.len() as u32 + self.lent + self.opening
+        self.idle.len() as u32 + self.lent() + self.opening
     }
 
     /// Connections that are lent.
     pub fn lent(&self) -> u32 {
-        self.lent
+        self.loans.count()
     }
 
     /// Connections that are being opened.
@@ -169,7 +171,7 @@
 
     /// Whether this proxy has no connection to it and could open none.
     pub(super) fn is_out_of_reach(&self) -> bool {
-        self.failing && self.idle.is_empty() && self.lent == 0
+        self.failing && self.idle.is_empty() && self.lent() == 0
     }
 
     /// Whether a connection is idle.
@@ -177,8 +179,10 @@
         !self.idle.is_empty()
     }
 
-    pub(super) fn oldest_idle(&self, opened: Opened<C>) -> Option<Time> {
-        self.idle.iter().map(|(conn, _)| opened(conn)).min()
+    /// When its oldest connection was opened, idle or lent.
+    pub(super) fn oldest(&self, opened: Opened<C>) -> Option<Time> {
+        let idle = self.idle.iter().map(|(conn, _)| opened(conn));
+        idle.chain(self.loans.oldest()).min()
     }
 
     pub(super) fn into_idle(self) -> impl Iterator<Item = C> {
@@ -191,12 +195,18 @@
         let idle = self.idle.iter().enumerate().rev();
         let (at, _) = idle.min_by_key(|(_, (conn, _))| opened(conn))?;
         let (conn, _) = self.idle.remove(at);
-        self.lent += 1;
+        self.loans.begin(opened(&conn));
         Some(conn)
     }
 
-    pub(super) fn give_back(&mut self, conn: Option<C>, took: Option<Span>, now: Time) {
-        self.lent = self.lent.saturating_sub(1);
+    pub(super) fn give_back(
+        &mut self,
+        conn: Option<C>,
+        took: Option<Span>,
+        opened: Opened<C>,
+        now: Time,
+    ) {
+        self.loans.end(conn.as_ref().map(opened));
         if let Some(took) = took {
             self.learn(took, now);
         }
@@ -248,7 +258,7 @@
     }
 
     pub(super) fn serves_reads(&self, now: Time) -> bool {
-        let room = f64::from(self.lent) < self.room;
+        let room = f64::from(self.lent()) < self.room;
         !self.entry.leaving && self.rests_until <= now && room
     }
 
@@ -289,7 +299,7 @@
     /// in flight after a refusal, and slowly more after each answer, keeps the queue
     /// short and the slots full.
     pub(super) fn refused(&mut self, now: Time) {
-        self.room = (f64::from(self.lent) * SHRINK).max(1.0);
+        self.room = (f64::from(self.lent()) * SHRINK).max(1.0);
         self.rest(now + BUSY_REST);
     }
 
@@ -345,7 +355,7 @@
         }
         let slots = u64::from(self.entry.slots.max(1));
         let work = usual.saturating_sub(self.way.as_micros());
-        let mut expected = usual + work * u64::from(self.lent) / slots;
+        let mut expected = usual + work * u64::from(self.lent()) / slots;
         if self.way >= FAR {
             expected += FAR_COST.as_micros();
         }
--- a/crates/policy/tests/pool_age.rs
+++ b/crates/policy/tests/pool_age.rs
@@ -49,11 +49,8 @@
     actions.iter().filter_map(close).collect()
 }
 
-/// Guards against bursts that leave only young connections, none of which proves a write.
-#[test]
-fn the_connection_opened_first_is_used_first() {
-    let mut pool = pool(&[5, 3, 4]);
-    let ask = Ask {
+fn ask() -> Ask {
+    Ask {
         kind: Kind::Control(id()),
         own: None,
         arrived: at(20),
@@ -61,23 +58,65 @@
         priority: 0,
         avoid: None,
         patient: true,
-    };
-    let actions = pool.ask(ask, 1, at(20));
-    let granted = actions.iter().find_map(|a| match a {
+    }
+}
+
+fn granted(actions: Vec<Action<u64, u32>>) -> Option<u64> {
+    actions.into_iter().find_map(|a| match a {
         Action::Grant(_, grant) => Some(grant.conn),
         _ => None,
-    });
-    assert_eq!(granted, Some(3));
+    })
+}
+
+/// Guards against bursts that leave only young connections, none of which proves a write.
+#[test]
+fn the_connection_opened_first_is_used_first() {
+    let mut pool = pool(&[5, 3, 4]);
+    assert_eq!(granted(pool.ask(ask(), 1, at(20))), Some(3));
 }
 
 /// Guards against a replica without a connection that counts when the one that proved writes
 /// becomes the primary: the owner asks for as long as the oldest one is new.
 #[test]
-fn the_oldest_idle_connection_of_each_replica_is_known() {
-    let oldest: Vec<_> = pool(&[5, 3, 4]).oldest_idle().collect();
+fn the_oldest_connection_of_each_replica_is_known() {
+    let oldest: Vec<_> = pool(&[5, 3, 4]).oldest().collect();
     assert_eq!(oldest, [at(3)]);
 }
 
+/// Guards against a question to the store for each statement under steady load: the oldest
+/// connection is always in use then, and only younger ones are idle.
+#[test]
+fn a_lent_connection_still_counts_by_its_age() {
+    let mut pool = pool(&[3, 5]);
+    let lent = granted(pool.ask(ask(), 1, at(20)));
+    assert_eq!(lent, Some(3));
+    assert_eq!(pool.oldest().collect::<Vec<_>>(), [at(3)]);
+    pool.give_back(&id(), lent, None, at(30));
+    assert_eq!(pool.oldest().collect::<Vec<_>>(), [at(3)]);
+}
+
+/// Guards against a connection that broke on loan and is taken for one that still counts.
+#[test]
+fn a_connection_that_breaks_on_loan_counts_no_longer() {
+    let mut pool = pool(&[3, 5]);
+    pool.ask(ask(), 1, at(20));
+    pool.give_back(&id(), None, None, at(30));
+    assert_eq!(pool.oldest().collect::<Vec<_>>(), [at(5)]);
+}
+
+/// The same, where it is not known yet that it broke: its instance has started again.
+#[test]
+fn a_connection_on_loan_to_an_earlier_process_counts_no_longer() {
+    let mut pool = pool(&[3, 5]);
+    pool.ask(ask(), 1, at(20));
+    let restarted = Entry {
+        born: 2,
+        ..entry(false)
+    };
+    pool.set_entries(&[restarted], |_| Span::from_millis(1), at(30));
+    assert_eq!(pool.oldest().collect::<Vec<_>>(), [at(30)]);
+}
+
 /// The same, where one too many is idle.
 #[test]
 fn the_connection_opened_last_is_closed_first() {
