Count store calls by what they are made for

The price of store calls is the largest that the code decides, and nothing told listings at a start from questions about changes of primary: pomelo_store_calls had the kind only. A client is now counted for a purpose (follow, place, duty, note, changes), which the metric shows as a label. calls_are_counted_by_what_they_are_made_for is the test.

--- a/crates/front/src/changes.rs
+++ b/crates/front/src/changes.rs
@@ -11,6 +11,7 @@
 use model::unit::Time;
 use platform::kv;
 use policy::receipt::Counted;
+use store::calls::Purpose;
 use store::client::Client;
 
 use crate::clock;
@@ -83,6 +84,7 @@
 
     /// Asks for as long as the process runs; those who ask meanwhile share a question.
     pub async fn serve(self, client: Client) {
+        let client = client.counted_for(Purpose::Changes);
         while let Ok(first) = self.rx.recv_async().await {
             // Dropping them tells those who ask.
             let asking: Vec<_> = iter::once(first).chain(self.rx.drain()).collect();
--- a/crates/front/src/member.rs
+++ b/crates/front/src/member.rs
@@ -14,6 +14,7 @@
 use model::position::Revision;
 use model::unit::{Span, Time};
 use platform::kv;
+use store::calls::Purpose;
 use store::client::Client;
 use store::error::Error;
 use store::lease::LeaseId;
@@ -76,8 +77,9 @@
         client: Client,
         least: Duration,
     ) {
+        let client = client.counted_for(Purpose::Place);
         let duty = self.duty.clone();
-        let keep_duty = duty.keep(directory.clone(), client.clone(), least);
+        let keep_duty = duty.keep(directory.clone(), client.counted_for(Purpose::Duty), least);
         compio::runtime::spawn(keep_duty).detach();
         let report = report::run(self.id.clone(), cx.clone(), directory);
         compio::runtime::spawn(report).detach();
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -124,8 +124,8 @@
             &["outcome"],
         )?;
         let store_calls = IntGaugeVec::new(
-            Opts::new("pomelo_store_calls", "calls to the platform by kind"),
-            &["kind"],
+            Opts::new("pomelo_store_calls", "calls to the platform"),
+            &["kind", "purpose"],
         )?;
         let gauges = IntGaugeVec::new(
             Opts::new("pomelo_state", "what the process holds and believes"),
@@ -205,10 +205,10 @@
 
     /// Shows all metrics; `gauges` are values read just now.
     pub fn render(&self, calls: &Calls, gauges: &[(&str, u64)]) -> Result<String, MetricsError> {
-        for (kind, count) in calls.snapshot() {
+        for (purpose, kind, count) in calls.by_purpose() {
             let count = i64::try_from(count).unwrap_or(i64::MAX);
             self.store_calls
-                .with_label_values(&[kind.name()])
+                .with_label_values(&[kind.name(), purpose.name()])
                 .set(count);
         }
         for (what, value) in gauges {
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -10,6 +10,7 @@
 use futures_util::FutureExt as _;
 use model::unit::Span;
 use policy::carry::Proxy;
+use store::calls::Purpose;
 use store::client::Client;
 
 use crate::config::Config;
@@ -82,7 +83,7 @@
         cx: cx.clone(),
         directory,
         member: member.clone(),
-        store: store.clone(),
+        store: store.counted_for(Purpose::Note),
         orders,
         last: Rc::default(),
         named: Default::default(),
--- a/crates/store/src/calls.rs
+++ b/crates/store/src/calls.rs
@@ -40,19 +40,61 @@
     }
 }
 
+/// What a call is made for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Purpose {
+    /// Following what is stored.
+    #[default]
+    Follow,
+    /// Keeping this process's place: its lease, its announcement, its doubts.
+    Place,
+    /// Taking and keeping the coordinator's duty.
+    Duty,
+    /// Noting changes of primary.
+    Note,
+    /// Asking whether a change of primary is under way.
+    Changes,
+}
+
+impl Purpose {
+    /// Every purpose, in the order of [`Calls::by_purpose`].
+    pub const ALL: [Self; 5] = [
+        Self::Follow,
+        Self::Place,
+        Self::Duty,
+        Self::Note,
+        Self::Changes,
+    ];
+
+    /// Stable name, used as a metric label.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Follow => "follow",
+            Self::Place => "place",
+            Self::Duty => "duty",
+            Self::Note => "note",
+            Self::Changes => "changes",
+        }
+    }
+}
+
 /// Counters that a client and its clones share; readable from any thread.
 #[derive(Clone, Debug, Default)]
 pub struct Calls(Arc<Counters>);
 
 #[derive(Debug, Default)]
 struct Counters {
-    calls: [AtomicU64; Kind::ALL.len()],
+    calls: [[AtomicU64; Kind::ALL.len()]; Purpose::ALL.len()],
     failures: AtomicU64,
 }
 
 impl Calls {
-    pub(crate) fn add(&self, kind: Kind) {
-        self.0.calls[kind as usize].fetch_add(1, Ordering::Relaxed);
+    pub(crate) fn add(&self, purpose: Purpose, kind: Kind) {
+        self.counter(purpose, kind).fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn counter(&self, purpose: Purpose, kind: Kind) -> &AtomicU64 {
+        &self.0.calls[purpose as usize][kind as usize]
     }
 
     pub(crate) fn add_failure(&self) {
@@ -61,7 +103,8 @@
 
     /// Calls of one kind, retries included.
     pub fn get(&self, kind: Kind) -> u64 {
-        self.0.calls[kind as usize].load(Ordering::Relaxed)
+        let count = |purpose| self.counter(purpose, kind).load(Ordering::Relaxed);
+        Purpose::ALL.into_iter().map(count).sum()
     }
 
     /// Calls of every kind.
@@ -74,6 +117,16 @@
         self.0.failures.load(Ordering::Relaxed)
     }
 
+    /// Calls by purpose and kind.
+    pub fn by_purpose(&self) -> impl Iterator<Item = (Purpose, Kind, u64)> {
+        let pairs = Purpose::ALL.map(|purpose| Kind::ALL.map(|kind| (purpose, kind)));
+        let count = |(purpose, kind)| {
+            let calls = self.counter(purpose, kind).load(Ordering::Relaxed);
+            (purpose, kind, calls)
+        };
+        pairs.into_iter().flatten().map(count)
+    }
+
     /// Calls by kind.
     pub fn snapshot(&self) -> [(Kind, u64); Kind::ALL.len()] {
         Kind::ALL.map(|kind| (kind, self.get(kind)))
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -8,7 +8,7 @@
 use futures_util::StreamExt as _;
 use model::trace;
 
-use crate::calls::{Calls, Kind};
+use crate::calls::{Calls, Kind, Purpose};
 use crate::error::Error;
 
 /// Longest wait for one call's answer. The platform answers in milliseconds, and a
@@ -25,6 +25,8 @@
     inner: Rc<Inner>,
     /// Sent along with each request, so that the platform's spans join the trace.
     trace: Option<trace::Context>,
+    /// What its calls are counted for.
+    purpose: Purpose,
 }
 
 struct Inner {
@@ -58,6 +60,7 @@
         Ok(Self {
             inner: Rc::new(inner),
             trace: None,
+            purpose: Purpose::default(),
         })
     }
 
@@ -65,8 +68,17 @@
     #[must_use]
     pub fn traced(&self, trace: Option<trace::Context>) -> Self {
         Self {
-            inner: self.inner.clone(),
             trace,
+            ..self.clone()
+        }
+    }
+
+    /// The same client, whose calls are counted for a purpose.
+    #[must_use]
+    pub fn counted_for(&self, purpose: Purpose) -> Self {
+        Self {
+            purpose,
+            ..self.clone()
         }
     }
 
@@ -142,7 +154,7 @@
         req: http::Request<Vec<u8>>,
         limit: Duration,
     ) -> Result<http::Response<Vec<u8>>, Error> {
-        self.inner.calls.add(kind);
+        self.inner.calls.add(self.purpose, kind);
         let begin = async {
             let (parts, body) = req.into_parts();
             let url = format!("{}{}", self.endpoint()?, parts.uri);
@@ -172,7 +184,7 @@
 
     /// Reads a plain document, e.g. the VM list.
     pub(crate) async fn fetch(&self, kind: Kind, url: &str) -> Result<Vec<u8>, Error> {
-        self.inner.calls.add(kind);
+        self.inner.calls.add(self.purpose, kind);
         let request = self.http().get(url);
         let request = request.map_err(|_| Error::Address(url.to_owned()))?;
         let exchange = async {
@@ -208,7 +220,7 @@
         path: &str,
         body: Vec<u8>,
     ) -> Result<cyper::Response, Error> {
-        self.inner.calls.add(kind);
+        self.inner.calls.add(self.purpose, kind);
         let url = format!("{}{path}", self.inner.endpoints[at]);
         let request = self.http().post(&url);
         let mut request = request.map_err(|_| Error::Address(url.clone()))?;
--- a/crates/store/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -6,7 +6,7 @@
 use standin::platform::Fault;
 use standin::{Fleet, Spec};
 use store::Client;
-use store::calls::Kind;
+use store::calls::{Kind, Purpose};
 use store::kv::Outcome;
 use store::watch::Change;
 
@@ -104,6 +104,22 @@
     assert_eq!(client.keep_alive(lease).await.unwrap(), None);
 }
 
+#[compio::test]
+async fn calls_are_counted_by_what_they_are_made_for() {
+    let fleet = Fleet::start(Spec::small()).unwrap();
+    let client = client(&fleet);
+    let place = client.counted_for(Purpose::Place);
+    place.grant(Duration::from_secs(5)).await.unwrap();
+    client.put(KEY, b"one".to_vec()).await.unwrap();
+    let counted: Vec<_> = client
+        .calls()
+        .by_purpose()
+        .filter(|(.., count)| *count > 0)
+        .collect();
+    let follow = (Purpose::Follow, Kind::Write, 1);
+    assert_eq!(counted, [follow, (Purpose::Place, Kind::Lease, 1)]);
+}
+
 #[compio::test]
 async fn a_fleet_of_thousands_of_groups_is_stored_and_changed() {
     let fleet = Fleet::start(Spec::small()).unwrap();
