Let a proxy have its part of the connections soon after a refusal

Cause: after a refusal the number of connections rises by one in 1.5 s, also up to the proxy's own part. Those that were refused first go on with one or two while others have six. Up to its part the number doubles with each pause of 500 ms, beyond it rises as before. The instance refuses each proxy 10 times or less in 1.5 s.

Ruled out: too few connections for all (108 for 24 holders, 72 of them kept), and a lost primary (all groups have one from 37.2 s on).

--- a/crates/policy/src/pool/instance.rs
+++ b/crates/policy/src/pool/instance.rs
@@ -52,7 +52,8 @@
 /// Pause after a refusal, about the time in which a slot comes free.
 const BUSY_REST: Span = Span::from_millis(10);
 
-/// Time after which one more connection is tried beyond a number that was too many.
+/// Time after which one more connection is tried beyond the proxy's part and a number that
+/// was too many.
 const CEILING_RISE: Span = Span::from_millis(1_500);
 
 /// Added while a connection must be opened first; instances take 10 to 30 ms for it.
@@ -74,6 +75,15 @@
 /// it: reads fill its slots, and writes wait while replicas idle.
 const PRIMARY_COST: Span = Span::from_millis(25);
 
+/// Connections to one instance that a proxy may hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Limits {
+    /// Its part of what the instance accepts.
+    pub(super) part: u32,
+    /// The most, for a moment.
+    pub(super) most: u32,
+}
+
 /// One instance.
 pub struct Instance<C> {
     entry: Entry,
@@ -237,16 +247,24 @@
         self.idle.push((conn, now));
     }
 
-    /// Whether another connection may be opened, of `most` that the proxy may hold.
+    /// Whether another connection may be opened within what the proxy may hold.
     ///
     /// Load: all proxies want more than their part at once. Harm without the ceiling: each
     /// goes on asking, and a refused connection costs the instance as much as an open one.
-    pub(super) fn may_open(&self, most: u32, now: Time) -> bool {
+    ///
+    /// Load: all proxies restart, and the instance refuses many of them until it drops the
+    /// connections of before. Harm with a ceiling that rises slowly up to the proxy's part as
+    /// well: their callers wait for seconds while other proxies have connections to spare.
+    pub(super) fn may_open(&self, limits: Limits, now: Time) -> bool {
         let ceiling = self.ceiling.map_or(u32::MAX, |(ceiling, at)| {
-            let risen = now.since(at).as_micros() / CEILING_RISE.as_micros();
-            ceiling.saturating_add(u32::try_from(risen).unwrap_or(u32::MAX))
+            let waited = now.since(at);
+            let beyond = ceiling.saturating_add(steps(waited, CEILING_RISE));
+            let doublings = steps(waited, FULL_PAUSE).saturating_sub(1);
+            let doubled = 1_u32.checked_shl(doublings);
+            let within = ceiling.max(1).saturating_mul(doubled.unwrap_or(u32::MAX));
+            beyond.max(within.min(limits.part))
         });
-        self.count() < most.min(ceiling.max(1)) && self.no_open_before <= now
+        self.count() < limits.most.min(ceiling.max(1)) && self.no_open_before <= now
     }
 
     pub(super) fn open(&mut self) {
@@ -368,3 +386,9 @@
         Span::from_micros(expected)
     }
 }
+
+/// Whole steps in some time.
+fn steps(time: Span, step: Span) -> u32 {
+    let steps = time.as_micros() / step.as_micros();
+    u32::try_from(steps).unwrap_or(u32::MAX)
+}
--- a/crates/policy/src/pool/serve.rs
+++ b/crates/policy/src/pool/serve.rs
@@ -4,6 +4,7 @@
 use model::id::InstanceId;
 use model::unit::Time;
 
+use super::instance::Limits;
 use super::{Action, Ask, Grant, Instance, Kind, Opened, Pool};
 use crate::proof::Need;
 
@@ -33,26 +34,27 @@
         (all / self.proxies).max(1)
     }
 
-    /// Connections that this proxy holds at most.
+    /// Connections to an instance that this proxy may hold.
     ///
     /// Load: writes and writing transactions all go to one instance of three. Harm with
     /// no more than the part: they wait although other proxies leave theirs unused. Harm
     /// with much more: after a restart of all, the first proxies take everything, and the
     /// others had no connection for seconds. What is beyond the part is closed as soon as
     /// it is idle for a moment.
-    fn most(&self) -> u32 {
-        let share = self.share();
-        (share + (share / 2).max(1)).min(self.connections)
+    fn limits(&self) -> Limits {
+        let part = self.share();
+        let most = (part + (part / 2).max(1)).min(self.connections);
+        Limits { part, most }
     }
 
     /// Begins to open a connection that nobody waits for yet; says whether there may be
     /// one. Its outcome goes to [`Pool::opened`].
     pub fn begin_open(&mut self, id: &InstanceId, now: Time) -> bool {
-        let most = self.most();
+        let limits = self.limits();
         let Some(instance) = self.instances.get_mut(id) else {
             return false;
         };
-        let may = instance.may_open(most, now);
+        let may = instance.may_open(limits, now);
         if may {
             instance.open();
         }
@@ -93,13 +95,13 @@
         now: Time,
         actions: &mut Vec<Action<C, W>>,
     ) {
-        let most = self.most();
+        let limits = self.limits();
         let expected = coming.entry(id.clone()).or_default();
         *expected += 1;
         let Some(instance) = self.instances.get_mut(id) else {
             return;
         };
-        if *expected > instance.opening() && instance.may_open(most, now) {
+        if *expected > instance.opening() && instance.may_open(limits, now) {
             instance.open();
             actions.push(Action::Open(id.clone()));
         }
@@ -109,7 +111,9 @@
     fn place(&self, ask: &Ask, need: Need, now: Time) -> Option<InstanceId> {
         if let Kind::Control(id) = &ask.kind {
             let instance = self.instances.get(id)?;
-            let can = instance.has_idle() || instance.may_open(self.most() + 1, now);
+            let mut limits = self.limits();
+            limits.most += 1;
+            let can = instance.has_idle() || instance.may_open(limits, now);
             return can.then(|| id.clone());
         }
         if need == Need::Primary {
@@ -118,7 +122,7 @@
             let can = instance.has_idle() || self.can_wait_for(instance);
             return (can && instance.serves_writes(now)).then(|| id.clone());
         }
-        let most = self.most();
+        let limits = self.limits();
         let usable = self.instances.values().filter(|i| {
             let holds = match need {
                 Need::Holds(point) => i.may_hold(point, now),
@@ -127,7 +131,7 @@
             holds
                 && i.serves_reads(now)
                 && ask.avoid.as_ref() != Some(i.id())
-                && (i.has_idle() || i.may_open(most, now) || i.opening() > 0)
+                && (i.has_idle() || i.may_open(limits, now) || i.opening() > 0)
         });
         usable
             .min_by_key(|i| i.expected(self.primary.as_ref() == Some(i.id()), now))
@@ -135,7 +139,7 @@
     }
 
     fn can_wait_for(&self, instance: &Instance<C>) -> bool {
-        instance.opening() > 0 || instance.count() < self.most()
+        instance.opening() > 0 || instance.count() < self.limits().most
     }
 }
 
