--- a/crates/front/src/directory/state.rs
+++ b/crates/front/src/directory/state.rs
@@ -91,6 +91,11 @@
         u32::try_from(self.proxies.len()).unwrap_or(u32::MAX).max(1)
     }
 
+    /// The live proxies' names.
+    pub fn live(&self) -> impl Iterator<Item = &ProxyId> {
+        self.proxies.keys()
+    }
+
     /// Live proxies of one data centre, with the addresses at which they are followed.
     pub fn proxies_of(&self, data_centre: &DataCentre) -> IndexMap<ProxyId, SocketAddr> {
         let of = |(id, announced): (&ProxyId, &Option<Announced>)| {
--- a/crates/front/src/member/duty.rs
+++ b/crates/front/src/member/duty.rs
@@ -11,6 +11,7 @@
 use model::position::Revision;
 use model::unit::Span;
 use platform::kv;
+use policy::election;
 use rand::Rng as _;
 use store::client::Client;
 use store::error::Error;
@@ -37,11 +38,6 @@
 /// empty. Harm without it: each asks ten times a second, and the operators pay for all.
 const AFTER_FAILURE: Span = Span::from_millis(500);
 
-/// Longest random pause before an empty duty is taken. Load: all proxies start at once and
-/// find it empty. Harm of a shorter one: with 60 ms each of 65 asked for it, and paid two
-/// calls; the news that it is taken needs some tens of milliseconds to reach them.
-const SPREAD_MS: u64 = 300;
-
 /// This process's claim to the duty.
 pub(super) struct Duty {
     id: ProxyId,
@@ -154,8 +150,8 @@
         ttl: Duration,
         expected: Revision,
     ) -> Result<(), Error> {
-        let pause = rand::rng().random_range(0..=SPREAD_MS);
-        compio::time::sleep(Duration::from_millis(pause)).await;
+        let pause = directory.with(|s| election::pause(&self.id, s.live(), &mut rand::rng()));
+        compio::time::sleep(pause.as_duration()).await;
         let at = |record: &Record| record.revision;
         let taken = directory.with(|s| s.coordinator().map_or(Revision(0), at)) != expected;
         if taken || self.left.get() {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod confirm;
 pub mod decision;
 pub mod detour;
+pub mod election;
 pub mod expected;
 pub mod follow;
 pub mod fresh;
