Ask about changes of primary through the neighbour that reads the store

Cause: each proxy asked the store itself whether its new connections count.

A proxy now asks the neighbour that reads the store for its data centre, which asks once for all that wait, after the last of them came. The asker dates the answer from before it asked the neighbour, and the store was asked later: the proof is as strong as before. A neighbour that fails here is still followed for news, and the other way round.

--- a/crates/front/src/directory.rs
+++ b/crates/front/src/directory.rs
@@ -6,6 +6,7 @@
 mod state;
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,6 +22,7 @@
 use store::kv::{Outcome, Record};
 use store::mirror::News;
 
+use crate::changes::{self, Changes};
 use crate::clock;
 use crate::cx::Cx;
 use crate::feed::Touch;
@@ -72,7 +74,11 @@
     changed: flume::Sender<()>,
     me: Proxy,
     follow: Rc<RefCell<Follow>>,
-    neighbours: Rc<RefCell<Neighbours>>,
+    /// Whom this proxy follows.
+    followed: Rc<RefCell<Neighbours>>,
+    /// Whom it asks about changes of primary: one that is late with large news may still
+    /// answer, and one that is late with an answer must still be followed.
+    asked: Rc<RefCell<Neighbours>>,
     coordinates: Rc<dyn Fn(&Directory) -> bool>,
 }
 
@@ -89,7 +95,8 @@
     ) -> Self {
         Self {
             me,
-            neighbours: Rc::default(),
+            followed: Rc::default(),
+            asked: Rc::default(),
             follow: Rc::new(RefCell::new(Follow::new(Span::from(in_force_within)))),
             coordinates: Rc::new(coordinates),
             cx,
@@ -98,6 +105,11 @@
         }
     }
 
+    /// What the store tells about changes of primary.
+    pub fn changes(&self) -> Changes {
+        self.cx.changes.clone()
+    }
+
     /// Reads the state.
     pub fn with<T>(&self, read: impl FnOnce(&State) -> T) -> T {
         read(&self.state.borrow())
@@ -220,36 +232,52 @@
         Ok(news)
     }
 
-    /// What a neighbour tells; `None` if this proxy is to ask the store.
-    async fn hear_neighbour(&self, known: Known) -> Option<News> {
+    /// The neighbour to ask for what the store holds; `None` if this proxy is to ask it.
+    fn reader(&self, neighbours: &RefCell<Neighbours>) -> Option<(ProxyId, SocketAddr)> {
         if (self.coordinates)(self) {
             return None;
         }
         let here = self.with(|s| s.proxies_of(&self.me.data_centre));
         let ids: Vec<_> = here.keys().cloned().collect();
-        let source = self
-            .neighbours
-            .borrow()
-            .source(&self.me.id, &ids, clock::now());
-        let Source::Neighbour(reader) = source else {
-            return None;
-        };
+        let source = neighbours.borrow().source(&self.me.id, &ids, clock::now());
+        match source {
+            Source::Neighbour(reader) => here.get(&reader).map(|address| (reader, *address)),
+            Source::Store => None,
+        }
+    }
+
+    /// What a neighbour tells; `None` if this proxy is to ask the store.
+    async fn hear_neighbour(&self, known: Known) -> Option<News> {
+        let (reader, address) = self.reader(&self.followed)?;
         let (after, wait) = match known {
             Known::All => (self.with(State::revision), self.follow.borrow().wait()),
             Known::Nothing | Known::Others => (Revision(0), FIRST_WAIT),
         };
-        let address = *here.get(&reader)?;
         let news = self.cx.relay.follow(&reader, address, after, wait).await;
         // A reader that is behind what this proxy knows would take it back.
         let news = news.filter(|news| news.revision() >= after);
         if news.is_none() {
             tracing::info!(%reader, "a neighbour is passed over: the store is asked itself");
-            let mut neighbours = self.neighbours.borrow_mut();
-            neighbours.pass_over(&reader, clock::now());
+            let mut followed = self.followed.borrow_mut();
+            followed.pass_over(&reader, clock::now());
         }
         news
     }
 
+    /// Asks the neighbours that read the store which groups have a change of primary under way;
+    /// `None` if this proxy is to ask the store.
+    pub async fn hear_changes(&self, within: Span) -> Option<changes::Noted> {
+        while let Some((reader, address)) = self.reader(&self.asked) {
+            let noted = self.cx.relay.changes(&reader, address, within).await;
+            if let Some(noted) = noted {
+                return Some(Rc::new(noted));
+            }
+            let mut asked = self.asked.borrow_mut();
+            asked.pass_over(&reader, clock::now());
+        }
+        None
+    }
+
     /// Takes news over, and gathers what comes next.
     async fn take(&self, news: News) {
         if matches!(&news, News::Changes(batch) if batch.changes.is_empty()) {
--- a/crates/front/src/group.rs
+++ b/crates/front/src/group.rs
@@ -347,8 +347,7 @@
         let counts = |opened| self.changes.counts(&self.id, opened);
         if now >= self.count_at && !self.pool.oldest().all(counts) {
             self.count_at = now + COUNT_PAUSE;
-            // Nobody waits for the answer.
-            drop(self.changes.ask());
+            self.changes.refresh();
         }
     }
 
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use model::id::{GroupId, InstanceId, ProxyId};
 use model::position::{Point, Revision};
 use model::route::Guarantee;
@@ -74,6 +74,10 @@
         /// Time until the caller waits no longer.
         left: Span,
     },
+    /// Asks which groups have a change of primary under way, as the store tells after it has
+    /// read this; the question may be put off for some time. It is answered by `Heard`, and
+    /// then by `Changing` or `Elsewhere`.
+    Changes { within: Span },
     /// Tells what the sender finds wrong with the groups; it is answered by `Heard`.
     Report { by: ProxyId, concerns: Concerns },
 }
@@ -121,6 +125,8 @@
     Proved(bool),
     /// There is none.
     Refused(Refused),
+    /// Groups with a change of primary under way.
+    Changing(IndexSet<GroupId>),
     /// What the store told.
     News(Packed),
     /// The carrier stops, does not know the group, or does not reach it or the store: ask
--- a/crates/front/src/relay/carrier.rs
+++ b/crates/front/src/relay/carrier.rs
@@ -43,35 +43,12 @@
     let (mut reader, mut writer) = stream::split(stream)?;
     loop {
         let request = decode::<ToCarrier>(reader.line().await?);
-        if let Some(ToCarrier::Report { by, concerns }) = request {
-            cx.concerns.told(by, concerns, clock::now());
-            writer.send(encode(&FromCarrier::Heard)).await?;
-            continue;
-        }
-        if let Some(ToCarrier::Follow { after, wait }) = request {
-            writer.send(encode(&FromCarrier::Heard)).await?;
-            let news = cx.feed.after(after, wait).await;
-            let news = news.map_or(FromCarrier::Elsewhere, FromCarrier::News);
-            writer.send(encode(&news)).await?;
-            continue;
-        }
-        if let Some(ToCarrier::Prove {
-            group,
-            primary,
-            point,
-            left,
-        }) = request
-        {
-            let _entered = cx.enter();
-            let write = Write { primary, point };
-            let proved = match cx.group(&group) {
-                Some(handle) => handle.prove(write, clock::now() + left).await,
-                None => false,
-            };
-            writer.send(encode(&FromCarrier::Proved(proved))).await?;
+        let request = request.ok_or(StreamError::Closed)?;
+        if !matches!(request, ToCarrier::Ask { .. }) {
+            answer(cx, request, &mut writer).await?;
             continue;
         }
-        let Some((group, ask)) = request.and_then(from_wire) else {
+        let Some((group, ask)) = from_wire(request) else {
             return Err(StreamError::Closed);
         };
         let handle = cx.group(&group);
@@ -93,6 +70,46 @@
     }
 }
 
+/// Answers a request for something else than a connection.
+async fn answer(cx: &Rc<Cx>, request: ToCarrier, writer: &mut Writer) -> Result<(), StreamError> {
+    let answer = match request {
+        ToCarrier::Report { by, concerns } => {
+            cx.concerns.told(by, concerns, clock::now());
+            FromCarrier::Heard
+        }
+        ToCarrier::Follow { after, wait } => {
+            writer.send(encode(&FromCarrier::Heard)).await?;
+            let news = cx.feed.after(after, wait).await;
+            news.map_or(FromCarrier::Elsewhere, FromCarrier::News)
+        }
+        ToCarrier::Changes { within } => {
+            writer.send(encode(&FromCarrier::Heard)).await?;
+            match cx.changes.ask_store(within).recv_async().await {
+                Ok(noted) => FromCarrier::Changing(noted.as_ref().clone()),
+                Err(flume::RecvError::Disconnected) => FromCarrier::Elsewhere,
+            }
+        }
+        ToCarrier::Prove {
+            group,
+            primary,
+            point,
+            left,
+        } => {
+            let _entered = cx.enter();
+            let write = Write { primary, point };
+            FromCarrier::Proved(match cx.group(&group) {
+                Some(handle) => handle.prove(write, clock::now() + left).await,
+                None => false,
+            })
+        }
+        ToCarrier::Ask { .. } | ToCarrier::Return(_) => return Err(StreamError::Closed),
+    };
+    writer
+        .send(encode(&answer))
+        .await
+        .map_err(StreamError::from)
+}
+
 async fn carry(
     mut lent: Lent,
     reader: &mut Reader,
--- a/crates/front/src/relay/client.rs
+++ b/crates/front/src/relay/client.rs
@@ -5,12 +5,13 @@
 use std::rc::Rc;
 
 use compio::net::TcpStream;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use model::id::{GroupId, ProxyId};
 use model::position::Revision;
 use model::unit::{Span, Time};
 use policy::pool::{Ask, Refused};
 use policy::receipt::Write;
+use store::client::TIME_LIMIT;
 use store::mirror::News;
 
 use super::{FromCarrier, HEARD, Returned, ToCarrier, decode, encode, to_wire};
@@ -154,6 +155,50 @@
         })
     }
 
+    /// Asks a neighbour that reads the store which groups have a change of primary under way;
+    /// it may put the question off for `within`.
+    pub async fn changes(
+        &self,
+        reader: &ProxyId,
+        address: SocketAddr,
+        within: Span,
+    ) -> Option<IndexSet<GroupId>> {
+        let idle = self.take_idle(reader);
+        let reused = idle.is_some();
+        let mut told = self.try_changes(idle, reader, address, within).await;
+        if reused && told.is_err() {
+            // The reader may have restarted since the connection was used last.
+            told = self.try_changes(None, reader, address, within).await;
+        }
+        told.unwrap_or_else(|e| {
+            tracing::info!(%reader, cause = %e, "a neighbour did not tell whether a change of primary is under way");
+            None
+        })
+    }
+
+    async fn try_changes(
+        &self,
+        conn: Option<Conn>,
+        reader: &ProxyId,
+        address: SocketAddr,
+        within: Span,
+    ) -> Result<Option<IndexSet<GroupId>>, ConnError> {
+        let mut conn = match conn {
+            Some(conn) => conn,
+            None => connect(address).await?,
+        };
+        conn.send(encode(&ToCarrier::Changes { within })).await?;
+        let told = match read(&mut conn, Span::from(HEARD)).await? {
+            FromCarrier::Heard => read(&mut conn, within + Span::from(TIME_LIMIT) + GRACE).await?,
+            other => other,
+        };
+        self.keep(reader, conn);
+        match told {
+            FromCarrier::Changing(noted) => Ok(Some(noted)),
+            _ => Ok(None),
+        }
+    }
+
     async fn try_follow(
         &self,
         conn: Option<Conn>,
@@ -242,6 +287,7 @@
             FromCarrier::Heard
             | FromCarrier::Elsewhere
             | FromCarrier::News(_)
+            | FromCarrier::Changing(_)
             | FromCarrier::Proved(_) => self.elsewhere(carrier, conn),
         }
     }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -56,8 +56,6 @@
     let pages = pages::serve_metrics(cfg.metrics_listen, cx.clone(), store.clone());
     compio::runtime::spawn(pages).detach();
 
-    compio::runtime::spawn(cx.changes.clone().serve(store.clone())).detach();
-
     let (changed, changes) = flume::bounded(1);
     let relay_listener = listen(cfg.relay_listen).await?;
     compio::runtime::spawn(relay::serve(cx.clone(), relay_listener)).detach();
@@ -74,6 +72,7 @@
     let coordinates = move |directory: &Directory| holder.duty(directory).is_some();
     let directory = Directory::new(cx.clone(), me, changed, cfg.in_force_within_ms, coordinates);
     compio::runtime::spawn(directory.clone().follow(store.clone())).detach();
+    compio::runtime::spawn(serve_changes(directory.clone(), store.clone())).detach();
     let least = cfg.least_lease_ms;
     let keep = member
         .clone()
@@ -113,6 +112,13 @@
     listener.map_err(|e| StartError::Listen(address, e))
 }
 
+/// Asks about changes of primary, of a neighbour where there is one.
+async fn serve_changes(directory: Directory, store: Client) {
+    let changes = directory.changes();
+    let neighbour = |within| directory.hear_changes(within);
+    changes.serve(store, neighbour).await;
+}
+
 /// Callers are sent here once there is a configuration to serve them by.
 async fn become_ready(cx: Rc<Cx>, ready: Arc<AtomicBool>) {
     while cx.routes().version == 0 {
