Have one proxy of a data centre read the store also at the first start

Cause: when the whole fleet starts, each proxy asks for the others' names before any of them has announced itself, finds nobody to follow, and reads everything from the store: 186 to 190 of 195 on the large deployment, half of them over the link between the regions.

The settings tell now whether the whole fleet starts for the first time (first_start, from the platform's field); a proxy then waits 500 ms before it asks for the names. Traffic does not start before. Every later start asks for the names as they were some seconds ago, which the store counts as a tenth of a call: names and addresses of VMs that start again are the same, and who follows a neighbour hears the rest from it.

The settings test has the new field.

--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -37,6 +37,9 @@
     /// Time within which a change of the configuration must be in force, in milliseconds.
     #[serde_as(as = "DurationMilliSecondsWithFrac<f64>")]
     pub in_force_within_ms: Duration,
+    /// Whether the whole fleet starts for the first time.
+    #[serde(default)]
+    pub first_start: bool,
     /// Time from the signal to stop until the process is killed, in seconds.
     #[serde_as(as = "DurationSecondsWithFrac<f64>")]
     pub grace_s: Duration,
--- a/crates/front/src/directory.rs
+++ b/crates/front/src/directory.rs
@@ -36,6 +36,12 @@
 /// Time between two looks at deletions that are due.
 const SWEEP: Span = Span::from_millis(250);
 
+/// Wait of a fleet that starts for the first time until its proxies have announced themselves.
+///
+/// Load: hundreds of proxies start at once and know of no other. Harm without it: each reads
+/// everything from the store itself, half of them over the link between the regions.
+const ANNOUNCING: Duration = Duration::from_millis(500);
+
 /// Wait for a neighbour that starts as well and knows nothing yet; it reads the store in
 /// some hundred milliseconds.
 const FIRST_WAIT: Span = Span::from_millis(1_000);
@@ -176,14 +182,15 @@
         Ok(())
     }
 
-    /// Follows the store for as long as the process runs.
-    pub async fn follow(self, client: Client) {
+    /// Follows the store for as long as the process runs; `first_start` says that the whole
+    /// fleet starts for the first time.
+    pub async fn follow(self, client: Client, first_start: bool) {
         let sweeper = self.clone();
         compio::runtime::spawn(async move { sweeper.sweep().await }).detach();
         let mut lost: Option<Time> = None;
         let mut known = Known::Nothing;
         loop {
-            match self.hear(&client, &mut known).await {
+            match self.hear(&client, &mut known, first_start).await {
                 Ok(news) => {
                     if let Some(since) = lost.take() {
                         let out_ms = clock::now().since(since).as_millis();
@@ -209,10 +216,14 @@
     }
 
     /// The next news, from a neighbour that reads the store or from the store itself.
-    async fn hear(&self, client: &Client, known: &mut Known) -> Result<News, Error> {
+    async fn hear(
+        &self,
+        client: &Client,
+        known: &mut Known,
+        first_start: bool,
+    ) -> Result<News, Error> {
         if *known == Known::Nothing {
-            let proxies = kv::list(client, PROXIES).await?;
-            self.state.borrow_mut().meet(proxies);
+            self.meet_others(client, first_start).await?;
             *known = Known::Others;
         }
         if let Some(news) = self.hear_neighbour(*known).await {
@@ -232,6 +243,19 @@
         Ok(news)
     }
 
+    /// Learns which other proxies there are. Names of some seconds ago will do, but for a
+    /// fleet that had none then.
+    async fn meet_others(&self, client: &Client, first_start: bool) -> Result<(), Error> {
+        let proxies = if first_start {
+            compio::time::sleep(ANNOUNCING).await;
+            kv::list(client, PROXIES).await?
+        } else {
+            kv::list_stale(client, PROXIES).await?
+        };
+        self.state.borrow_mut().meet(proxies);
+        Ok(())
+    }
+
     /// The neighbour to ask for what the store holds; `None` if this proxy is to ask it.
     fn reader(&self, neighbours: &RefCell<Neighbours>) -> Option<(ProxyId, SocketAddr)> {
         if (self.coordinates)(self) {
--- a/crates/front/tests/settings.rs
+++ b/crates/front/tests/settings.rs
@@ -9,7 +9,7 @@
 const TEMPLATE: &str = include_str!("../../../deploy/settings.jsonc");
 
 /// What the platform puts in the place of each field.
-const FIELDS: [(&str, &str); 12] = [
+const FIELDS: [(&str, &str); 13] = [
     ("{{nodeName|json}}", "\"front-a-1\""),
     ("{{zone|json}}", "\"a\""),
     ("{{zones|json}}", "{\"a\": \"north\", \"b\": \"south\"}"),
@@ -22,6 +22,7 @@
     ("{{platform.minTtlMs|json}}", "1000"),
     ("{{bounds.configApplyMs|json}}", "4000.5"),
     ("{{bounds.graceS|json}}", "6.5"),
+    ("{{bootstrap|json}}", "true"),
 ];
 
 fn filled() -> String {
@@ -41,6 +42,7 @@
     assert_eq!(cfg.relay_listen.port(), 7440);
     assert_eq!(cfg.grace_s.as_millis(), 6_500);
     assert_eq!(cfg.data_centres.len(), 2);
+    assert!(cfg.first_start);
 }
 
 #[test_case("\"listen\"", "\"lisen\"", "lisen"; "unknown key")]
