Spread borrowers over the carriers of their data centre

Seen: on the large deployment each data centre has four carriers of a group, and all its 33 proxies went to the first one; its six connections were all that they used, while three times as many were kept idle by the others. After a restart of all, callers behind carriers that the instances had refused waited for seconds (all connections are in use, retry after 450 ms).

Cause: plan.through began with the first of the ranking for everybody. It was written for one carrier a data centre. The proxies of a data centre are now divided into as many parts as there are carriers, the first of each part carries, and a borrower begins with the part that a hash picks. borrowers_spread_over_the_carriers_of_their_data_centre failed before; that a carrier which goes moves only its own borrowers holds as before, its test unchanged.

--- a/crates/policy/src/carry.rs
+++ b/crates/policy/src/carry.rs
@@ -8,6 +8,7 @@
 //! connections that stay open and are shared by many.
 
 use indexmap::{IndexMap, IndexSet};
+use model::hash;
 use model::id::{DataCentre, GroupId, ProxyId};
 
 use crate::rank;
@@ -21,6 +22,10 @@
 /// connections again are held by transactions that pause.
 const CARRIER_CONNECTIONS: u32 = 4;
 
+/// What a proxy's part is hashed for, as a carrier and as a borrower.
+const CARRIER: &str = "carrier";
+const BORROWER: &str = "borrower";
+
 /// A live proxy.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Proxy {
@@ -67,16 +72,36 @@
     let centre_count = u32::try_from(centres.len()).unwrap_or(u32::MAX);
     let each = (connections / (centre_count * CARRIER_CONNECTIONS)).max(1);
     let holders = centres.values().map(|ids| each.min(size(ids))).sum();
-    let mut ranked: Vec<_> = centres
-        .swap_remove(&me.data_centre)
-        .into_iter()
-        .flatten()
-        .collect();
-    rank::sort(group.as_str(), &mut ranked);
-    let own = ranked.iter().take(each as usize).any(|id| **id == me.id);
+    let here = centres.swap_remove(&me.data_centre).unwrap_or_default();
+    let (carriers, others) = carriers(group, each, me, here.into_iter().collect());
     Plan {
         holders,
-        own,
-        through: ranked.into_iter().cloned().collect(),
+        own: carriers.contains(&&me.id),
+        through: carriers.into_iter().chain(others).cloned().collect(),
     }
 }
+
+/// The carriers among the proxies of a data centre, in the order in which `me` asks them, and
+/// the others in the order in which they stand in.
+///
+/// The proxies are divided into `each` parts by a hash, and the first one of each part
+/// carries. A borrower begins with the part that another hash picks: borrowers spread over
+/// the carriers, and if one goes, those that go through the others stay with them.
+fn carriers<'a>(
+    group: &GroupId,
+    each: u32,
+    me: &Proxy,
+    mut here: Vec<&'a ProxyId>,
+) -> (Vec<&'a ProxyId>, Vec<&'a ProxyId>) {
+    rank::sort(group.as_str(), &mut here);
+    let part = |of, id: &ProxyId| hash::of([of, group.as_str(), id.as_str()]) % u64::from(each);
+    let mut taken = IndexSet::new();
+    let all = here.len() <= each as usize;
+    let carries = |id: &&ProxyId| taken.insert(part(CARRIER, id)) || all;
+    let (mut carriers, others): (Vec<_>, Vec<_>) = here.into_iter().partition(carries);
+    carriers.sort_by_key(|id| part(CARRIER, id));
+    let picked = part(BORROWER, &me.id);
+    let first = carriers.partition_point(|id| part(CARRIER, id) < picked);
+    carriers.rotate_left(first);
+    (carriers, others)
+}
--- a/crates/policy/tests/carry.rs
+++ b/crates/policy/tests/carry.rs
@@ -1,6 +1,7 @@
 //! Who holds connections to a group when there are too few for all.
 
-use model::id::GroupId;
+use indexmap::IndexMap;
+use model::id::{GroupId, ProxyId};
 use policy::carry::{Proxy, plan};
 
 fn fleet(centres: usize, each: usize) -> Vec<Proxy> {
@@ -39,6 +40,24 @@
     }
 }
 
+/// 195 proxies before 108 connections: each data centre has four carriers of a group. If all
+/// others went to the same one, its few connections would be all that they use, and the
+/// others' would lie idle.
+#[test]
+fn borrowers_spread_over_the_carriers_of_their_data_centre() {
+    let live = fleet(6, 33);
+    let mut asked: IndexMap<(usize, ProxyId), usize> = IndexMap::new();
+    for (at, me) in live.iter().enumerate() {
+        let plan = plan(&group(0), 108, me, &live);
+        assert_eq!(plan.holders, 24);
+        let first = plan.through.first().unwrap().clone();
+        *asked.entry((at % 6, first)).or_default() += 1;
+    }
+    assert_eq!(asked.len(), 24);
+    let busiest = asked.values().max().copied().unwrap();
+    assert!(busiest <= 15, "{busiest} of 33 go to one carrier");
+}
+
 /// A carrier goes. Only its own groups move, to the next in the ranking; if all groups
 /// moved, every connection would be opened anew at once.
 #[test]
