Ask carriers that start again, and open no connection beside them

Cause: a carrier that did not know the group yet, or did not reach it, answered the same as one that stops, and after three such answers a borrower opened a connection of its own. After a restart of all, every proxy of 195 does that before instances that accept 108.

Only where nobody of the data centre answers, six proxies in the order of the ranking, a proxy uses its own pool. Carriers that are passed over no longer use up the three answers.

Tests without a network: a restart of 33 proxies within 300 ms that know their groups 600 ms later opens no connection but the carriers'; stand-ins; a group out of reach.

--- a/crates/front/src/lend.rs
+++ b/crates/front/src/lend.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexMap;
 use model::id::{GroupId, ProxyId};
 use model::unit::Span;
+use policy::borrow::{Next, Round};
 use policy::detour::{Detour, Way};
 use policy::pool::{Ask, Reason, Refused};
 
@@ -15,9 +16,6 @@
 use crate::group::Lent;
 use crate::relay;
 
-/// Carriers that one request tries; each that does not answer takes some of its time.
-const CARRIERS: usize = 3;
-
 /// Hint while a group is not known yet: the store tells of it within a second.
 const UNKNOWN_RETRY: Span = Span::from_millis(500);
 
@@ -86,34 +84,51 @@
 
 impl Cx {
     /// Waits for a connection to a group, of this proxy or of another one.
-    ///
-    /// A carrier that does not answer at once is passed over for the next one, and in the
-    /// end this proxy opens a connection of its own: a carrier that is gone costs its data
-    /// centre a moment, not the service.
-    pub async fn lend(&self, group: &GroupId, ask: Ask) -> Result<Lent, Refused> {
-        for carrier in self.roads.through(group).iter().take(CARRIERS) {
+    pub async fn lend(&self, group: &GroupId, mut ask: Ask) -> Result<Lent, Refused> {
+        while clock::now() < ask.give_up {
+            match self.borrow(group, &ask).await {
+                Ok(end) => return end,
+                Err(Next::Own | Next::Another) => return self.lend_here(group, ask).await,
+                Err(Next::Again(pause)) => compio::time::sleep(pause.as_duration()).await,
+                Err(Next::Detour) => match self.lend_elsewhere(group, &ask).await {
+                    Some(end) => return end,
+                    // Nobody reaches it, so a carrier waits for it on the statement's behalf.
+                    None => ask.patient = true,
+                },
+            }
+        }
+        Err(unknown())
+    }
+
+    /// Asks the carriers of this data centre; tells what to do if none of them serves the
+    /// request.
+    async fn borrow(&self, group: &GroupId, ask: &Ask) -> Result<Result<Lent, Refused>, Next> {
+        let mut carriers = self.roads.through(group).into_iter().peekable();
+        let mut round = Round::default();
+        while let Some(carrier) = carriers.next() {
             let Some(address) = carrier.address else {
                 // This proxy itself.
-                break;
+                return Err(Next::Own);
             };
-            let asked = self.relay.ask(&carrier.proxy, address, group, &ask).await;
-            match asked {
-                Ok(lent) => return Ok(lent),
-                Err(relay::Miss::Refused(refused)) => return Err(refused),
-                Err(relay::Miss::Elsewhere) => {}
+            match self.relay.ask(&carrier.proxy, address, group, ask).await {
+                Ok(lent) => return Ok(Ok(lent)),
+                Err(relay::Miss::Refused(refused)) => return Ok(Err(refused)),
+                Err(relay::Miss::Elsewhere(miss)) => {
+                    match round.missed(miss, carriers.peek().is_some()) {
+                        Next::Another => {}
+                        next => return Err(next),
+                    }
+                }
             }
         }
-        self.lend_here(group, ask).await
+        Err(Next::Own)
     }
 
     /// Waits for a connection of this proxy, or goes through another one if no instance that
     /// could serve the request is in reach from here.
     async fn lend_here(&self, group: &GroupId, mut ask: Ask) -> Result<Lent, Refused> {
         let Some(handle) = self.group(group) else {
-            return Err(Refused {
-                reason: Reason::NoInstance,
-                retry_after: UNKNOWN_RETRY,
-            });
+            return Err(unknown());
         };
         loop {
             match handle.ask(ask.clone()).await {
@@ -151,9 +166,16 @@
                     return Some(Ok(lent));
                 }
                 Err(relay::Miss::Refused(refused)) => return Some(Err(refused)),
-                Err(relay::Miss::Elsewhere) => self.roads.lost(group, &peer),
+                Err(relay::Miss::Elsewhere(_)) => self.roads.lost(group, &peer),
             }
         }
         None
     }
 }
+
+fn unknown() -> Refused {
+    Refused {
+        reason: Reason::NoInstance,
+        retry_after: UNKNOWN_RETRY,
+    }
+}
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -59,6 +59,9 @@
         left: Span,
         priority: u8,
         avoid: Option<InstanceId>,
+        /// Whether the statement waits for an instance that is out of reach.
+        #[serde(default)]
+        patient: bool,
     },
     /// Gives it back.
     Return(Returned),
@@ -129,8 +132,11 @@
     Changing(IndexSet<GroupId>),
     /// What the store told.
     News(Packed),
-    /// The carrier stops, does not know the group, or does not reach it or the store: ask
-    /// another one.
+    /// The carrier does not know the group yet.
+    Starting,
+    /// The carrier reaches no instance that could serve the request.
+    OutOfReach,
+    /// The carrier stops, or does not reach the store: ask another one.
     Elsewhere,
 }
 
@@ -167,6 +173,7 @@
         left: ask.give_up.since(now),
         priority: ask.priority,
         avoid: ask.avoid.clone(),
+        patient: ask.patient,
     })
 }
 
@@ -179,6 +186,7 @@
         left,
         priority,
         avoid,
+        patient,
     } = message
     else {
         return None;
@@ -196,7 +204,7 @@
         give_up: now + left,
         priority,
         avoid,
-        patient: false,
+        patient,
     };
     Some((group, ask))
 }
--- a/crates/front/src/relay/carrier.rs
+++ b/crates/front/src/relay/carrier.rs
@@ -51,11 +51,13 @@
         let Some((group, ask)) = from_wire(request) else {
             return Err(StreamError::Closed);
         };
-        let handle = cx.group(&group);
-        let handle = handle.filter(|_| cx.stop.phase() == Phase::Serving);
-        let Some(handle) = handle else {
+        if cx.stop.phase() != Phase::Serving {
             writer.send(encode(&FromCarrier::Elsewhere)).await?;
             continue;
+        }
+        let Some(handle) = cx.group(&group) else {
+            writer.send(encode(&FromCarrier::Starting)).await?;
+            continue;
         };
         writer.send(encode(&FromCarrier::Heard)).await?;
         // Counted like a session: the shutdown waits for what it carries.
@@ -63,7 +65,7 @@
         match handle.ask(ask).await {
             Ok(lent) => carry(lent, &mut reader, &mut writer).await?,
             Err(refused) if refused.reason == Reason::OutOfReach => {
-                writer.send(encode(&FromCarrier::Elsewhere)).await?;
+                writer.send(encode(&FromCarrier::OutOfReach)).await?;
             }
             Err(refused) => writer.send(encode(&FromCarrier::Refused(refused))).await?,
         }
--- a/crates/front/src/relay/client.rs
+++ b/crates/front/src/relay/client.rs
@@ -9,6 +9,7 @@
 use model::id::{GroupId, ProxyId};
 use model::position::Revision;
 use model::unit::{Span, Time};
+use policy::borrow;
 use policy::pool::{Ask, Refused};
 use policy::receipt::Write;
 use store::client::TIME_LIMIT;
@@ -56,7 +57,7 @@
     /// The statement is refused; another carrier would not do better.
     Refused(Refused),
     /// Another carrier may be asked.
-    Elsewhere,
+    Elsewhere(borrow::Miss),
 }
 
 /// Connections to carriers.
@@ -89,7 +90,7 @@
         let now = clock::now();
         let until = self.0.passed_over.borrow().get(carrier).copied();
         if until.is_some_and(|until| now < until) {
-            return Err(Miss::Elsewhere);
+            return Err(Miss::Elsewhere(borrow::Miss::Silent));
         }
         let idle = self.take_idle(carrier);
         let reused = idle.is_some();
@@ -100,13 +101,13 @@
         }
         result.map_err(|e| match e {
             Trouble::Refused(refused) => Miss::Refused(refused),
-            Trouble::Elsewhere => Miss::Elsewhere,
+            Trouble::Elsewhere(miss) => Miss::Elsewhere(miss),
             Trouble::Broken(e) => {
                 tracing::warn!(%carrier, %group, cause = %e, "a carrier did not answer");
                 let until = clock::now() + PASS_OVER;
                 let mut passed_over = self.0.passed_over.borrow_mut();
                 passed_over.insert(carrier.clone(), until);
-                Miss::Elsewhere
+                Miss::Elsewhere(borrow::Miss::Silent)
             }
         })
     }
@@ -252,7 +253,7 @@
         group: &GroupId,
         ask: &Ask,
     ) -> Result<Lent, Trouble> {
-        let request = to_wire(group, ask).ok_or(Trouble::Elsewhere)?;
+        let request = to_wire(group, ask).ok_or(Trouble::Elsewhere(borrow::Miss::OutOfReach))?;
         let mut conn = match conn {
             Some(conn) => conn,
             None => connect(address).await.map_err(Trouble::Broken)?,
@@ -261,7 +262,7 @@
         let heard = read(&mut conn, Span::from(HEARD)).await;
         match heard.map_err(Trouble::Broken)? {
             FromCarrier::Heard => {}
-            _ => return self.elsewhere(carrier, conn),
+            other => return self.elsewhere(carrier, conn, &other),
         }
         let left = ask.give_up.since(clock::now());
         let left = Span::from_micros(left.as_micros() + GRACE.as_micros());
@@ -284,17 +285,22 @@
                 self.keep(carrier, conn);
                 Err(Trouble::Refused(refused))
             }
-            FromCarrier::Heard
-            | FromCarrier::Elsewhere
-            | FromCarrier::News(_)
-            | FromCarrier::Changing(_)
-            | FromCarrier::Proved(_) => self.elsewhere(carrier, conn),
+            other => self.elsewhere(carrier, conn, &other),
         }
     }
 
-    fn elsewhere(&self, carrier: &ProxyId, conn: Conn) -> Result<Lent, Trouble> {
+    fn elsewhere(
+        &self,
+        carrier: &ProxyId,
+        conn: Conn,
+        answer: &FromCarrier,
+    ) -> Result<Lent, Trouble> {
         self.keep(carrier, conn);
-        Err(Trouble::Elsewhere)
+        Err(Trouble::Elsewhere(match answer {
+            FromCarrier::Starting => borrow::Miss::Starting,
+            FromCarrier::OutOfReach => borrow::Miss::OutOfReach,
+            _ => borrow::Miss::Stopping,
+        }))
     }
 
     fn take_idle(&self, of: &ProxyId) -> Option<Conn> {
@@ -376,7 +382,7 @@
 /// Why one try brought no loan.
 enum Trouble {
     Refused(Refused),
-    Elsewhere,
+    Elsewhere(borrow::Miss),
     Broken(ConnError),
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod admit;
 pub mod adopt;
 pub mod agree;
+pub mod borrow;
 pub mod carry;
 pub mod confirm;
 pub mod decision;
--- /dev/null
+++ b/crates/policy/tests/borrow.rs
@@ -0,0 +1,89 @@
+//! What borrowers do while the carriers of their data centre restart or are gone.
+
+use model::unit::Span;
+use policy::borrow::{Miss, Next, Round};
+use test_case::test_case;
+
+/// Plays one round; gives how it ends, and how many carriers were asked.
+fn round(misses: &[Miss]) -> (Next, usize) {
+    let mut round = Round::default();
+    for (at, miss) in misses.iter().enumerate() {
+        let next = round.missed(*miss, at + 1 < misses.len());
+        if next != Next::Another {
+            return (next, at + 1);
+        }
+    }
+    unreachable!("the last carrier ends a round")
+}
+
+/// Guards against a restart of all after which every proxy opens connections to every
+/// instance: carriers that start are asked again.
+#[test_case(&[Miss::Starting; 4])]
+#[test_case(&[Miss::Silent, Miss::Starting, Miss::Silent, Miss::Silent])]
+#[test_case(&[Miss::Stopping, Miss::Starting, Miss::Starting])]
+fn carriers_that_start_are_asked_again(misses: &[Miss]) {
+    assert!(matches!(round(misses).0, Next::Again(_)));
+}
+
+/// Guards against callers who wait while the carriers of their data centre are gone: those
+/// behind them stand in, and without any the proxy serves by itself.
+#[test]
+fn proxies_stand_in_for_carriers_that_are_gone() {
+    let gone = [Miss::Silent; 4];
+    let stand_in = [gone.as_slice(), &[Miss::Starting; 3]].concat();
+    assert_eq!(round(&stand_in).1, 6);
+    assert_eq!(round(&gone).0, Next::Own);
+    assert_eq!(round(&[Miss::Silent; 33]), (Next::Own, 6));
+}
+
+/// Guards against a data centre whose carriers all lost a group that others reach.
+#[test]
+fn a_group_out_of_reach_of_the_carriers_is_asked_for_elsewhere() {
+    let misses = [Miss::Starting, Miss::OutOfReach, Miss::Starting];
+    assert_eq!(round(&misses), (Next::Detour, 3));
+}
+
+/// When each of 33 proxies of a data centre runs again and when it knows its groups, and the
+/// connections of their own that the other proxies open for a statement each.
+///
+/// Guards against the same restart as a whole: an instance with 108 connections before 195
+/// proxies, each of which has a statement as soon as it runs.
+#[test]
+fn a_restart_of_all_opens_no_connections_but_the_carriers() {
+    const RUNS: u64 = 300;
+    const LEARNS: u64 = 600;
+    let state = |carrier: u64, now: u64| {
+        let runs = carrier * 17 % RUNS;
+        match now {
+            _ if now < runs => Some(Miss::Silent),
+            _ if now < runs + LEARNS => Some(Miss::Starting),
+            _ => None,
+        }
+    };
+    let mut own = 0;
+    for borrower in 4..33_u64 {
+        let mut now = borrower * 17 % RUNS;
+        'statement: loop {
+            let mut round = Round::default();
+            for carrier in (0..33).filter(|c| *c != borrower) {
+                let Some(miss) = state(carrier, now) else {
+                    break 'statement;
+                };
+                match round.missed(miss, carrier < 32) {
+                    Next::Another => {}
+                    Next::Again(pause) => {
+                        now += pause.as_millis();
+                        break;
+                    }
+                    Next::Own => {
+                        own += 1;
+                        break 'statement;
+                    }
+                    Next::Detour => unreachable!("all reach the group"),
+                }
+            }
+            assert!(now < RUNS + LEARNS + Span::from_millis(100).as_millis());
+        }
+    }
+    assert_eq!(own, 0);
+}
