Have one proxy hold connections that do not suffice for each data centre

A limit of fewer connections than data centres gave each data centre a carrier all the same: those beyond the limit were refused for ever, twice a second. Three test cases (0, 1 and 5 connections before six data centres) failed before.

--- a/crates/policy/src/carry.rs
+++ b/crates/policy/src/carry.rs
@@ -70,9 +70,17 @@
         };
     }
     let centre_count = u32::try_from(centres.len()).unwrap_or(u32::MAX);
-    let each = (connections / (centre_count * CARRIER_CONNECTIONS)).max(1);
-    let holders = centres.values().map(|ids| each.min(size(ids))).sum();
-    let here = centres.swap_remove(&me.data_centre).unwrap_or_default();
+    let areas: Vec<IndexSet<_>> = if connections < centre_count {
+        // Not even one connection for each data centre.
+        vec![centres.into_values().flatten().collect()]
+    } else {
+        centres.into_values().collect()
+    };
+    let area_count = u32::try_from(areas.len()).unwrap_or(u32::MAX);
+    let each = (connections / (area_count * CARRIER_CONNECTIONS)).max(1);
+    let holders = areas.iter().map(|ids| each.min(size(ids))).sum();
+    let here = areas.into_iter().find(|ids| ids.contains(&me.id));
+    let here = here.unwrap_or_default();
     let (carriers, others) = carriers(group, each, me, here.into_iter().collect());
     Plan {
         holders,
--- a/crates/policy/tests/carry.rs
+++ b/crates/policy/tests/carry.rs
@@ -3,6 +3,7 @@
 use indexmap::IndexMap;
 use model::id::{GroupId, ProxyId};
 use policy::carry::{Proxy, plan};
+use test_case::test_case;
 
 fn fleet(centres: usize, each: usize) -> Vec<Proxy> {
     let proxy = |at: usize| Proxy {
@@ -58,6 +59,28 @@
     assert!(busiest <= 15, "{busiest} of 33 go to one carrier");
 }
 
+/// Guards against carriers that take turns in being refused: fewer connections than data
+/// centres are held by one proxy, and the others go through it.
+#[test_case(0, 1)]
+#[test_case(1, 1)]
+#[test_case(5, 1)]
+fn with_fewer_connections_than_data_centres_no_more_proxies_hold_one(
+    connections: u32,
+    holders: u32,
+) {
+    let live = fleet(6, 11);
+    let plans: Vec<_> = live
+        .iter()
+        .map(|me| plan(&group(0), connections, me, &live))
+        .collect();
+    let own: Vec<_> = (0..live.len()).filter(|at| plans[*at].own).collect();
+    assert_eq!(own.len(), holders as usize);
+    for plan in &plans {
+        assert_eq!(plan.holders, holders);
+        assert!(own.iter().any(|at| plan.through[0] == live[*at].id));
+    }
+}
+
 /// A carrier goes. Only its own groups move, to the next in the ranking; if all groups
 /// moved, every connection would be opened anew at once.
 #[test]
