Tell a group who holds connections before it learns of its instances

Cause: the directory sent a group its instances first and its share after that, and a group holds connections until it is told otherwise. So each proxy that starts asked all 60 instances who leads. The share now comes first. a_proxy_that_borrows_opens_no_connection_when_it_starts failed before (3 connections opened).

--- a/crates/front/src/directory.rs
+++ b/crates/front/src/directory.rs
@@ -343,9 +343,6 @@
         let routes = self.cx.routes();
         for (group, limits) in &routes.groups {
             let handle = self.cx.ensure_group(group);
-            if let Some(entries) = state.take_entries(group) {
-                handle.set_entries(entries);
-            }
             if let Some(placement) = state.take_placement(group, limits.connections, &self.me) {
                 self.place(&state, group, &placement);
             }
@@ -354,7 +351,11 @@
                 holders: state.holders(group),
                 own: state.holds(group) || coordinates,
             };
+            // A group that does not know its share must not ask its instances who leads.
             handle.set_shares(shares);
+            if let Some(entries) = state.take_entries(group) {
+                handle.set_entries(entries);
+            }
         }
         // A message that waits already says the same.
         let _ = self.changed.try_send(());
--- /dev/null
+++ b/crates/front/tests/carriers.rs
@@ -0,0 +1,121 @@
+//! Groups whose instances accept fewer connections than there are proxies.
+
+mod env;
+
+use std::thread;
+
+use env::{Caller, DATABASES, metrics, proxy, proxy_and_metrics, wait, with_connections};
+use policy::carry::{self, Proxy};
+use standin::managed::{Fault, Managed};
+
+fn caller(proxy: std::net::SocketAddr, database: &str) -> Caller {
+    Caller::connect(proxy, database).unwrap()
+}
+
+/// A platform whose instances accept two connections, and three proxies: too few for
+/// each to hold its own, so one carries the group for the others.
+fn scarce() -> (Managed, Vec<std::net::SocketAddr>) {
+    let managed = Managed::start(3).unwrap();
+    managed.configure(&with_connections(1, &DATABASES, 2));
+    let proxies = ["p1", "p2", "p3"].map(|name| proxy(&managed, name));
+    wait(|| (managed.keys("pomelo/proxy/").len() == 3).then_some(()));
+    (managed, proxies.to_vec())
+}
+
+/// Callers of every proxy are served over the carrier's connections: transactions keep
+/// theirs, values and prepared statements are those of the session, and a session reads
+/// its own writes.
+#[test]
+fn a_carrier_serves_the_callers_of_all_proxies() {
+    let (managed, proxies) = scarce();
+    for (n, proxy) in proxies.iter().enumerate() {
+        let mut session = caller(*proxy, "audit");
+        session.insist(&format!("WRITE a{n} 1"));
+        assert!(session.ask("SET zone north").done());
+        assert!(session.ask("PREPARE s1 WRITE q").done());
+        assert!(session.ask("BEGIN").done());
+        assert!(session.ask(&format!("EXEC s1 a{n} 2")).done());
+        assert!(session.ask("COMMIT").done());
+        assert_eq!(session.insist(&format!("READ a{n}")).lines[0], "ROW 2");
+    }
+    assert_eq!(managed.log().len(), 6);
+}
+
+/// The primary of a group goes down that only one proxy holds connections to. The callers
+/// of the others see the same as those of that one: refusals that are true, and then their
+/// writes on the new primary.
+#[test]
+fn a_lost_primary_is_replaced_behind_a_carrier() {
+    let (managed, proxies) = scarce();
+    let mut sessions: Vec<_> = proxies.iter().map(|p| caller(*p, "filing")).collect();
+    for session in &mut sessions {
+        session.insist("WRITE a before");
+    }
+    managed.set_fault(0, Fault::Down);
+    for session in &mut sessions {
+        let after = session.insist("WRITE a after");
+        assert_eq!(managed.runs(&after.id), 1);
+    }
+    assert_ne!(managed.primary(), 0);
+    assert_eq!(managed.log().len(), 6);
+}
+
+/// A proxy without connections of its own looked at a lost primary while somebody waited,
+/// and went on doubting it long after the change, as nobody waited any more. When the group
+/// changed back to that instance it was replaced again and again.
+#[test]
+fn doubts_end_with_the_change() {
+    let (managed, proxies) = scarce();
+    let mut sessions: Vec<_> = proxies.iter().map(|p| caller(*p, "filing")).collect();
+    managed.set_fault(0, Fault::Dark);
+    let callers: Vec<_> = sessions
+        .drain(..)
+        .map(|mut session| thread::spawn(move || session.ask("WRITE a 1")))
+        .collect();
+    for caller in callers {
+        caller.join().unwrap();
+    }
+    wait(|| (managed.primary() != 0).then_some(()));
+    wait(|| managed.keys("pomelo/doubt/").is_empty().then_some(()));
+}
+
+/// A caller leaves in the middle of a transaction that runs on a carrier's connection. The
+/// work is dropped and the connection serves the next caller, who finds no transaction.
+#[test]
+fn a_transaction_left_behind_a_carrier_is_dropped() {
+    let (managed, proxies) = scarce();
+    for proxy in &proxies {
+        let mut session = caller(*proxy, "filing");
+        session.insist("WRITE a kept");
+        session.ask("BEGIN");
+        session.ask("WRITE a dropped");
+        drop(session);
+        let mut next = caller(*proxy, "filing");
+        assert_eq!(next.insist("READ a").lines[0], "ROW kept");
+    }
+    assert!(managed.log().iter().all(|entry| entry == "a=kept"));
+}
+
+/// Guards against a restart of hundreds of proxies after which each asks all instances of all
+/// groups who leads, before it knows that others hold the connections.
+#[test]
+fn a_proxy_that_borrows_opens_no_connection_when_it_starts() {
+    let (managed, _) = scarce();
+    let known = |name: &str| Proxy {
+        id: name.parse().unwrap(),
+        data_centre: "dc-a".parse().unwrap(),
+    };
+    let borrows = |name: &str| {
+        let live = ["p1", "p2", "p3"].map(known);
+        !carry::plan(&"ledger".parse().unwrap(), 2, &known(name), &live).own
+    };
+    let name = ["p4", "p5", "p6", "p7"]
+        .into_iter()
+        .find(|n| borrows(n))
+        .unwrap();
+    let (proxy, address) = proxy_and_metrics(&managed, name);
+    let mut session = caller(proxy, "filing");
+    session.insist("WRITE a 1");
+    let text = metrics(address).unwrap();
+    assert!(!text.contains("pomelo_connections_opened_total{"), "{text}");
+}
