Announce many instances in one line of the log

What one batch of news announces is now one line where there are more than four, and a group that starts does not log who holds connections as a change. many_instances_are_announced_in_one_line failed before; a few are still told one by one. The processor time of the restart was not measured apart.

--- a/crates/front/src/directory/state.rs
+++ b/crates/front/src/directory/state.rs
@@ -32,6 +32,10 @@
 /// Replaced instances that are remembered, over all groups.
 const REPLACED: usize = 256;
 
+/// Instances that are logged one by one when they are announced at once. Every proxy of the
+/// fleet logs the same.
+const LOGGED: usize = 4;
+
 /// How a group is reached.
 #[derive(Clone, Debug)]
 pub struct Placement {
@@ -69,6 +73,8 @@
     routes_changed: bool,
     instances: IndexMap<InstanceId, Known>,
     changed_groups: IndexSet<GroupId>,
+    /// Instances that the news being taken over announce.
+    announced: IndexSet<InstanceId>,
     placed: IndexMap<GroupId, Placed>,
     proxies: IndexMap<ProxyId, Option<Announced>>,
     /// Rises whenever `proxies` changes.
@@ -183,6 +189,7 @@
         for record in listing.records {
             self.put(record, now);
         }
+        self.log_announced();
     }
 
     /// Takes over changes.
@@ -194,6 +201,7 @@
                 Change::Delete(key, revision) => self.delete(&key, revision, now),
             }
         }
+        self.log_announced();
     }
 
     fn put(&mut self, record: Record, now: Time) {
@@ -342,15 +350,7 @@
         }
         self.forget_replaced(&entry);
         self.replaced.retain(|id| *id != entry.id);
-        tracing::info!(
-            instance = %entry.id,
-            group = %entry.group,
-            address = %entry.address,
-            leaving = entry.leaving,
-            claims_primary = entry.claims_primary,
-            born = entry.born,
-            "an instance is announced"
-        );
+        self.announced.insert(entry.id.clone());
         self.changed_groups.insert(entry.group.clone());
         let known = Known {
             entry,
@@ -360,6 +360,28 @@
         self.instances.insert(known.entry.id.clone(), known);
     }
 
+    /// Logs who was announced by the news that were just taken over: each of a few, or how
+    /// many there are.
+    fn log_announced(&mut self) {
+        let announced = std::mem::take(&mut self.announced);
+        if announced.len() > LOGGED {
+            tracing::info!(count = announced.len(), "instances are announced");
+            return;
+        }
+        for known in announced.iter().filter_map(|id| self.instances.get(id)) {
+            let entry = &known.entry;
+            tracing::info!(
+                instance = %entry.id,
+                group = %entry.group,
+                address = %entry.address,
+                leaving = entry.leaving,
+                claims_primary = entry.claims_primary,
+                born = entry.born,
+                "an instance is announced"
+            );
+        }
+    }
+
     /// Forgets instances whose address another one has taken over.
     ///
     /// Load: a crashed instance that restarts under another id. Harm without it: the old id
--- a/crates/front/src/group.rs
+++ b/crates/front/src/group.rs
@@ -129,6 +129,8 @@
     watch: Watch,
     /// Whether this proxy holds connections of its own.
     own: bool,
+    /// Whether it is known who holds connections.
+    shared: bool,
     ways: Ways,
     metrics: Metrics,
     board: concern::Board,
@@ -154,6 +156,7 @@
         pool: Pool::new().by_age(Conn::opened),
         watch: Watch::default(),
         own: true,
+        shared: false,
         ways,
         metrics,
         board,
@@ -293,11 +296,14 @@
         } = shares;
         self.pool.set_shares(connections, holders, own);
         if self.own != shares.own {
-            tracing::info!(group = %self.id, own = shares.own, holders = shares.holders, "who holds connections has changed");
+            if self.shared {
+                tracing::info!(group = %self.id, own = shares.own, holders = shares.holders, "who holds connections has changed");
+            }
             self.own = shares.own;
             // A proxy that no longer looks must not go on doubting.
             self.watch.forget();
         }
+        self.shared = true;
     }
 
     fn noted(&mut self, id: &InstanceId, note: Note, now: Time) {
--- a/crates/front/tests/directory.rs
+++ b/crates/front/tests/directory.rs
@@ -165,3 +165,37 @@
     state.apply(change(Change::Put(entry("i-c", 1, 20))), START);
     assert_eq!(state.order_replaced(&group, START), Some(Revision(120)));
 }
+
+/// What is logged while `act` runs.
+fn logged(act: impl FnOnce()) -> String {
+    let file = tempfile::NamedTempFile::new().unwrap();
+    let writer = file.reopen().unwrap();
+    let subscriber = tracing_subscriber::fmt()
+        .with_writer(std::sync::Mutex::new(writer))
+        .finish();
+    tracing::subscriber::with_default(subscriber, act);
+    std::fs::read_to_string(file.path()).unwrap()
+}
+
+/// Guards against a log of a fleet that restarts in which each of hundreds of proxies lists
+/// all instances, line by line, while its callers wait for the processor.
+#[test]
+fn many_instances_are_announced_in_one_line() {
+    let port = |n: u16| entry(&format!("i-{n}"), n, 10);
+    let text = logged(|| {
+        state((1..=60).map(port).collect());
+    });
+    assert_eq!(text.lines().count(), 1, "{text}");
+    assert!(text.contains("count=60"), "{text}");
+}
+
+/// Guards against a log that does not tell which instance came back.
+#[test]
+fn a_few_instances_are_announced_one_by_one() {
+    let mut state = state((1..=60).map(|n| entry(&format!("i-{n}"), n, 10)).collect());
+    let text = logged(|| {
+        let put = Change::Put(entry("i-7", 7, 30));
+        state.apply(change(put), START);
+    });
+    assert!(text.contains("instance=i-7"), "{text}");
+}
