Connect to each replica before a write needs it proved

Cause: instances are announced one after the other. A proxy that had a proof of the primary already asks nobody else, so it had no connection to replicas that were announced later; those that were opened with the first statements could not count until the store was back.

Proxies that hold connections now open one to each instance that stays and that they have none to, twice a second at most and within the limits of before. a_replica_that_is_announced_late_is_connected_to is its test, beside one of who opens none.

--- a/crates/front/src/group.rs
+++ b/crates/front/src/group.rs
@@ -40,8 +40,8 @@
 /// told. Shorter takes a burst of writes for a lag.
 const LAGS: Span = Span::from_millis(300);
 
-/// Least time between two questions of one group to the store which connections count.
-const COUNT_PAUSE: Span = Span::from_millis(500);
+/// Pause between two looks at the connections that count.
+const PREPARE_PAUSE: Span = Span::from_millis(500);
 
 type Reply = flume::Sender<Result<Grant<Conn>, Refused>>;
 
@@ -135,8 +135,8 @@
     metrics: Metrics,
     board: concern::Board,
     changes: Changes,
-    /// Before which time the store is not asked which connections count.
-    count_at: Time,
+    /// When to see next to connections that count.
+    prepare_at: Time,
     tx: flume::Sender<Message>,
 }
 
@@ -161,7 +161,7 @@
         metrics,
         board,
         changes: changes.clone(),
-        count_at: Time::default(),
+        prepare_at: Time::default(),
         tx: tx.clone(),
     };
     compio::runtime::spawn(task.run(rx)).detach();
@@ -202,7 +202,7 @@
                 tick = now + TICK;
                 self.look(now);
                 self.voice(now);
-                self.count(now);
+                self.prepare(now);
             }
         }
     }
@@ -344,15 +344,21 @@
         others.map(replica).collect()
     }
 
-    /// Asks the store while a replica has no connection that counts.
+    /// Sees to it that there is a connection that counts to each replica before it is needed:
+    /// opens one, and asks the store.
     ///
     /// Load: a primary is lost, and the replica that proved writes leads next. Harm without it:
     /// connections to the other one do not count before the change is over, and the first
     /// writes are in doubt.
-    fn count(&mut self, now: Time) {
+    fn prepare(&mut self, now: Time) {
+        if now < self.prepare_at {
+            return;
+        }
+        self.prepare_at = now + PREPARE_PAUSE;
+        let actions = self.pool.connect(now);
+        self.act(actions);
         let counts = |opened| self.changes.counts(&self.id, opened);
-        if now >= self.count_at && !self.pool.oldest().all(counts) {
-            self.count_at = now + COUNT_PAUSE;
+        if !self.pool.oldest().all(counts) {
             self.changes.refresh();
         }
     }
--- a/crates/policy/src/pool/serve.rs
+++ b/crates/policy/src/pool/serve.rs
@@ -61,6 +61,28 @@
         may
     }
 
+    /// Opens a connection to each instance that stays and to which a proxy that holds
+    /// connections has none.
+    ///
+    /// Load: the store goes away while a fleet is idle. Harm without it: the connections that
+    /// are opened with the first statements do not count for proofs of writes until the store
+    /// is back, and the writes are in doubt.
+    pub fn connect(&mut self, now: Time) -> Vec<Action<C, W>> {
+        if !self.own {
+            return Vec::new();
+        }
+        let limits = self.limits();
+        let mut actions = Vec::new();
+        for instance in self.instances.values_mut() {
+            let lacks = instance.count() == 0 && !instance.entry().leaving;
+            if lacks && instance.may_open(limits, now) {
+                instance.open();
+                actions.push(Action::Open(instance.id().clone()));
+            }
+        }
+        actions
+    }
+
     pub(super) fn settle(&mut self, now: Time) -> Vec<Action<C, W>> {
         let mut actions = Vec::new();
         let mut at = 0;
--- a/crates/policy/tests/pool_age.rs
+++ b/crates/policy/tests/pool_age.rs
@@ -135,3 +135,34 @@
     closed.sort_unstable();
     assert_eq!(closed, [4, 5]);
 }
+
+fn opened(actions: &[Action<u64, u32>]) -> usize {
+    let open = |a: &&Action<u64, u32>| matches!(a, Action::Open(_));
+    actions.iter().filter(open).count()
+}
+
+/// Guards against writes in doubt when the store goes away just as traffic begins: the
+/// replicas were announced after the primary had proved that it leads, and nobody had a
+/// connection to them that counts.
+#[test]
+fn a_replica_that_is_announced_late_is_connected_to() {
+    let mut pool = Conns::new().by_age(|opened| at(*opened));
+    pool.set_shares(9, 9, true);
+    pool.set_entries(&[entry(false)], |_| Span::from_millis(1), at(0));
+    assert_eq!(opened(&pool.connect(at(10))), 1);
+    assert_eq!(opened(&pool.connect(at(20))), 0, "it is on the way");
+    pool.opened(&id(), Ok(15), at(30));
+    assert_eq!(opened(&pool.connect(at(40))), 0);
+}
+
+/// Guards against connections that nobody uses: to an instance that leaves, or of a proxy that
+/// borrows.
+#[test]
+fn who_does_not_need_a_connection_opens_none() {
+    let mut pool = Conns::new().by_age(|opened| at(*opened));
+    pool.set_entries(&[entry(true)], |_| Span::from_millis(1), at(0));
+    assert_eq!(opened(&pool.connect(at(10))), 0);
+    pool.set_entries(&[entry(false)], |_| Span::from_millis(1), at(20));
+    pool.set_shares(9, 9, false);
+    assert_eq!(opened(&pool.connect(at(30))), 0);
+}
