Let no replica that leaves prove a write

Cause: the word of a replica that leaves counted like any other. Only its coordinator could account for it, and only as long as that one lives; and were the primary lost instead, the writes would be gone in any case. Without its word such writes are in doubt, which is true.

Left: a replica that is not known to leave yet, or crashes for good, beside one that receives nothing, and a new coordinator.

--- a/crates/front/src/group/receipt.rs
+++ b/crates/front/src/group/receipt.rs
@@ -6,7 +6,7 @@
 use model::id::{GroupId, InstanceId};
 use model::unit::{Span, Time};
 use policy::pool::{Ask, Kind};
-use policy::receipt::{self, Silent, Unproven, Write};
+use policy::receipt::{self, Replica, Silent, Unproven, Write};
 
 use super::{Handle, Lent};
 use crate::changes::Changes;
@@ -80,7 +80,8 @@
 
     /// Asks one replica after the other until no write is left.
     async fn ask_all(&mut self, rx: &flume::Receiver<Request>) {
-        let replicas = self.handle.replicas().await;
+        let mut replicas = self.handle.replicas().await;
+        replicas.retain(Replica::proves);
         let mut left_out = Vec::new();
         for replica in receipt::in_order(replicas, &self.silent, clock::now()) {
             let Some(lent) = self.lend(&replica.id).await else {
--- a/crates/policy/src/receipt.rs
+++ b/crates/policy/src/receipt.rs
@@ -64,6 +64,16 @@
     pub leaving: bool,
 }
 
+impl Replica {
+    /// Whether its word may prove a write.
+    ///
+    /// The log of a replica that leaves goes with it. A write that only it and the primary
+    /// hold is lost when it has gone and a coordinator that never knew it names another.
+    pub fn proves(&self) -> bool {
+        !self.leaving
+    }
+}
+
 /// The replicas in the order in which they are asked: those that answer first, then those
 /// that stay, then the nearest.
 pub fn in_order(mut replicas: Vec<Replica>, silent: &Silent, now: Time) -> Vec<Replica> {
--- a/crates/policy/tests/receipt.rs
+++ b/crates/policy/tests/receipt.rs
@@ -60,6 +60,19 @@
     assert!(unproven.is_empty());
 }
 
+/// Guards against a success that rests on a log which goes a few seconds later, while the other
+/// replica receives nothing.
+#[test]
+fn a_replica_that_leaves_proves_no_write() {
+    let replica = |leaving| Replica {
+        id: id("a"),
+        way: Span::from_millis(1),
+        leaving,
+    };
+    assert!(replica(false).proves());
+    assert!(!replica(true).proves());
+}
+
 /// Guards against writes that wait for a replica which is cut off or about to go, while a
 /// near one holds them.
 #[test]
