Date the leaving of an instance back to the outage in which it began

Cause: front-attica-b-2 was cut off from the store from 9.86 to 12.69 s, heard at 13.84 that the primary leaves since 9.92, and counted the 5 s for which such a primary is given writes from then.

After an outage the directory now hands on since when its knowledge was not complete, and what leaves then counts as leaving since.

Left: a proxy that follows a neighbour whose link is cut, for the neighbour's time limit.

--- a/crates/front/src/directory.rs
+++ b/crates/front/src/directory.rs
@@ -5,7 +5,7 @@
 mod notes;
 mod state;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -82,6 +82,8 @@
     follow: Rc<RefCell<Follow>>,
     /// Whom this proxy follows.
     followed: Rc<RefCell<Neighbours>>,
+    /// While news are taken over after an outage: up to when everything had been heard.
+    complete_until: Rc<Cell<Option<Time>>>,
     /// Whom it asks about changes of primary: one that is late with large news may still
     /// answer, and one that is late with an answer must still be followed.
     asked: Rc<RefCell<Neighbours>>,
@@ -102,6 +104,7 @@
         Self {
             me,
             followed: Rc::default(),
+            complete_until: Rc::default(),
             asked: Rc::default(),
             follow: Rc::new(RefCell::new(Follow::new(Span::from(in_force_within)))),
             coordinates: Rc::new(coordinates),
@@ -188,6 +191,7 @@
         let sweeper = self.clone();
         compio::runtime::spawn(async move { sweeper.sweep().await }).detach();
         let mut lost: Option<Time> = None;
+        let mut heard = clock::now();
         let mut known = Known::Nothing;
         loop {
             match self.hear(&client, &mut known, first_start).await {
@@ -195,9 +199,12 @@
                     if let Some(since) = lost.take() {
                         let out_ms = clock::now().since(since).as_millis();
                         tracing::info!(out_ms, touch = ?self.cx.feed.touch(), "the store is in reach again");
+                        self.complete_until.set(Some(heard));
                     }
+                    heard = clock::now();
                     self.follow.borrow_mut().answered();
                     self.take(news).await;
+                    self.complete_until.set(None);
                 }
                 Err(e) => {
                     self.cx.feed.set_touch(Touch::Lost);
@@ -330,6 +337,7 @@
 
     /// Passes on what changed to those whom it concerns.
     fn hand_out(&self) {
+        let since = self.complete_until.get().unwrap_or_else(clock::now);
         let coordinates = (self.coordinates)(self);
         let mut state = self.state.borrow_mut();
         if let Some(routes) = state.take_routes() {
@@ -354,7 +362,7 @@
             // A group that does not know its share must not ask its instances who leads.
             handle.set_shares(shares);
             if let Some(entries) = state.take_entries(group) {
-                handle.set_entries(entries);
+                handle.set_entries(entries, since);
             }
         }
         // A message that waits already says the same.
--- a/crates/front/src/group.rs
+++ b/crates/front/src/group.rs
@@ -50,7 +50,8 @@
     Ask(Ask, Reply),
     GiveBack(Returned),
     Opened(InstanceId, Result<Conn, OpenFault>),
-    Entries(Vec<Entry>),
+    /// Announced instances, and since when they may have been so.
+    Entries(Vec<Entry>, Time),
     Shares(Shares),
     Probed(probe::Report),
     Note(InstanceId, Note),
@@ -217,7 +218,7 @@
                 }
                 self.pool.opened(&id, result, now)
             }
-            Message::Entries(entries) => self.entries(&entries, now),
+            Message::Entries(entries, since) => self.entries(&entries, since, now),
             Message::Shares(shares) => {
                 self.share(shares);
                 Vec::new()
@@ -278,11 +279,10 @@
         }
     }
 
-    fn entries(&mut self, entries: &[Entry], now: Time) -> Vec<Action<Conn, Reply>> {
+    fn entries(&mut self, entries: &[Entry], since: Time, now: Time) -> Vec<Action<Conn, Reply>> {
         let ways = self.ways.clone();
-        let actions = self
-            .pool
-            .set_entries(entries, |e| ways.round_trip(&e.data_centre), now);
+        let way = |e: &Entry| ways.round_trip(&e.data_centre);
+        let actions = self.pool.set_entries_since(entries, way, since, now);
         self.watch.set_entries(entries);
         self.look(now);
         actions
--- a/crates/front/src/group/handle.rs
+++ b/crates/front/src/group/handle.rs
@@ -42,9 +42,9 @@
         Ok(Lent::here(self.clone(), grant))
     }
 
-    /// Takes over the announced instances.
-    pub fn set_entries(&self, entries: Vec<Entry>) {
-        self.send(Message::Entries(entries));
+    /// Takes over the announced instances, which may have been so since this time.
+    pub fn set_entries(&self, entries: Vec<Entry>, since: Time) {
+        self.send(Message::Entries(entries, since));
     }
 
     /// Takes over who holds connections.
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -114,6 +114,21 @@
         entries: &[Entry],
         way: impl Fn(&Entry) -> Span,
         now: Time,
+    ) -> Vec<Action<C, W>> {
+        self.set_entries_since(entries, way, now, now)
+    }
+
+    /// The same, where what changed may have changed as early as `since`.
+    ///
+    /// Load: a proxy is cut off from the store while a primary begins to leave. Harm without
+    /// it: it goes on writing there for as long again once it hears of it, and the instance
+    /// ends meanwhile.
+    pub fn set_entries_since(
+        &mut self,
+        entries: &[Entry],
+        way: impl Fn(&Entry) -> Span,
+        since: Time,
+        now: Time,
     ) -> Vec<Action<C, W>> {
         let mut actions = Vec::new();
         let listed = |id: &InstanceId| entries.iter().any(|e| e.id == *id);
@@ -132,11 +147,11 @@
         for entry in entries {
             match self.instances.get_mut(&entry.id) {
                 Some(known) => {
-                    let stale = known.update(entry, way(entry), now);
+                    let stale = known.update(entry, way(entry), since, now);
                     actions.extend(stale.into_iter().map(Action::Close));
                 }
                 None => {
-                    let new = Instance::new(entry.clone(), way(entry), now);
+                    let new = Instance::new(entry.clone(), way(entry), since);
                     self.instances.insert(entry.id.clone(), new);
                 }
             }
--- a/crates/policy/src/pool/instance.rs
+++ b/crates/policy/src/pool/instance.rs
@@ -113,9 +113,9 @@
 }
 
 impl<C> Instance<C> {
-    pub(super) fn new(entry: Entry, way: Span, now: Time) -> Self {
+    pub(super) fn new(entry: Entry, way: Span, since: Time) -> Self {
         Self {
-            leaving_since: entry.leaving.then_some(now),
+            leaving_since: entry.leaving.then_some(since),
             entry,
             way,
             idle: Vec::new(),
@@ -133,13 +133,14 @@
         }
     }
 
-    /// Takes over a changed announcement; connections to an earlier process are of no use.
-    pub(super) fn update(&mut self, entry: &Entry, way: Span, now: Time) -> Vec<C> {
+    /// Takes over an announcement that may have changed as early as `since`; connections to an
+    /// earlier process are of no use.
+    pub(super) fn update(&mut self, entry: &Entry, way: Span, since: Time, now: Time) -> Vec<C> {
         let restarted = self.entry.born != entry.born || self.entry.address != entry.address;
         if !entry.leaving {
             self.leaving_since = None;
         } else if self.leaving_since.is_none() {
-            self.leaving_since = Some(now);
+            self.leaving_since = Some(since);
         }
         self.entry = entry.clone();
         self.way = way;
--- a/crates/policy/tests/pool_age.rs
+++ b/crates/policy/tests/pool_age.rs
@@ -2,8 +2,10 @@
 
 use model::entry::Entry;
 use model::id::InstanceId;
+use model::position::Point;
 use model::unit::{Span, Time};
 use policy::pool::{Action, Ask, Kind, Pool};
+use policy::proof::Proof;
 
 /// The milliseconds at which a connection was opened are its name.
 type Conns = Pool<u64, u32>;
@@ -166,3 +168,26 @@
     pool.set_shares(9, 9, false);
     assert_eq!(opened(&pool.connect(at(30))), 0);
 }
+
+/// Guards against writes on an instance that is about to end: the proxy was cut off from the
+/// store when the instance said that it leaves, and heard of it three seconds later.
+#[test]
+fn a_leaving_primary_is_given_writes_as_if_its_leaving_was_heard_at_once() {
+    let mut pool = pool(&[3]);
+    let proof = Proof {
+        since: at(12),
+        point: Point::new(1, 7),
+    };
+    pool.proved(&id(), proof);
+    pool.set_entries_since(&[entry(true)], |_| Span::from_millis(1), at(100), at(3_100));
+    let write = |now| Ask {
+        kind: Kind::Write,
+        arrived: at(now),
+        give_up: at(now + 100),
+        ..ask()
+    };
+    let lent = granted(pool.ask(write(5_000), 1, at(5_000)));
+    assert_eq!(lent, Some(3), "another one may not lead yet");
+    pool.give_back(&id(), lent, None, at(5_050));
+    assert_eq!(granted(pool.ask(write(5_200), 2, at(5_200))), None);
+}
