--- a/crates/front/src/conn.rs
+++ b/crates/front/src/conn.rs
@@ -8,7 +8,7 @@
 
 use compio::net::TcpStream;
 use indexmap::IndexMap;
-use model::id::{GroupId, InstanceId};
+use model::id::{CustomerId, GroupId, InstanceId};
 use model::position::Point;
 use model::statement::{Access, Code, Shape, StatementId, TxState};
 use model::unit::{Span, Time};
@@ -68,6 +68,8 @@
 pub struct Conn {
     reader: Reader,
     writer: Writer,
+    /// The customer for which it was opened.
+    customer: Option<CustomerId>,
     /// Session values that the instance holds.
     values: Values,
     /// Names of the prepared statements on this connection, by access and text.
@@ -99,10 +101,11 @@
 }
 
 impl Conn {
-    /// Opens a connection.
+    /// Opens a connection for a customer, or for the proxy itself.
     pub async fn open(
         address: SocketAddr,
         group: &GroupId,
+        customer: Option<CustomerId>,
         instance: &InstanceId,
         limit: Duration,
     ) -> Result<Self, ConnError> {
@@ -111,9 +114,10 @@
             let stream = stream?;
             let (reader, mut writer) = stream::split(stream)?;
             let mut buf = Vec::new();
-            line::put_start(&mut buf, group.as_str(), instance.as_str());
+            let name = customer.as_ref().map(CustomerId::as_str);
+            line::put_start(&mut buf, group.as_str(), name, instance.as_str());
             writer.send(buf).await?;
-            let mut conn = Self::new(reader, writer);
+            let mut conn = Self::new(reader, writer, customer);
             match line::reply(conn.reader.line().await?)? {
                 Reply::Ready { .. } => {
                     conn.opened = clock::now();
@@ -129,13 +133,14 @@
     /// A connection to an instance through another proxy; there is no handshake.
     pub fn through_proxy(stream: TcpStream) -> Result<Self, ConnError> {
         let (reader, writer) = stream::split(stream)?;
-        Ok(Self::new(reader, writer))
+        Ok(Self::new(reader, writer, None))
     }
 
-    fn new(reader: Reader, writer: Writer) -> Self {
+    fn new(reader: Reader, writer: Writer, customer: Option<CustomerId>) -> Self {
         Self {
             reader,
             writer,
+            customer,
             values: Values::new(),
             prepared: IndexMap::new(),
             names: 0,
@@ -147,6 +152,11 @@
         }
     }
 
+    /// The customer for which it was opened.
+    pub fn customer(&self) -> Option<&CustomerId> {
+        self.customer.as_ref()
+    }
+
     /// When the connection was known to be open.
     pub fn opened(&self) -> Time {
         self.opened
--- a/crates/front/src/coordinator/queries.rs
+++ b/crates/front/src/coordinator/queries.rs
@@ -213,6 +213,7 @@
     let now = clock::now();
     ConnRequest {
         kind: Kind::Control(entry.id.clone()),
+        customer: None,
         own_write: None,
         arrived: now,
         deadline: now + Span::from(timeout),
--- a/crates/front/src/directory.rs
+++ b/crates/front/src/directory.rs
@@ -13,7 +13,7 @@
 use model::id::{GroupId, ProxyId};
 use model::position::Revision;
 use model::unit::{Span, Time};
-use platform::kv;
+use platform::{kv, routes};
 use policy::pooler::Proxy;
 use policy::store_reader::{StoreReaders, Upstream};
 use policy::store_watch::WatchPacing;
@@ -21,6 +21,7 @@
 use store::error::Error;
 use store::kv::{Outcome, Record};
 use store::mirror::Update;
+use store::watch::Change;
 
 use crate::checkout::Pooler;
 use crate::clock;
@@ -313,10 +314,11 @@
     }
 
     /// Applies an update, and waits so that the next changes arrive as one batch.
-    async fn apply(&self, update: Update) {
+    async fn apply(&self, mut update: Update) {
         if matches!(&update, Update::Changes(batch) if batch.changes.is_empty()) {
             return;
         }
+        remove_keys(&mut update);
         self.cx.feed.take(&update);
         match update {
             Update::Listing(listing) => self.state.borrow_mut().replace(listing, clock::now()),
@@ -386,3 +388,22 @@
         self.cx.conn_sources.set_peers(group, peers);
     }
 }
+
+/// Replaces the API keys in an update by their digests, before it is kept or passed on.
+fn remove_keys(update: &mut Update) {
+    let records: Vec<&mut Record> = match update {
+        Update::Listing(listing) => listing.records.iter_mut().collect(),
+        Update::Changes(batch) => batch
+            .changes
+            .iter_mut()
+            .filter_map(Change::record_mut)
+            .collect(),
+    };
+    for record in records {
+        if record.key == routes::KEY
+            && let Some(value) = routes::without_keys(&record.value)
+        {
+            record.value = value;
+        }
+    }
+}
--- a/crates/front/src/group.rs
+++ b/crates/front/src/group.rs
@@ -11,7 +11,7 @@
 
 use futures_util::FutureExt as _;
 use model::entry::Entry;
-use model::id::{GroupId, InstanceId};
+use model::id::{CustomerId, GroupId, InstanceId};
 use model::position::Point;
 use model::unit::{Span, Time};
 use policy::pool::{self, Action, ConnRequest, Grant, OpenError, Pool, Rejection};
@@ -49,7 +49,7 @@
 enum Message {
     Request(ConnRequest, Reply),
     Returned(Returned),
-    Opened(InstanceId, Result<Conn, OpenError>),
+    Opened(InstanceId, Option<CustomerId>, Result<Conn, OpenError>),
     /// Announced instances, and the time from which they may have been announced.
     Entries(Vec<Entry>, Time),
     Shares(Shares),
@@ -154,7 +154,9 @@
     let id = Rc::new(group);
     let task = Group {
         id: id.clone(),
-        pool: Pool::new().prefer_oldest(Conn::opened),
+        pool: Pool::new()
+            .prefer_oldest(Conn::opened)
+            .separate_owners(Conn::customer),
         monitor: PrimaryMonitor::default(),
         is_holder: true,
         shares_known: false,
@@ -212,11 +214,12 @@
         let actions = match message {
             Message::Request(request, reply) => self.pool.request(request, reply, now),
             Message::Returned(returned) => self.connection_returned(returned, now),
-            Message::Opened(id, result) => {
+            Message::Opened(id, customer, result) => {
                 if matches!(result, Err(OpenError::Unreachable)) {
                     self.pool.pause_reads(&id, now + probe::READ_PAUSE);
                 }
-                self.pool.open_completed(&id, result, now)
+                self.pool
+                    .open_completed(&id, customer.as_ref(), result, now)
             }
             Message::Entries(entries, since) => self.set_entries(&entries, since, now),
             Message::Shares(shares) => {
@@ -392,13 +395,13 @@
                 Action::Reject(reply, rejection) => {
                     let _ = reply.send(Err(rejection));
                 }
-                Action::Open(id) => self.open(&id),
+                Action::Open(id, customer) => self.open(&id, customer),
                 Action::Close(conn) => compio::runtime::spawn(conn.close()).detach(),
             }
         }
     }
 
-    fn open(&self, id: &InstanceId) {
+    fn open(&self, id: &InstanceId, customer: Option<CustomerId>) {
         let Some(instance) = self.pool.instance(id) else {
             return;
         };
@@ -406,10 +409,10 @@
         let (tx, group, id) = (self.tx.clone(), self.id.clone(), id.clone());
         let metrics = self.metrics.clone();
         compio::runtime::spawn(async move {
-            let opened = Conn::open(address, &group, &id, OPEN_TIMEOUT).await;
+            let opened = Conn::open(address, &group, customer.clone(), &id, OPEN_TIMEOUT).await;
             metrics.connection_attempted(opened.is_ok());
             let result = opened.map_err(|e| open_error(&group, &id, &e));
-            let _ = tx.send(Message::Opened(id, result));
+            let _ = tx.send(Message::Opened(id, customer, result));
         })
         .detach();
     }
--- a/crates/front/src/group/probe.rs
+++ b/crates/front/src/group/probe.rs
@@ -124,13 +124,13 @@
         match (report.by_monitor, report.from_pool, report.conn) {
             (false, ..) => Vec::new(),
             (true, true, conn) => self.pool.release(&id, conn, None, now),
-            (true, false, Some(conn)) => self.pool.open_completed(&id, Ok(conn), now),
+            (true, false, Some(conn)) => self.pool.open_completed(&id, None, Ok(conn), now),
             (true, false, None) => {
                 let error = match report.result {
                     Err(ProbeFailure::Full) => OpenError::Full,
                     _ => OpenError::Unreachable,
                 };
-                self.pool.open_completed(&id, Err(error), now)
+                self.pool.open_completed(&id, None, Err(error), now)
             }
         }
     }
@@ -184,7 +184,7 @@
     }
 
     async fn on_new_conn(&self) -> (Result<Proof, ProbeFailure>, Option<Conn>) {
-        let opened = Conn::open(self.address, &self.group, &self.id, OPEN_TIMEOUT).await;
+        let opened = Conn::open(self.address, &self.group, None, &self.id, OPEN_TIMEOUT).await;
         self.metrics.connection_attempted(opened.is_ok());
         match opened {
             Ok(mut open) => {
--- a/crates/front/src/group/replica_ack.rs
+++ b/crates/front/src/group/replica_ack.rs
@@ -154,6 +154,7 @@
         let now = clock::now();
         let request = ConnRequest {
             kind: Kind::Control(id.clone()),
+            customer: None,
             own_write: None,
             arrived: now,
             deadline: now + Span::from(RESPONSE_TIMEOUT),
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
-use model::id::{GroupId, InstanceId, ProxyId};
+use model::id::{CustomerId, GroupId, InstanceId, ProxyId};
 use model::position::{Point, Revision};
 use model::route::Guarantee;
 use model::statement::{Access, Shape};
@@ -50,6 +50,9 @@
     Ask {
         group: GroupId,
         kind: WireKind,
+        /// The customer on whose behalf the statement runs.
+        #[serde(default)]
+        customer: Option<CustomerId>,
         own: Option<Point>,
         /// Time since the statement arrived. The pooler subtracts it from the time at which it
         /// reads the message, so the arrival that it assumes is later than the true one: reads
@@ -168,6 +171,7 @@
     Some(ToPooler::Ask {
         group: group.clone(),
         kind,
+        customer: request.customer.clone(),
         own: request.own_write,
         waited: now.since(request.arrived),
         left: request.deadline.since(now),
@@ -181,6 +185,7 @@
     let ToPooler::Ask {
         group,
         kind,
+        customer,
         own,
         waited,
         left,
@@ -199,6 +204,7 @@
     let arrived = now.as_micros().saturating_sub(waited.as_micros());
     let request = ConnRequest {
         kind,
+        customer,
         own_write: own,
         arrived: Time::from_micros(arrived),
         deadline: now + left,
--- a/crates/front/src/session.rs
+++ b/crates/front/src/session.rs
@@ -12,9 +12,10 @@
 use compio::net::TcpStream;
 use futures_util::FutureExt as _;
 use indexmap::IndexMap;
-use model::id::{Database, InstanceId};
+use model::customer::ApiKey;
+use model::id::{CustomerId, Database, InstanceId};
 use model::position::Point;
-use model::route::Route;
+use model::route::{Route, UnknownKey};
 use model::statement::{Code, Shape, Statement, StatementId, TxState};
 use model::unit::{Span, Time};
 use platform::line::{self, Request};
@@ -65,6 +66,9 @@
     /// No route has the database.
     #[error("no route has this database")]
     NoDatabase,
+    /// The caller's key is unknown, or was revoked.
+    #[error(transparent)]
+    Forbidden(#[from] UnknownKey),
 }
 
 impl Failure {
@@ -77,6 +81,7 @@
             Self::NotPrepared => Code::NotPrepared,
             Self::Malformed => Code::Malformed,
             Self::NoDatabase => Code::NoDatabase,
+            Self::Forbidden(_) => Code::Forbidden,
         }
     }
 }
@@ -100,18 +105,29 @@
     arrived: Time,
 }
 
+/// Where an operation runs, and for whom; fixed when it starts.
+#[derive(Clone, Debug)]
+struct Target {
+    route: Route,
+    /// `None` if callers need no key there.
+    customer: Option<CustomerId>,
+}
+
 /// A session.
 ///
 /// Invariant: `tx` holds a connection if and only if a transaction is open on that connection.
 struct Session {
     cx: Rc<Cx>,
     database: Database,
+    key: Option<ApiKey>,
     /// Shared with reads that still run after a hedged attempt has returned first.
     values: Rc<Values>,
     prepared: IndexMap<Arc<str>, Shape>,
     /// The session's newest own write.
     own_write: Option<Point>,
     tx: tx::Tx,
+    /// Whether the caller's key was revoked, which ends the session.
+    forbidden: bool,
 }
 
 /// Serves one caller until it disconnects.
@@ -120,17 +136,20 @@
         return;
     };
     let started = start(&cx, &mut reader, &mut writer);
-    let Ok(Some(database)) = compio::time::timeout(START_TIMEOUT.as_duration(), started).await
+    let Ok(Some((database, key))) =
+        compio::time::timeout(START_TIMEOUT.as_duration(), started).await
     else {
         return;
     };
     let mut session = Session {
         cx,
         database,
+        key,
         values: Rc::default(),
         prepared: IndexMap::new(),
         own_write: None,
         tx: tx::Tx::None,
+        forbidden: false,
     };
     let ended = session.run(&mut reader, &mut writer).await;
     session.tx.abandon("the session ended").await;
@@ -141,11 +160,15 @@
 }
 
 /// Replies to the first message; `None` if the session does not start.
-async fn start(cx: &Cx, reader: &mut Reader, writer: &mut Writer) -> Option<Database> {
+async fn start(
+    cx: &Cx,
+    reader: &mut Reader,
+    writer: &mut Writer,
+) -> Option<(Database, Option<ApiKey>)> {
     let line = reader.line().await.ok()?;
     let mut buf = Vec::new();
-    let database = match line::request(line) {
-        Ok(Request::Start { database }) => database.parse::<Database>().ok(),
+    let (database, key) = match line::request(line) {
+        Ok(Request::Start { database, key }) => (database.parse::<Database>().ok(), key),
         Ok(Request::Query { .. } | Request::Bye) | Err(_) => {
             line::put_error(&mut buf, Code::Malformed, "a session begins with START");
             let _ = writer.send(buf).await;
@@ -154,9 +177,14 @@
     };
     wait_for_routes(cx).await;
     let routes = cx.routes();
-    let known = database.filter(|d| routes.routes.contains_key(d));
-    match &known {
-        Some(_) => line::put_ready(&mut buf, TxState::Idle, None),
+    let route = database.as_ref().and_then(|d| routes.routes.get(d));
+    let customer = route.map(|route| routes.customer(route, key.as_ref()));
+    match customer {
+        Some(Ok(_)) => line::put_ready(&mut buf, TxState::Idle, None),
+        Some(Err(e)) => {
+            tracing::info!(version = routes.version, cause = %e, "a session was rejected");
+            line::put_error(&mut buf, Code::Forbidden, &e.to_string());
+        }
         None if routes.version == 0 => {
             tracing::warn!("a session was rejected: no configuration is known yet");
             line::put_error(&mut buf, Code::Busy, "retry after 500 ms");
@@ -170,7 +198,10 @@
         }
     }
     writer.send(buf).await.ok()?;
-    known
+    let accepted = customer.is_some_and(|customer| customer.is_ok());
+    database
+        .filter(|_| accepted)
+        .map(|database| (database, key))
 }
 
 /// Waits up to `CONFIG_TIMEOUT` for the first configuration.
@@ -214,6 +245,9 @@
                     }
                 }
             }
+            if self.forbidden {
+                return Ok(());
+            }
             if self.tx.is_none() && !reader.has_line() && self.may_close(served) {
                 return Ok(());
             }
@@ -261,6 +295,7 @@
             Ok(statement) => self.execute(job, statement).await,
             Err(_) => Err(Failure::Malformed),
         };
+        self.forbidden = matches!(result, Err(Failure::Forbidden(_)));
         let took = clock::now().since(job.arrived);
         let mut buf = Vec::new();
         let mut point = None;
@@ -317,6 +352,9 @@
         if self.tx.has_failed() && !matches!(statement, Statement::Commit | Statement::Rollback) {
             return Err(Failure::Malformed);
         }
+        if self.tx.is_none() {
+            self.target()?;
+        }
         match statement {
             Statement::Begin(access) => self.begin(job, access),
             Statement::Commit => self.commit(job).await,
@@ -348,10 +386,15 @@
         needs.then_some(deadline)
     }
 
-    /// The route in force, for a statement or transaction that starts now.
-    fn route(&self) -> Result<Route, Failure> {
+    /// Where a statement or transaction that starts now runs, by the configuration in force.
+    fn target(&self) -> Result<Target, Failure> {
         let routes = self.cx.routes();
         let route = routes.routes.get(&self.database);
-        route.cloned().ok_or(Failure::NoDatabase)
+        let route = route.ok_or(Failure::NoDatabase)?;
+        let customer = routes.customer(route, self.key.as_ref())?;
+        Ok(Target {
+            route: route.clone(),
+            customer,
+        })
     }
 }
--- a/crates/front/src/session/attempt.rs
+++ b/crates/front/src/session/attempt.rs
@@ -4,13 +4,12 @@
 
 use futures_util::FutureExt as _;
 use model::position::Point;
-use model::route::Route;
 use model::statement::{Access, Code, TxState};
 use model::unit::{Span, Time};
 use policy::pool::{ConnRequest, Kind};
 use rand::Rng as _;
 
-use super::{Failure, Job, Outcome, Session};
+use super::{Failure, Job, Outcome, Session, Target};
 use crate::clock;
 use crate::conn::{self, ConnError, Payload, Response, Setup, SetupOutcome, Values};
 use crate::group::{CheckedOut, Feedback};
@@ -195,10 +194,10 @@
         if !self.tx.is_none() {
             return self.run_in_tx(job, access, &payload).await;
         }
-        let route = self.route()?;
+        let target = self.target()?;
         match access {
-            Access::Read => self.read(job, payload, &route).await,
-            Access::Write => self.write(job, &payload, &route).await,
+            Access::Read => self.read(job, payload, &target).await,
+            Access::Write => self.write(job, &payload, &target).await,
         }
     }
 
@@ -206,13 +205,14 @@
         &mut self,
         job: &Job,
         payload: &Payload,
-        route: &Route,
+        target: &Target,
     ) -> Result<Outcome, Failure> {
+        let route = &target.route;
         let deadline = job.arrived + route.time_limit;
         let mut last = Failure::Instance(Code::Busy);
         let mut attempts = Attempts::default();
         while attempts.any_left() {
-            let request = request(job, Kind::Write, route, self.own_write);
+            let request = request(job, Kind::Write, target, self.own_write);
             let checkout = self.cx.checkout(&route.group, request).await?;
             let instance = checkout.instance.clone();
             let attempt = Attempt {
@@ -287,11 +287,13 @@
 pub(super) fn request(
     job: &Job,
     kind: Kind,
-    route: &Route,
+    target: &Target,
     own_write: Option<Point>,
 ) -> ConnRequest {
+    let Target { route, customer } = target;
     ConnRequest {
         kind,
+        customer: customer.clone(),
         own_write,
         arrived: job.arrived,
         deadline: job.arrived + route.time_limit,
--- a/crates/front/src/session/read.rs
+++ b/crates/front/src/session/read.rs
@@ -7,13 +7,12 @@
 use futures_util::FutureExt as _;
 use futures_util::future::{self, Either};
 use model::id::InstanceId;
-use model::route::Route;
 use model::statement::{Access, Code};
 use model::unit::Span;
 use policy::pool::Kind;
 
 use super::attempt::{self, Attempt, AttemptFailure, Attempts};
-use super::{Failure, Job, Outcome, Session};
+use super::{Failure, Job, Outcome, Session, Target};
 use crate::clock;
 use crate::conn::{Payload, Values};
 use crate::group::CheckedOut;
@@ -33,8 +32,9 @@
         &self,
         job: &Job,
         payload: Payload,
-        route: &Route,
+        target: &Target,
     ) -> Result<Outcome, Failure> {
+        let route = &target.route;
         let deadline = job.arrived + route.time_limit;
         let mut avoid: Option<InstanceId> = None;
         let mut slow: Option<RunningAttempt> = None;
@@ -42,7 +42,7 @@
         let mut attempts = Attempts::default();
         while attempts.any_left() {
             let mut request =
-                attempt::request(job, Kind::Read(route.guarantee), route, self.own_write);
+                attempt::request(job, Kind::Read(route.guarantee), target, self.own_write);
             request.avoid = avoid.take();
             let checkout = match self.cx.checkout(&route.group, request).await {
                 Ok(checkout) => checkout,
--- a/crates/front/src/session/tx.rs
+++ b/crates/front/src/session/tx.rs
@@ -1,12 +1,11 @@
 //! Transactions: each uses one connection from its first statement to its end.
 
-use model::route::Route;
 use model::statement::{Access, Code, TxState};
 use model::unit::{Span, Time};
 use policy::pool::{ConnRequest, Kind};
 
 use super::attempt::{self, Attempts, Lost};
-use super::{Failure, Job, Outcome, Session};
+use super::{Failure, Job, Outcome, Session, Target};
 use crate::clock;
 use crate::conn::{Payload, Setup, SetupOutcome};
 use crate::group::{CheckedOut, Feedback};
@@ -27,7 +26,7 @@
     None,
     /// Begun by the caller, without a connection yet: it is checked out for the first statement,
     /// so that a pause before that occupies none.
-    Pending(Access, Time, Box<Route>),
+    Pending(Access, Time, Box<Target>),
     /// It runs on a connection.
     Open(Box<OpenTx>),
     /// Failed; its work is rolled back.
@@ -36,7 +35,7 @@
 
 pub(super) struct OpenTx {
     lent: CheckedOut,
-    route: Route,
+    target: Target,
     wrote: bool,
     access: Access,
 }
@@ -112,8 +111,8 @@
             self.tx.mark_failed();
             return Err(Failure::Malformed);
         }
-        let route = self.route()?;
-        self.tx = Tx::Pending(access, job.arrived, Box::new(route));
+        let target = self.target()?;
+        self.tx = Tx::Pending(access, job.arrived, Box::new(target));
         Ok(Outcome::default())
     }
 
@@ -133,9 +132,9 @@
                 self.tx = Tx::None;
                 return Err(Failure::Aborted("it had failed before"));
             }
-            Tx::Pending(access, arrived, route) => {
-                let (access, arrived, route) = (*access, *arrived, route.clone());
-                if let Err(failure) = self.open(job, access, arrived, &route, None).await {
+            Tx::Pending(access, arrived, target) => {
+                let (access, arrived, target) = (*access, *arrived, target.clone());
+                if let Err(failure) = self.open(job, access, arrived, &target, None).await {
                     self.tx = Tx::None;
                     return Err(failure);
                 }
@@ -149,7 +148,7 @@
     }
 
     async fn commit_on(&mut self, job: &Job, mut open: OpenTx) -> Result<Outcome, Failure> {
-        let limit = open.route.time_limit;
+        let limit = open.target.route.time_limit;
         for attempt in 0..BUSY_ATTEMPTS {
             let since = clock::now();
             let payload = Payload::Text(job.text.clone());
@@ -171,7 +170,7 @@
                         point: response.point,
                         instance: Some(open.lent.instance.clone()),
                     };
-                    let until = self.ack_deadline(&open.route, job.arrived + limit);
+                    let until = self.ack_deadline(&open.target.route, job.arrived + limit);
                     attempt::release_acknowledged(
                         open.lent,
                         outcome.point,
@@ -223,10 +222,10 @@
         access: Access,
         payload: &Payload,
     ) -> Result<Outcome, Failure> {
-        if let Tx::Pending(opened, arrived, route) = &self.tx {
-            let (opened, arrived, route) = (*opened, *arrived, route.clone());
+        if let Tx::Pending(opened, arrived, target) = &self.tx {
+            let (opened, arrived, target) = (*opened, *arrived, target.clone());
             let shape = payload.shape();
-            self.open(job, opened, arrived, &route, shape).await?;
+            self.open(job, opened, arrived, &target, shape).await?;
         }
         let Tx::Open(open) = &mut self.tx else {
             return Err(Failure::Malformed);
@@ -237,7 +236,7 @@
             begin: None,
             verify_primary: false,
         };
-        let limit = open.route.time_limit;
+        let limit = open.target.route.time_limit;
         let Some(conn) = open.lent.conn() else {
             return Err(Failure::LostNoEffect);
         };
@@ -285,10 +284,10 @@
         job: &Job,
         access: Access,
         arrived: Time,
-        route: &Route,
+        target: &Target,
         shape: Option<&model::statement::Shape>,
     ) -> Result<(), Failure> {
-        let deadline = job.arrived + route.time_limit;
+        let route = &target.route;
         let mut avoid = None;
         let mut attempts = Attempts::default();
         while attempts.any_left() {
@@ -297,13 +296,9 @@
                 Access::Read => Kind::Read(route.guarantee),
             };
             let request = ConnRequest {
-                kind,
-                own_write: self.own_write,
                 arrived,
-                deadline,
-                priority: route.priority,
                 avoid: avoid.take(),
-                may_wait: false,
+                ..attempt::request(job, kind, target, self.own_write)
             };
             let mut lent = self.cx.checkout(&route.group, request).await?;
             let setup = Setup {
@@ -320,7 +315,7 @@
                     lent.report_proof();
                     let open = OpenTx {
                         lent,
-                        route: route.clone(),
+                        target: target.clone(),
                         wrote: false,
                         access,
                     };
--- a/crates/front/tests/env/mod.rs
+++ b/crates/front/tests/env/mod.rs
@@ -69,6 +69,18 @@
     })
 }
 
+/// A customer with its keys, and with a rate limit and as high a burst.
+pub(crate) fn customer(name: &str, keys: &[&str], rate: u32) -> serde_json::Value {
+    json!({ "name": name, "apiKeys": keys, "ratePerS": rate, "burst": rate })
+}
+
+/// [`configuration`] with customers.
+pub(crate) fn with_customers(version: u64, customers: &[serde_json::Value]) -> serde_json::Value {
+    let mut value = configuration(version, &DATABASES);
+    value["tenants"] = customers.into();
+    value
+}
+
 /// Names and guarantees of the databases that most tests use.
 pub(crate) const DATABASES: [(&str, &str); 3] = [
     ("filing", "primary"),
@@ -159,6 +171,11 @@
 impl Caller {
     /// Opens a session; `Err` holds the error line.
     pub(crate) fn connect(proxy: SocketAddr, database: &str) -> Result<Self, String> {
+        Self::connect_as(proxy, database, "me")
+    }
+
+    /// [`Caller::connect`] with a key.
+    pub(crate) fn connect_as(proxy: SocketAddr, database: &str, key: &str) -> Result<Self, String> {
         let stream = wait(|| TcpStream::connect(proxy).ok());
         stream.set_read_timeout(Some(TIMEOUT)).unwrap();
         let mut caller = Self {
@@ -166,7 +183,7 @@
             writer: stream,
             timed_out: false,
         };
-        let line = caller.exchange(&format!("START {database} me"));
+        let line = caller.exchange(&format!("START {database} {key}"));
         match line {
             Some(line) if line.starts_with("READY I") => Ok(caller),
             line => Err(line.unwrap_or_default()),
--- a/crates/model/src/id.rs
+++ b/crates/model/src/id.rs
@@ -45,6 +45,10 @@
     /// A caller: a customer application that logs in with its own secret.
     CallerId
 }
+macros::text_id! {
+    /// A customer: holds API keys and has a rate limit; instances are told its name.
+    CustomerId
+}
 macros::text_id! {
     /// One running proxy process; a restarted proxy takes a new id.
     ProxyId
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -6,6 +6,7 @@
 mod macros;
 
 pub mod config;
+pub mod customer;
 pub mod document;
 pub mod entry;
 pub mod hash;
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -13,7 +13,7 @@
 
 use indexmap::IndexMap;
 use model::entry::Entry;
-use model::id::InstanceId;
+use model::id::{CustomerId, InstanceId};
 use model::position::Point;
 use model::route::Guarantee;
 use model::unit::{Span, Time};
@@ -68,11 +68,34 @@
     lagging_since: Option<Time>,
     /// Greatest age that a read accepted recently, and when that read was requested.
     accepted_age: (Span, Time),
-    opened_at: OpenedAt<C>,
+    conn_info: ConnInfo<C>,
 }
 
-/// Returns when a connection was opened.
-type OpenedAt<C> = fn(&C) -> Time;
+/// What a pool needs to know about its connections.
+#[derive(Debug)]
+pub struct ConnInfo<C> {
+    /// When a connection was opened.
+    pub opened_at: fn(&C) -> Time,
+    /// The customer for which it was opened.
+    pub owner: fn(&C) -> Option<&CustomerId>,
+}
+
+impl<C> Clone for ConnInfo<C> {
+    fn clone(&self) -> Self {
+        *self
+    }
+}
+
+impl<C> Copy for ConnInfo<C> {}
+
+impl<C> Default for ConnInfo<C> {
+    fn default() -> Self {
+        Self {
+            opened_at: |_| Time::default(),
+            owner: |_| None,
+        }
+    }
+}
 
 impl<C, W> Pool<C, W> {
     /// Creates a pool without instances.
@@ -88,7 +111,7 @@
             is_holder: true,
             lagging_since: None,
             accepted_age: Default::default(),
-            opened_at: |_| Time::default(),
+            conn_info: ConnInfo::default(),
         }
     }
 
@@ -99,7 +122,15 @@
     /// would be closed.
     #[must_use]
     pub fn prefer_oldest(mut self, opened_at: fn(&C) -> Time) -> Self {
-        self.opened_at = opened_at;
+        self.conn_info.opened_at = opened_at;
+        self
+    }
+
+    /// Uses a connection only for the customer for which it was opened: instances are told the
+    /// customer when a connection is opened, and cannot be told of another one later.
+    #[must_use]
+    pub fn separate_owners(mut self, owner: fn(&C) -> Option<&CustomerId>) -> Self {
+        self.conn_info.owner = owner;
         self
     }
 
@@ -177,7 +208,7 @@
     pub fn oldest_per_replica(&self) -> impl Iterator<Item = Time> {
         let replicas = self.instances.values();
         let replicas = replicas.filter(|i| self.primary.as_ref() != Some(i.id()));
-        replicas.filter_map(|i| i.oldest(self.opened_at))
+        replicas.filter_map(|i| i.oldest(self.conn_info))
     }
 
     /// The instance that last proved that it leads.
@@ -298,23 +329,24 @@
     ) -> Vec<Action<C, W>> {
         let mut actions = Vec::new();
         match self.instances.get_mut(id) {
-            Some(instance) => instance.release(conn, took, self.opened_at, now),
+            Some(instance) => instance.release(conn, took, self.conn_info, now),
             None => actions.extend(conn.map(Action::Close)),
         }
         actions.extend(self.serve_waiting(now));
         actions
     }
 
-    /// Handles the result of opening a connection.
+    /// Handles the result of opening a connection for `owner`.
     pub fn open_completed(
         &mut self,
         id: &InstanceId,
+        owner: Option<&CustomerId>,
         result: Result<C, OpenError>,
         now: Time,
     ) -> Vec<Action<C, W>> {
         let mut actions = Vec::new();
         match self.instances.get_mut(id) {
-            Some(instance) => instance.open_completed(result, now),
+            Some(instance) => instance.open_completed(owner, result, now),
             None => actions.extend(result.ok().map(Action::Close)),
         }
         actions.extend(self.serve_waiting(now));
@@ -323,7 +355,8 @@
 
     /// Takes an idle connection for a probe; [`Pool::release`] returns it.
     pub fn take_idle(&mut self, id: &InstanceId) -> Option<C> {
-        self.instances.get_mut(id)?.take(self.opened_at)
+        let info = self.conn_info;
+        self.instances.get_mut(id)?.take(info, |_| true)
     }
 
     /// Sends no reads to the instance until `until`: it lags, or did not respond.
@@ -422,13 +455,13 @@
         for (instance, retained) in self.instances.values_mut().zip(retained) {
             actions.extend(
                 instance
-                    .trim(retained, self.opened_at, now)
+                    .trim(retained, self.conn_info, now)
                     .map(Action::Close),
             );
             let is_primary = self.primary.as_ref() == Some(instance.id());
             if instance.entry().leaving && !is_primary {
                 // One is kept: what the instance holds may be the only proof of a write.
-                let spare = instance.drain_spare(self.opened_at);
+                let spare = instance.drain_spare(self.conn_info);
                 actions.extend(spare.into_iter().map(Action::Close));
             }
         }
--- a/crates/policy/src/pool/instance.rs
+++ b/crates/policy/src/pool/instance.rs
@@ -1,12 +1,12 @@
 //! One instance in a pool: its connections, and how soon it is expected to respond.
 
 use model::entry::Entry;
-use model::id::InstanceId;
+use model::id::{CustomerId, InstanceId};
 use model::position::Point;
 use model::unit::{Span, Time};
 
 use super::checkouts::Checkouts;
-use super::{OpenError, OpenedAt};
+use super::{ConnInfo, OpenError};
 
 /// Time after which an idle connection beyond the proxy's share is closed. Opening one costs
 /// the instance as much work as a statement, so it should outlast a pause between two
@@ -93,7 +93,8 @@
     /// Idle connections, each with the time since when it is idle, the longest idle first.
     idle: Vec<(C, Time)>,
     checkouts: Checkouts,
-    opening: u32,
+    /// Owners of the connections that are being opened.
+    opening: Vec<Option<CustomerId>>,
     /// Whether the last attempt to open a connection failed.
     open_failed: bool,
     /// No connection is opened before this time.
@@ -121,7 +122,7 @@
             round_trip,
             idle: Vec::new(),
             checkouts: Checkouts::default(),
-            opening: 0,
+            opening: Vec::new(),
             open_failed: false,
             no_open_before: Time::default(),
             reads_paused_until: Time::default(),
@@ -175,7 +176,7 @@
 
     /// Connections that are idle, checked out or being opened.
     pub fn count(&self) -> u32 {
-        self.idle.len() as u32 + self.checked_out() + self.opening
+        self.idle.len() as u32 + self.checked_out() + self.opening()
     }
 
     /// Connections that are checked out.
@@ -185,7 +186,13 @@
 
     /// Connections that are being opened.
     pub fn opening(&self) -> u32 {
-        self.opening
+        self.opening.len() as u32
+    }
+
+    /// Connections that are being opened and that `usable` accepts by their owner.
+    pub(super) fn opening_for(&self, usable: impl Fn(Option<&CustomerId>) -> bool) -> u32 {
+        let opening = self.opening.iter();
+        opening.filter(|owner| usable(owner.as_ref())).count() as u32
     }
 
     /// Whether this proxy has no connection to it and failed to open one.
@@ -193,14 +200,18 @@
         self.open_failed && self.idle.is_empty() && self.checked_out() == 0
     }
 
-    /// Whether a connection is idle.
-    pub fn has_idle(&self) -> bool {
-        !self.idle.is_empty()
+    /// Whether a connection is idle that `usable` accepts by its owner.
+    pub(super) fn has_idle(
+        &self,
+        info: ConnInfo<C>,
+        usable: impl Fn(Option<&CustomerId>) -> bool,
+    ) -> bool {
+        self.idle.iter().any(|(conn, _)| usable((info.owner)(conn)))
     }
 
     /// When its oldest connection was opened, idle or checked out.
-    pub(super) fn oldest(&self, opened_at: OpenedAt<C>) -> Option<Time> {
-        let idle = self.idle.iter().map(|(conn, _)| opened_at(conn));
+    pub(super) fn oldest(&self, info: ConnInfo<C>) -> Option<Time> {
+        let idle = self.idle.iter().map(|(conn, _)| (info.opened_at)(conn));
         idle.chain(self.checkouts.oldest()).min()
     }
 
@@ -208,24 +219,47 @@
         self.idle.into_iter().map(|(conn, _)| conn)
     }
 
-    /// Takes the connection opened first, and of equals the one used last, so that the others
-    /// stay unused and can be closed.
-    pub(super) fn take(&mut self, opened_at: OpenedAt<C>) -> Option<C> {
+    /// Takes the connection opened first of those that `usable` accepts by their owner, and of
+    /// equals the one used last, so that the others stay unused and can be closed.
+    pub(super) fn take(
+        &mut self,
+        info: ConnInfo<C>,
+        usable: impl Fn(Option<&CustomerId>) -> bool,
+    ) -> Option<C> {
         let idle = self.idle.iter().enumerate().rev();
-        let (at, _) = idle.min_by_key(|(_, (conn, _))| opened_at(conn))?;
+        let mine = idle.filter(|(_, (conn, _))| usable((info.owner)(conn)));
+        let (at, _) = mine.min_by_key(|(_, (conn, _))| (info.opened_at)(conn))?;
         let (conn, _) = self.idle.remove(at);
-        self.checkouts.begin(opened_at(&conn));
+        self.checkouts.begin((info.opened_at)(&conn));
         Some(conn)
     }
 
+    /// Whether [`Instance::evict`] would remove a connection.
+    fn has_evictable(&self, limits: Limits) -> bool {
+        self.idle.len() > usize::from(limits.max > 1)
+    }
+
+    /// Removes the connection that has been idle longest, to make room for another customer's.
+    /// The one opened first is kept where there may be several: on a replica it is needed to
+    /// prove writes, and a new one is not eligible for that at once.
+    pub(super) fn evict(&mut self, info: ConnInfo<C>, limits: Limits) -> Option<C> {
+        if !self.has_evictable(limits) {
+            return None;
+        }
+        let oldest = self.oldest(info);
+        let is_oldest = |conn: &C| Some((info.opened_at)(conn)) == oldest;
+        let spare = self.idle.iter().position(|(conn, _)| !is_oldest(conn));
+        Some(self.idle.remove(spare.unwrap_or(0)).0)
+    }
+
     pub(super) fn release(
         &mut self,
         conn: Option<C>,
         took: Option<Span>,
-        opened_at: OpenedAt<C>,
+        info: ConnInfo<C>,
         now: Time,
     ) {
-        self.checkouts.end(conn.as_ref().map(opened_at));
+        self.checkouts.end(conn.as_ref().map(info.opened_at));
         if let Some(took) = took {
             self.record_latency(took, now);
         }
@@ -234,8 +268,15 @@
         }
     }
 
-    pub(super) fn open_completed(&mut self, result: Result<C, OpenError>, now: Time) {
-        self.opening = self.opening.saturating_sub(1);
+    pub(super) fn open_completed(
+        &mut self,
+        owner: Option<&CustomerId>,
+        result: Result<C, OpenError>,
+        now: Time,
+    ) {
+        if let Some(at) = self.opening.iter().position(|o| o.as_ref() == owner) {
+            self.opening.swap_remove(at);
+        }
         self.open_failed = result.is_err();
         match result {
             Ok(conn) => self.add_idle(conn, now),
@@ -266,6 +307,19 @@
     /// many of them until it drops their earlier connections; with a slow rise their callers
     /// would wait for seconds while other proxies have connections to spare.
     pub(super) fn may_open(&self, limits: Limits, now: Time) -> bool {
+        self.count() < self.open_limit(limits, now)
+    }
+
+    /// Whether another connection may be opened in place of an idle one.
+    pub(super) fn may_replace(&self, limits: Limits, now: Time) -> bool {
+        self.has_evictable(limits) && self.count() <= self.open_limit(limits, now)
+    }
+
+    /// Number of connections that may be open now; 0 during a pause after a failure.
+    fn open_limit(&self, limits: Limits, now: Time) -> u32 {
+        if now < self.no_open_before {
+            return 0;
+        }
         let ceiling = self.ceiling.map_or(u32::MAX, |(ceiling, at)| {
             let waited = now.since(at);
             let beyond = ceiling.saturating_add(steps(waited, CEILING_STEP));
@@ -274,11 +328,11 @@
             let within = ceiling.max(1).saturating_mul(doubled.unwrap_or(u32::MAX));
             beyond.max(within.min(limits.share))
         });
-        self.count() < limits.max.min(ceiling.max(1)) && self.no_open_before <= now
+        limits.max.min(ceiling.max(1))
     }
 
-    pub(super) fn begin_open(&mut self) {
-        self.opening += 1;
+    pub(super) fn begin_open(&mut self, owner: Option<CustomerId>) {
+        self.opening.push(owner);
     }
 
     pub(super) fn pause_reads(&mut self, until: Time) {
@@ -344,21 +398,21 @@
     }
 
     /// Removes and returns all idle connections but the one opened first.
-    pub(super) fn drain_spare(&mut self, opened_at: OpenedAt<C>) -> Vec<C> {
-        self.idle.sort_by_key(|(conn, _)| opened_at(conn));
+    pub(super) fn drain_spare(&mut self, info: ConnInfo<C>) -> Vec<C> {
+        self.idle.sort_by_key(|(conn, _)| (info.opened_at)(conn));
         let spare = self.idle.len().min(1);
         self.idle.drain(spare..).map(|(conn, _)| conn).collect()
     }
 
     /// Removes the connection opened last, and of equals the one idle longest, if the proxy
     /// holds more than `retained` and the connection has been idle for [`IDLE_TIMEOUT`].
-    pub(super) fn trim(&mut self, retained: u32, opened_at: OpenedAt<C>, now: Time) -> Option<C> {
+    pub(super) fn trim(&mut self, retained: u32, info: ConnInfo<C>, now: Time) -> Option<C> {
         if self.count() <= retained {
             return None;
         }
         let idle = self.idle.iter().enumerate().rev();
         let spare = idle.filter(|(_, (_, since))| now.since(*since) >= IDLE_TIMEOUT);
-        let (at, _) = spare.max_by_key(|(_, (conn, _))| opened_at(conn))?;
+        let (at, _) = spare.max_by_key(|(_, (conn, _))| (info.opened_at)(conn))?;
         Some(self.idle.remove(at).0)
     }
 
@@ -370,12 +424,12 @@
         self.latency = Some(Span::from_micros(new));
     }
 
-    /// Expected latency of one more read.
+    /// Expected latency of one more read; `is_ready` says that a connection for it is idle.
     ///
     /// Balances skewed demand, and instances of different speed. The measured latency includes
     /// the wait behind other proxies' statements, so that work moves away from an instance that
     /// others keep busy; this proxy's own statements count in full.
-    pub(super) fn expected_latency(&self, is_primary: bool, now: Time) -> Span {
+    pub(super) fn expected_latency(&self, is_primary: bool, is_ready: bool, now: Time) -> Span {
         let guess = INITIAL_LATENCY.as_micros() + self.round_trip.as_micros();
         let mut latency = self.latency.map_or(guess, Span::as_micros);
         if now.since(self.measured_at) > LATENCY_EXPIRY {
@@ -387,7 +441,7 @@
         if self.round_trip >= FAR_ROUND_TRIP {
             expected += FAR_PENALTY.as_micros();
         }
-        if !self.has_idle() {
+        if !is_ready {
             expected += OPEN_PENALTY.as_micros();
         }
         if is_primary {
--- a/crates/policy/src/pool/request.rs
+++ b/crates/policy/src/pool/request.rs
@@ -1,6 +1,6 @@
 //! Requests to a pool and the actions it returns.
 
-use model::id::InstanceId;
+use model::id::{CustomerId, InstanceId};
 use model::position::Point;
 use model::route::Guarantee;
 use model::unit::{Span, Time};
@@ -21,6 +21,9 @@
 pub struct ConnRequest {
     /// What it is for.
     pub kind: Kind,
+    /// The customer on whose behalf it runs; the connection must have been opened for the same
+    /// one. `None` for a caller without a customer.
+    pub customer: Option<CustomerId>,
     /// The session's newest own write.
     pub own_write: Option<Point>,
     /// When the statement, or its transaction, arrived.
@@ -37,6 +40,12 @@
 }
 
 impl ConnRequest {
+    /// Whether it may use a connection that was opened for `owner`. Queries of the coordinator
+    /// run nothing on a customer's behalf, so they may use any connection.
+    pub(super) fn may_use(&self, owner: Option<&CustomerId>) -> bool {
+        matches!(self.kind, Kind::Control(_)) || self.customer.as_ref() == owner
+    }
+
     pub(super) fn rank(&self) -> (bool, u8, Time) {
         let control = matches!(self.kind, Kind::Control(_));
         (!control, self.priority, self.arrived)
@@ -95,8 +104,8 @@
     Grant(W, Grant<C>),
     /// Reject the request.
     Reject(W, Rejection),
-    /// Open a connection to the instance.
-    Open(InstanceId),
+    /// Open a connection to the instance, for a customer or for the proxy itself.
+    Open(InstanceId, Option<CustomerId>),
     /// Close a connection.
     Close(C),
 }
--- a/crates/policy/src/pool/serve.rs
+++ b/crates/policy/src/pool/serve.rs
@@ -1,11 +1,11 @@
 //! Grants connections to waiting requests, and opens new ones within this proxy's share.
 
 use indexmap::IndexMap;
-use model::id::InstanceId;
+use model::id::{CustomerId, InstanceId};
 use model::unit::Time;
 
 use super::instance::Limits;
-use super::{Action, ConnRequest, Grant, Instance, Kind, OpenedAt, Pool};
+use super::{Action, ConnRequest, Grant, Instance, Kind, Pool};
 use crate::proof::Need;
 
 /// Connections per slot of an instance that idle connections leave free. Proxies that restart
@@ -56,7 +56,7 @@
         };
         let may = instance.may_open(limits, now);
         if may {
-            instance.begin_open();
+            instance.begin_open(None);
         }
         may
     }
@@ -76,8 +76,8 @@
         for instance in self.instances.values_mut() {
             let is_missing = instance.count() == 0 && !instance.entry().leaving;
             if is_missing && instance.may_open(limits, now) {
-                instance.begin_open();
-                actions.push(Action::Open(instance.id().clone()));
+                instance.begin_open(None);
+                actions.push(Action::Open(instance.id().clone(), None));
             }
         }
         actions
@@ -86,15 +86,18 @@
     pub(super) fn serve_waiting(&mut self, now: Time) -> Vec<Action<C, W>> {
         let mut actions = Vec::new();
         let mut at = 0;
-        // Requests waiting for a connection that is being opened, by instance.
-        let mut waiters_by_instance: IndexMap<InstanceId, u32> = IndexMap::new();
+        let mut waiters = Waiters::new();
         while at < self.waiting.len() {
             let request = &self.waiting[at].request;
             let need = self.need(request).unwrap_or(Need::Primary);
             match self.choose_instance(request, need, now) {
                 Some(id) => {
-                    let Some(conn) = take(&mut self.instances, &id, self.opened_at) else {
-                        self.ensure_opening(&id, &mut waiters_by_instance, now, &mut actions);
+                    let info = self.conn_info;
+                    let usable = |owner: Option<&CustomerId>| request.may_use(owner);
+                    let instance = self.instances.get_mut(&id);
+                    let Some(conn) = instance.and_then(|i| i.take(info, usable)) else {
+                        let customer = request.customer.clone();
+                        self.ensure_opening(&id, customer, &mut waiters, now, &mut actions);
                         at += 1;
                         continue;
                     };
@@ -109,24 +112,32 @@
     }
 
     /// Opens a connection to an instance for one more waiting request, unless enough are being
-    /// opened.
+    /// opened. Where no further one may be open, an idle one of another customer is closed.
     fn ensure_opening(
         &mut self,
         id: &InstanceId,
-        waiters_by_instance: &mut IndexMap<InstanceId, u32>,
+        customer: Option<CustomerId>,
+        waiters: &mut Waiters,
         now: Time,
         actions: &mut Vec<Action<C, W>>,
     ) {
-        let limits = self.limits();
-        let waiters = waiters_by_instance.entry(id.clone()).or_default();
-        *waiters += 1;
+        let (limits, info) = (self.limits(), self.conn_info);
+        let waiting = waiters.entry((id.clone(), customer.clone())).or_default();
+        *waiting += 1;
         let Some(instance) = self.instances.get_mut(id) else {
             return;
         };
-        if *waiters > instance.opening() && instance.may_open(limits, now) {
-            instance.begin_open();
-            actions.push(Action::Open(id.clone()));
+        if *waiting <= instance.opening_for(|owner| owner == customer.as_ref()) {
+            return;
+        }
+        if !instance.may_open(limits, now) {
+            if !instance.may_replace(limits, now) {
+                return;
+            }
+            actions.extend(instance.evict(info, limits).map(Action::Close));
         }
+        instance.begin_open(customer.clone());
+        actions.push(Action::Open(id.clone(), customer));
     }
 
     /// The instance that is expected to serve the request soonest.
@@ -135,13 +146,13 @@
             let instance = self.instances.get(id)?;
             let mut limits = self.limits();
             limits.max += 1;
-            let can = instance.has_idle() || instance.may_open(limits, now);
+            let can = self.has_idle(instance, request) || instance.may_open(limits, now);
             return can.then(|| id.clone());
         }
         if need == Need::Primary {
             let id = self.primary.as_ref()?;
             let instance = self.instances.get(id)?;
-            let can = instance.has_idle() || self.will_have_connection(instance);
+            let can = self.has_idle(instance, request) || self.will_have_connection(instance, now);
             return (can && instance.serves_writes(now)).then(|| id.clone());
         }
         let limits = self.limits();
@@ -153,26 +164,33 @@
             holds
                 && i.serves_reads(now)
                 && request.avoid.as_ref() != Some(i.id())
-                && (i.has_idle() || i.may_open(limits, now) || i.opening() > 0)
+                && (self.has_idle(i, request)
+                    || i.may_open(limits, now)
+                    || i.may_replace(limits, now)
+                    || i.opening_for(|owner| request.may_use(owner)) > 0)
         });
         usable
-            .min_by_key(|i| i.expected_latency(self.primary.as_ref() == Some(i.id()), now))
+            .min_by_key(|i| {
+                let is_primary = self.primary.as_ref() == Some(i.id());
+                i.expected_latency(is_primary, self.has_idle(i, request), now)
+            })
             .map(|i| i.id().clone())
     }
 
-    fn will_have_connection(&self, instance: &Instance<C>) -> bool {
-        instance.opening() > 0 || instance.count() < self.limits().max
+    /// Whether a connection is idle that the request may use.
+    fn has_idle(&self, instance: &Instance<C>, request: &ConnRequest) -> bool {
+        instance.has_idle(self.conn_info, |owner| request.may_use(owner))
     }
-}
 
-fn take<C>(
-    instances: &mut IndexMap<InstanceId, Instance<C>>,
-    id: &InstanceId,
-    opened_at: OpenedAt<C>,
-) -> Option<C> {
-    instances.get_mut(id)?.take(opened_at)
+    fn will_have_connection(&self, instance: &Instance<C>, now: Time) -> bool {
+        let limits = self.limits();
+        instance.opening() > 0 || instance.count() < limits.max || instance.may_replace(limits, now)
+    }
 }
 
+/// Requests that wait for a connection that is being opened, by instance and customer.
+type Waiters = IndexMap<(InstanceId, Option<CustomerId>), u32>;
+
 fn grant<C>(instance: InstanceId, conn: C, kind: &Kind, need: Need) -> Grant<C> {
     let after = match need {
         Need::Holds(point) => Some(point),
--- a/crates/policy/tests/pool.rs
+++ b/crates/policy/tests/pool.rs
@@ -39,6 +39,7 @@
 fn req(kind: Kind, now: u64) -> ConnRequest {
     ConnRequest {
         kind,
+        customer: None,
         own_write: None,
         arrived: at(now),
         deadline: at(now + 800),
@@ -64,7 +65,7 @@
 
 fn opens(actions: &[Action<u32, u32>]) -> Vec<InstanceId> {
     let open = |a: &Action<u32, u32>| match a {
-        Action::Open(id) => Some(id.clone()),
+        Action::Open(id, _) => Some(id.clone()),
         _ => None,
     };
     actions.iter().filter_map(open).collect()
@@ -102,7 +103,7 @@
         pool.request(req(Kind::Write, 1_100), waiter, at(1_100));
     }
     for _ in 0..3 {
-        pool.open_completed(&id("p"), Err(OpenError::Full), at(1_110));
+        pool.open_completed(&id("p"), None, Err(OpenError::Full), at(1_110));
     }
     assert!(opens(&pool.tick(at(1_200))).is_empty());
     assert_eq!(opens(&pool.tick(at(1_650))).len(), 1);
@@ -127,7 +128,7 @@
         let now = at(1_100 + u64::from(n));
         let mut actions = pool.request(req(Kind::Read(AGE), 1_100), n, now);
         for instance in opens(&actions) {
-            actions.extend(pool.open_completed(&instance, Ok(n), now));
+            actions.extend(pool.open_completed(&instance, None, Ok(n), now));
         }
         for (_, instance) in granted(&actions) {
             let took = if instance == id("a") { 150 } else { 30 };
@@ -147,7 +148,7 @@
     let mut pool = pool(300, 6);
     for n in 0..6 {
         for instance in opens(&pool.request(req(Kind::Read(AGE), 1_100), n, at(1_100))) {
-            pool.open_completed(&instance, Ok(n), at(1_100));
+            pool.open_completed(&instance, None, Ok(n), at(1_100));
         }
     }
     let in_use = |pool: &Pool<u32, u32>, name| pool.instance(&id(name)).unwrap().checked_out();
@@ -179,7 +180,7 @@
     let mut pool = pool(2, 1);
     for n in 0..5 {
         for instance in opens(&pool.request(req(Kind::Write, 1_100), n, at(1_100))) {
-            pool.open_completed(&instance, Ok(n), at(1_100));
+            pool.open_completed(&instance, None, Ok(n), at(1_100));
         }
     }
     pool.request(req(Kind::Control(id("p")), 1_101), 77, at(1_101));
@@ -230,7 +231,7 @@
 fn connections_to_an_earlier_process_are_closed() {
     let mut pool = pool(34, 6);
     pool.request(req(Kind::Write, 1_100), 1, at(1_100));
-    pool.open_completed(&id("p"), Ok(1), at(1_101));
+    pool.open_completed(&id("p"), None, Ok(1), at(1_101));
     pool.release(&id("p"), Some(1), None, at(1_102));
     let mut restarted = entry("p");
     restarted.started_at = 2;
@@ -286,7 +287,7 @@
                     prop_assert!(self.waiting.remove(&waiter), "{waiter} got two replies");
                     prop_assert!(rejection.retry_after > Span::default());
                 }
-                Action::Open(id) => self.opening.push(id),
+                Action::Open(id, _) => self.opening.push(id),
                 Action::Close(conn) => {
                     let in_use = self.checked_out.iter().any(|(_, c)| *c == conn);
                     prop_assert!(!in_use, "connection {conn} was closed in use");
@@ -328,7 +329,7 @@
                 Event::Open(ok) => match oracle.opening.pop() {
                     Some(id) => {
                         let result = if ok { Ok(next) } else { Err(OpenError::Full) };
-                        pool.open_completed(&id, result, at(now))
+                        pool.open_completed(&id, None, result, at(now))
                     }
                     None => Vec::new(),
                 },
@@ -448,7 +449,7 @@
 fn a_primary_without_a_free_connection_is_unreachable() {
     let mut pool = pool(34, 6);
     pool.request(req(Kind::Write, 1_100), 1, at(1_100));
-    pool.open_completed(&id("p"), Err(OpenError::Full), at(1_110));
+    pool.open_completed(&id("p"), None, Err(OpenError::Full), at(1_110));
     let actions = pool.request(req(Kind::Write, 1_120), 2, at(1_120));
     assert_eq!(rejected(&actions), [(2, Reason::Unreachable)]);
     // A request that found no other proxy waits here, and so does one that arrived earlier.
@@ -480,9 +481,9 @@
     let mut pool = pool(34, 6);
     pool.request(req(Kind::Read(AGE), 1_100), 1, at(1_100));
     for name in ["p", "a"] {
-        pool.open_completed(&id(name), Err(OpenError::Unreachable), at(1_110));
+        pool.open_completed(&id(name), None, Err(OpenError::Unreachable), at(1_110));
     }
-    pool.open_completed(&id("b"), Ok(1), at(1_110));
+    pool.open_completed(&id("b"), None, Ok(1), at(1_110));
     pool.record_lack(&id("b"), Point::new(1, 7), at(1_120));
     let actions = pool.request(req(Kind::Read(AGE), 1_130), 2, at(1_130));
     assert_eq!(rejected(&actions), [(2, Reason::Unreachable)]);
@@ -501,7 +502,7 @@
     let mut pool = pool(connections, proxies);
     for n in 0..6 {
         pool.request(req(Kind::Write, 1_100), n, at(1_100));
-        pool.open_completed(&id("p"), Ok(n), at(1_100));
+        pool.open_completed(&id("p"), None, Ok(n), at(1_100));
     }
     for n in 0..6 {
         pool.release(&id("p"), Some(n), None, at(1_200));
--- a/crates/policy/tests/pool_age.rs
+++ b/crates/policy/tests/pool_age.rs
@@ -38,7 +38,7 @@
     pool.set_entries(&[entry(false)], |_| Span::from_millis(1), at(0));
     for conn in opened {
         pool.begin_open(&id(), at(0));
-        pool.open_completed(&id(), Ok(*conn), at(10));
+        pool.open_completed(&id(), None, Ok(*conn), at(10));
     }
     pool
 }
@@ -54,6 +54,7 @@
 fn request() -> ConnRequest {
     ConnRequest {
         kind: Kind::Control(id()),
+        customer: None,
         own_write: None,
         arrived: at(20),
         deadline: at(100),
@@ -142,7 +143,7 @@
 }
 
 fn count_opens(actions: &[Action<u64, u32>]) -> usize {
-    let open = |a: &&Action<u64, u32>| matches!(a, Action::Open(_));
+    let open = |a: &&Action<u64, u32>| matches!(a, Action::Open(..));
     actions.iter().filter(open).count()
 }
 
@@ -160,7 +161,7 @@
         0,
         "it is being opened"
     );
-    pool.open_completed(&id(), Ok(15), at(30));
+    pool.open_completed(&id(), None, Ok(15), at(30));
     assert_eq!(count_opens(&pool.open_missing(at(40))), 0);
 }
 
--- a/crates/policy/tests/pool_restart.rs
+++ b/crates/policy/tests/pool_restart.rs
@@ -50,6 +50,7 @@
 fn request() -> ConnRequest {
     ConnRequest {
         kind: Kind::Write,
+        customer: None,
         own_write: None,
         arrived: at(0),
         deadline: at(60_000),
@@ -60,7 +61,7 @@
 }
 
 fn opens(actions: &[Action<(), u32>]) -> usize {
-    let open = |a: &&Action<_, _>| matches!(a, Action::Open(_));
+    let open = |a: &&Action<_, _>| matches!(a, Action::Open(..));
     actions.iter().filter(open).count()
 }
 
@@ -91,7 +92,7 @@
                 let result = if full { Err(OpenError::Full) } else { Ok(()) };
                 taken += u32::from(!full);
                 refused += u32::from(full);
-                let actions = pool.open_completed(&id(), result, at(now));
+                let actions = pool.open_completed(&id(), None, result, at(now));
                 *opening += opens(&actions) as u32;
             }
             *opening += opens(&pool.tick(at(now))) as u32;
--- a/crates/standin/src/managed.rs
+++ b/crates/standin/src/managed.rs
@@ -14,6 +14,7 @@
 use std::thread;
 use std::time::Duration;
 
+pub use instance::Arrival;
 use instance::Group;
 use store::Store;
 
@@ -288,6 +289,11 @@
         self.lock().group.runs(id)
     }
 
+    /// Statements of callers that instances ran, in order.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.lock().group.arrivals().to_vec()
+    }
+
     /// Changes the log as a proxy does that this test does not run.
     pub fn write_elsewhere(&self, item: &str, data: &str) {
         self.lock().group.write(item, data);
--- a/crates/standin/src/managed/instance.rs
+++ b/crates/standin/src/managed/instance.rs
@@ -4,7 +4,7 @@
 use std::io::{BufRead as _, BufReader, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
@@ -37,6 +37,19 @@
     /// Entries of the log that were there when each term began, the first one left out.
     begun: Vec<usize>,
     runs: BTreeMap<String, usize>,
+    /// Statements that instances ran, in order.
+    arrivals: Vec<Arrival>,
+}
+
+/// A statement of a caller that an instance ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// Its id.
+    pub id: String,
+    /// Who opened the connection on which it ran.
+    pub customer: String,
+    /// When it ran.
+    pub at: Instant,
 }
 
 impl Group {
@@ -88,6 +101,10 @@
         self.instances[at].address = address;
     }
 
+    pub(super) fn arrivals(&self) -> &[Arrival] {
+        &self.arrivals
+    }
+
     pub(super) fn id(&self, at: usize) -> &str {
         &self.instances[at].id
     }
@@ -219,6 +236,7 @@
                 at,
                 tx: None,
                 prepared: BTreeMap::new(),
+                customer: String::new(),
             };
             let managed = session.managed.clone();
             managed.lock().group.instances[at].connections += 1;
@@ -240,6 +258,8 @@
     at: usize,
     tx: Option<Tx>,
     prepared: BTreeMap<String, String>,
+    /// Who opened the connection.
+    customer: String,
 }
 
 impl Session {
@@ -268,6 +288,8 @@
                     write!(writer, "ERR TOOMANY connections\r\n")?;
                     return Ok(());
                 }
+                let who = rest.split(' ').nth(1);
+                self.customer = who.unwrap_or_default().to_owned();
                 let meant = rest.ends_with(self.managed.lock().group.id(self.at));
                 let answer = if meant {
                     "READY I 1.0"
@@ -303,6 +325,7 @@
             at: self.at,
             tx: None,
             prepared: BTreeMap::new(),
+            customer: self.customer.clone(),
         };
         thread::spawn(move || {
             thread::sleep(delay);
@@ -388,6 +411,11 @@
         }
         let mut world = self.managed.lock();
         *world.group.runs.entry(id.to_owned()).or_default() += 1;
+        world.group.arrivals.push(Arrival {
+            id: id.to_owned(),
+            customer: self.customer.clone(),
+            at: Instant::now(),
+        });
         Some(())
     }
 
--- a/crates/store/src/watch.rs
+++ b/crates/store/src/watch.rs
@@ -24,6 +24,16 @@
     Delete(String, Revision),
 }
 
+impl Change {
+    /// The record, if a key got a value.
+    pub fn record_mut(&mut self) -> Option<&mut Record> {
+        match self {
+            Self::Put(record) => Some(record),
+            Self::Delete(..) => None,
+        }
+    }
+}
+
 /// Changes that are reported together, with the revision up to which the report is complete.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Batch {
