Pool a group's connections where a proxy has few for several customers

Load: 71 proxies before instances that accept 74 connections, 78 customers.

Ways: own pools (threshold of one connection a proxy, as before) and poolers by group (threshold of four where connections belong to customers).

Deployments without customers keep the threshold of one.

--- a/crates/front/src/directory.rs
+++ b/crates/front/src/directory.rs
@@ -14,7 +14,7 @@
 use model::position::Revision;
 use model::unit::{Span, Time};
 use platform::{kv, routes};
-use policy::pooler::Proxy;
+use policy::pooler::{Capacity, Proxy};
 use policy::store_reader::{StoreReaders, Upstream};
 use policy::store_watch::WatchPacing;
 use store::client::Client;
@@ -356,7 +356,11 @@
         let routes = self.cx.routes();
         for (group, limits) in &routes.groups {
             let handle = self.cx.ensure_group(group);
-            if let Some(placement) = state.take_placement(group, limits.connections, &self.me) {
+            let capacity = Capacity {
+                connections: limits.connections,
+                by_customer: routes.customers.is_some(),
+            };
+            if let Some(placement) = state.take_placement(group, capacity, &self.me) {
                 self.set_placement(&state, group, &placement);
             }
             let shares = Shares {
--- a/crates/front/src/directory/state/placement.rs
+++ b/crates/front/src/directory/state/placement.rs
@@ -5,7 +5,7 @@
 
 use model::id::{GroupId, ProxyId};
 use policy::fallback;
-use policy::pooler::{self, Plan, Proxy};
+use policy::pooler::{self, Capacity, Plan, Proxy};
 
 use super::State;
 
@@ -22,7 +22,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct CachedPlacement {
     plan: Plan,
-    connections: u32,
+    capacity: Capacity,
     proxies_version: u64,
 }
 
@@ -36,13 +36,13 @@
     pub fn take_placement(
         &mut self,
         group: &GroupId,
-        connections: u32,
+        capacity: Capacity,
         me: &Proxy,
     ) -> Option<Placement> {
         let known = self.placements.get(group);
-        if known.is_some_and(|p| {
-            p.connections == connections && p.proxies_version == self.proxies_version
-        }) {
+        if known
+            .is_some_and(|p| p.capacity == capacity && p.proxies_version == self.proxies_version)
+        {
             return None;
         }
         let live: Vec<_> = self
@@ -56,10 +56,10 @@
                 })
             })
             .collect();
-        let plan = pooler::plan(group, connections, me, &live);
+        let plan = pooler::plan(group, capacity, me, &live);
         let cached = CachedPlacement {
             plan: plan.clone(),
-            connections,
+            capacity,
             proxies_version: self.proxies_version,
         };
         self.placements.insert(group.clone(), cached);
--- a/crates/policy/src/pooler.rs
+++ b/crates/policy/src/pooler.rs
@@ -18,6 +18,10 @@
 /// than three poolers did, and none waited for a pooler after all proxies had restarted.
 const DIRECT_CONNECTIONS: u32 = 1;
 
+/// The same where each connection serves one customer only. With fewer, nearly every
+/// statement of a proxy with several customers would close one connection and open another.
+const DIRECT_CONNECTIONS_BY_CUSTOMER: u32 = 4;
+
 /// Connections that each pooler should have: an instance has a few slots, and idle
 /// transactions hold about as many connections again.
 const POOLER_CONNECTIONS: u32 = 4;
@@ -36,6 +40,25 @@
     pub data_centre: DataCentre,
 }
 
+/// What the instances of a group accept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Capacity {
+    /// Connections to one instance, from all proxies together.
+    pub connections: u32,
+    /// Whether a connection serves one customer only.
+    pub by_customer: bool,
+}
+
+impl Capacity {
+    const fn direct_connections(self) -> u32 {
+        if self.by_customer {
+            DIRECT_CONNECTIONS_BY_CUSTOMER
+        } else {
+            DIRECT_CONNECTIONS
+        }
+    }
+}
+
 /// Which proxies hold connections to a group.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Plan {
@@ -49,15 +72,15 @@
     pub poolers: Vec<ProxyId>,
 }
 
-/// Plans which proxies hold connections to the instances of a group, each of which accepts
-/// `connections`.
+/// Plans which proxies hold connections to the instances of a group.
 ///
 /// Proxies that know the same live ones compute the same plan. While they differ, for some
 /// seconds, a proxy that receives a request as a pooler serves it all the same. A proxy
 /// always counts itself, whether it is listed in `live` or not: in a rolling restart of a
 /// fleet larger than the limit, a proxy that is not listed yet must not hold more
 /// connections than its share.
-pub fn plan(group: &GroupId, connections: u32, me: &Proxy, live: &[Proxy]) -> Plan {
+pub fn plan(group: &GroupId, capacity: Capacity, me: &Proxy, live: &[Proxy]) -> Plan {
+    let connections = capacity.connections;
     let mut centres: IndexMap<&DataCentre, IndexSet<&ProxyId>> = IndexMap::new();
     for proxy in live.iter().chain([me]) {
         let local = centres.entry(&proxy.data_centre).or_default();
@@ -65,7 +88,7 @@
     }
     let size = |ids: &IndexSet<_>| u32::try_from(ids.len()).unwrap_or(u32::MAX);
     let proxies = centres.values().map(size).sum();
-    if connections / proxies >= DIRECT_CONNECTIONS {
+    if connections / proxies >= capacity.direct_connections() {
         return Plan {
             holders: proxies,
             is_holder: true,
