--- a/crates/front/src/cli.rs
+++ b/crates/front/src/cli.rs
@@ -55,7 +55,9 @@
     let text = std::fs::read_to_string(path)
         .into_diagnostic()
         .wrap_err_with(|| format!("cannot read {name}"))?;
-    Source::new(name, text)
+    let cfg: Config = Source::new(name, text)
         .parse()
-        .map_err(|e| miette::Report::new_boxed(e))
+        .map_err(|e| miette::Report::new_boxed(e))?;
+    cfg.check()?;
+    Ok(cfg)
 }
--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -5,9 +5,22 @@
 
 use indexmap::IndexMap;
 use model::id::{DataCentre, ProxyId, Region};
+use model::unit::Span;
+use policy::quota::Terms;
 use serde::Deserialize;
 use serde_with::{DurationMilliSecondsWithFrac, DurationSecondsWithFrac, serde_as};
 
+/// Why settings are invalid.
+#[derive(Clone, Copy, Debug, PartialEq, thiserror::Error, miette::Diagnostic)]
+pub enum ConfigError {
+    /// The windows for quotas have no length.
+    #[error("quota_window_s must be above 0")]
+    QuotaWindow,
+    /// A tolerance for quotas is negative or not a number.
+    #[error("{0} must be a number from 0 on, and is {1}")]
+    QuotaTolerance(&'static str, f64),
+}
+
 /// Settings of one process, JSON with comments.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize)]
@@ -38,6 +51,16 @@
     /// Time within which a change of the configuration must be in force, in milliseconds.
     #[serde_as(as = "DurationMilliSecondsWithFrac<f64>")]
     pub in_force_within_ms: Duration,
+    /// Windows in which the operations of a customer are counted, in seconds.
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
+    #[serde(default = "default_quota_window")]
+    pub quota_window_s: Duration,
+    /// Accepted excess over a customer's limit in a window, as a part of it.
+    #[serde(default)]
+    pub quota_overage: f64,
+    /// Accepted excess over a customer's limit in a window, in operations.
+    #[serde(default)]
+    pub quota_slack: f64,
     /// Whether the whole fleet starts for the first time.
     #[serde(default)]
     pub first_start: bool,
@@ -45,3 +68,34 @@
     #[serde_as(as = "DurationSecondsWithFrac<f64>")]
     pub grace_s: Duration,
 }
+
+fn default_quota_window() -> Duration {
+    Terms::default().window.as_duration()
+}
+
+impl Config {
+    /// Checks what the format alone does not ensure.
+    pub fn check(&self) -> Result<(), ConfigError> {
+        if self.quota_window_s.is_zero() {
+            return Err(ConfigError::QuotaWindow);
+        }
+        let tolerances = [
+            ("quota_overage", self.quota_overage),
+            ("quota_slack", self.quota_slack),
+        ];
+        let is_invalid = |(_, value): &(_, f64)| !(value.is_finite() && *value >= 0.0);
+        match tolerances.into_iter().find(is_invalid) {
+            Some((name, value)) => Err(ConfigError::QuotaTolerance(name, value)),
+            None => Ok(()),
+        }
+    }
+
+    /// What is tolerated beyond the customers' limits.
+    pub fn quota_terms(&self) -> Terms {
+        Terms {
+            window: Span::from(self.quota_window_s),
+            overage: self.quota_overage,
+            slack: self.quota_slack,
+        }
+    }
+}
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -5,8 +5,9 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
-use model::id::GroupId;
+use model::id::{GroupId, ProxyId};
 use model::route::Routes;
+use policy::quota::Terms;
 
 use crate::checkout::ConnSources;
 use crate::distance::Distances;
@@ -16,6 +17,7 @@
 use crate::logs;
 use crate::metrics::Metrics;
 use crate::pending_changes::Changes;
+use crate::quota::Quotas;
 use crate::relay;
 use crate::stop::StopSignal;
 
@@ -34,6 +36,8 @@
     pub reports: health::ReportBoard,
     /// The groups with a change of primary under way.
     pub changes: Changes,
+    /// The customers' rate limits.
+    pub quotas: Quotas,
     distances: Distances,
     /// Limits the log lines about served statements.
     pub served_lines: logs::LineBudget,
@@ -45,12 +49,20 @@
 
 impl Cx {
     /// A context without configuration.
-    pub fn new(distances: Distances, metrics: Metrics, stop: StopSignal) -> Self {
+    pub fn new(
+        me: ProxyId,
+        terms: Terms,
+        distances: Distances,
+        metrics: Metrics,
+        stop: StopSignal,
+    ) -> Self {
+        let relay = relay::Client::default();
         Self {
+            quotas: Quotas::new(me, terms, relay.clone()),
+            relay,
             routes: RefCell::default(),
             groups: RefCell::default(),
             conn_sources: ConnSources::default(),
-            relay: relay::Client::default(),
             sessions: Cell::new(0),
             feed: Feed::default(),
             reports: health::ReportBoard::default(),
@@ -69,6 +81,7 @@
 
     /// Puts a configuration into force.
     pub fn set_routes(&self, routes: Routes) {
+        self.quotas.set_customers(routes.customers.as_ref());
         *self.routes.borrow_mut() = Arc::new(routes);
     }
 
--- a/crates/front/src/directory.rs
+++ b/crates/front/src/directory.rs
@@ -353,6 +353,7 @@
             );
             self.cx.set_routes(routes);
         }
+        self.distribute_proxies(&state);
         let routes = self.cx.routes();
         for (group, limits) in &routes.groups {
             let handle = self.cx.ensure_group(group);
@@ -379,6 +380,22 @@
         let _ = self.changed.try_send(());
     }
 
+    /// Sets the live proxies among which customers' limits are divided.
+    fn distribute_proxies(&self, state: &State) {
+        if !self.cx.quotas.are_in_use() {
+            return;
+        }
+        let distances = self.cx.distances();
+        let live = state.announcements();
+        let place = |id: &ProxyId| {
+            let announced = state.announced(id)?;
+            let round_trip = distances.round_trip(&announced.data_centre);
+            Some((id.clone(), (announced.relay, round_trip)))
+        };
+        let addresses = live.keys().filter_map(place).collect();
+        self.cx.quotas.set_live(live, addresses, state.revision());
+    }
+
     /// Sets the proxies through which a group is reached.
     fn set_placement(&self, state: &State, group: &GroupId, placement: &Placement) {
         let pooler = |proxy: &ProxyId| Pooler {
--- a/crates/front/src/directory/state.rs
+++ b/crates/front/src/directory/state.rs
@@ -49,6 +49,15 @@
     removal_reported: bool,
 }
 
+/// A live proxy.
+#[derive(Clone, Debug)]
+struct KnownProxy {
+    /// `None` if its announcement cannot be read.
+    announced: Option<Announced>,
+    /// The revision of the announcement.
+    revision: Revision,
+}
+
 /// The contents of the store as far as they are known.
 ///
 /// Invariant: a key's value never reverts to an earlier revision.
@@ -63,8 +72,8 @@
     /// Instances announced by the update that is being applied.
     newly_announced: IndexSet<InstanceId>,
     placements: IndexMap<GroupId, CachedPlacement>,
-    proxies: IndexMap<ProxyId, Option<Announced>>,
-    /// Increased whenever `proxies` changes.
+    proxies: IndexMap<ProxyId, KnownProxy>,
+    /// Increased whenever a proxy appears, vanishes, or announces something else.
     proxies_version: u64,
     coordinator: Option<Record>,
     suspicions: IndexMap<(GroupId, ProxyId), InstanceId>,
@@ -91,8 +100,8 @@
 
     /// Live proxies of one data centre, with the addresses of their relays.
     pub fn proxies_of(&self, data_centre: &DataCentre) -> IndexMap<ProxyId, SocketAddr> {
-        let of = |(id, announced): (&ProxyId, &Option<Announced>)| {
-            let announced = announced.as_ref()?;
+        let of = |(id, proxy): (&ProxyId, &KnownProxy)| {
+            let announced = proxy.announced.as_ref()?;
             (announced.data_centre == *data_centre).then(|| (id.clone(), announced.relay))
         };
         self.proxies.iter().filter_map(of).collect()
@@ -101,7 +110,7 @@
     /// Number of proxies that read the store directly, over all data centres.
     pub fn readers(&self) -> u32 {
         let mut centres: IndexMap<&DataCentre, usize> = IndexMap::new();
-        for announced in self.proxies.values().flatten() {
+        for announced in self.proxies.values().filter_map(|p| p.announced.as_ref()) {
             *centres.entry(&announced.data_centre).or_default() += 1;
         }
         let readers = centres
@@ -115,11 +124,22 @@
     pub fn add_proxies(&mut self, listing: Listing) {
         for record in listing.records {
             if let Some(proxy) = record.key.strip_prefix(PROXIES) {
-                self.put_proxy(proxy, &record.value);
+                self.put_proxy(proxy, &record);
             }
         }
     }
 
+    /// The live proxies, with the revisions of their announcements.
+    pub fn announcements(&self) -> IndexMap<ProxyId, Revision> {
+        let proxies = self.proxies.iter();
+        proxies.map(|(id, p)| (id.clone(), p.revision)).collect()
+    }
+
+    /// Where a proxy runs, and the address of its relay.
+    pub fn announced(&self, id: &ProxyId) -> Option<&Announced> {
+        self.proxies.get(id)?.announced.as_ref()
+    }
+
     /// The coordinator's key.
     pub fn coordinator(&self) -> Option<&Record> {
         self.coordinator.as_ref()
@@ -204,7 +224,7 @@
         } else if record.key == COORDINATOR {
             self.update_coordinator(record);
         } else if let Some(proxy) = record.key.strip_prefix(PROXIES) {
-            self.put_proxy(proxy, &record.value);
+            self.put_proxy(proxy, &record);
         } else if let Some(at) = keys::suspicion(&record.key) {
             let text = String::from_utf8_lossy(&record.value);
             if let Ok(instance) = text.parse::<InstanceId>() {
@@ -288,19 +308,27 @@
         intent.is_some_and(|intent| intent.instance().is_none())
     }
 
-    fn put_proxy(&mut self, id: &str, value: &[u8]) {
+    fn put_proxy(&mut self, id: &str, record: &Record) {
         let Ok(id) = id.parse::<ProxyId>() else {
             return;
         };
-        let announced = serde_json::from_slice(value);
+        let announced = serde_json::from_slice(&record.value);
         if let Err(e) = &announced {
             tracing::warn!(proxy = %id, cause = %e, "a proxy's announcement cannot be read");
         }
         let announced = announced.ok();
-        if self.proxies.get(&id) != Some(&announced) {
-            self.proxies.insert(id, announced);
+        let known = self.proxies.get(&id);
+        if known.is_none_or(|known| known.announced != announced) {
             self.proxies_version += 1;
         }
+        let revision = record.revision;
+        self.proxies.insert(
+            id,
+            KnownProxy {
+                announced,
+                revision,
+            },
+        );
     }
 
     /// Sets the configuration. One that is older than the configuration in force is ignored,
--- a/crates/front/src/directory/state/placement.rs
+++ b/crates/front/src/directory/state/placement.rs
@@ -29,7 +29,7 @@
 impl State {
     /// The address of a proxy's relay.
     pub fn relay(&self, proxy: &ProxyId) -> Option<SocketAddr> {
-        Some(self.proxies.get(proxy)?.as_ref()?.relay)
+        Some(self.announced(proxy)?.relay)
     }
 
     /// How a group is reached, if that may have changed since the last call.
@@ -48,8 +48,8 @@
         let live: Vec<_> = self
             .proxies
             .iter()
-            .filter_map(|(id, announced)| {
-                let data_centre = announced.as_ref()?.data_centre.clone();
+            .filter_map(|(id, proxy)| {
+                let data_centre = proxy.announced.as_ref()?.data_centre.clone();
                 Some(Proxy {
                     id: id.clone(),
                     data_centre,
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod metrics;
 pub mod pages;
 pub mod pending_changes;
+pub mod quota;
 pub mod registration;
 pub mod relay;
 pub mod run;
--- a/crates/front/src/registration.rs
+++ b/crates/front/src/registration.rs
@@ -95,7 +95,7 @@
             let now = clock::now();
             if now >= renew {
                 renew = now + RENEW_INTERVAL;
-                let renewed = self.renew(&client, ttl).await;
+                let renewed = self.renew(&cx, &client, ttl).await;
                 log_renewal(&mut failing_since, now, renewed.err());
             }
             let registered = failing_since.is_none() && self.lease.get().is_some();
@@ -106,16 +106,20 @@
         }
     }
 
-    async fn renew(&self, client: &Client, ttl: Duration) -> Result<(), Error> {
+    async fn renew(&self, cx: &Cx, client: &Client, ttl: Duration) -> Result<(), Error> {
         if let Some(held) = self.lease.get() {
             let renewed = lease::renew(client, held.id, ttl).await?;
             self.lease.set(renewed);
-            if renewed.is_some() {
+            if let Some(renewed) = renewed {
+                cx.quotas.set_valid_until(renewed.until);
                 return Ok(());
             }
             tracing::warn!(lease = held.id.0, "the lease has expired");
         }
-        self.lease.set(Some(lease::grant(client, ttl).await?));
+        cx.quotas.set_announced(None);
+        let lease = lease::grant(client, ttl).await?;
+        cx.quotas.set_valid_until(lease.until);
+        self.lease.set(Some(lease));
         self.announced.set(false);
         self.suspicions.borrow_mut().clear();
         Ok(())
@@ -128,7 +132,8 @@
         if !self.announced.get() {
             let key = format!("{PROXIES}{}", self.id);
             let value = serde_json::to_vec(&self.announced_as).map_err(Error::Decode)?;
-            kv::put(client, &key, &value, lease).await?;
+            let announced_at = kv::put(client, &key, &value, lease).await?;
+            cx.quotas.set_announced(Some(announced_at));
             self.announced.set(true);
         }
         let reports = cx.reports.undelivered(clock::now());
@@ -173,8 +178,9 @@
     }
 
     /// Ends the registration, so that another proxy can take the coordinator role at once.
-    pub async fn leave(&self, client: &Client) {
+    pub async fn leave(&self, cx: &Cx, client: &Client) {
         self.stopping.set(true);
+        cx.quotas.set_announced(None);
         self.coordinator_lease.leave(client).await;
         let Some(lease) = self.lease.take() else {
             return;
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -19,6 +19,7 @@
 use model::statement::{Access, Shape};
 use model::unit::{Span, Time};
 use policy::pool::{ConnRequest, Kind, Rejection};
+use policy::quota::Answer;
 use serde::{Deserialize, Serialize};
 
 use crate::clock;
@@ -84,6 +85,14 @@
     /// receipt of this message; the receiver may delay its query to the store by up to `within`.
     /// The response is `Heard`, and then `Changing` or `Elsewhere`.
     Changes { within: Span },
+    /// Requests permits for a customer's operations on the sender. The response is `Permits`.
+    Permits { customer: CustomerId, count: u32 },
+    /// Queries whether the receiver, a granter of the customer's permits, knows of the sender's
+    /// announcement at a revision. The response is `Knows`.
+    Knows {
+        customer: CustomerId,
+        revision: Revision,
+    },
     /// Reports what the sender finds wrong with the groups. The response is `Heard`.
     Report { by: ProxyId, concerns: Reports },
 }
@@ -133,6 +142,10 @@
     Refused(Rejection),
     /// Groups with a change of primary in progress.
     Changing(IndexSet<GroupId>),
+    /// Permits for a customer's operations.
+    Permits(Answer),
+    /// Whether the announcement is known.
+    Knows(bool),
     /// Updates of the store.
     News(Packed),
     /// The pooler does not know the group yet.
--- a/crates/front/src/relay/client.rs
+++ b/crates/front/src/relay/client.rs
@@ -6,11 +6,12 @@
 
 use compio::net::TcpStream;
 use indexmap::{IndexMap, IndexSet};
-use model::id::{GroupId, ProxyId};
+use model::id::{CustomerId, GroupId, ProxyId};
 use model::position::Revision;
 use model::unit::{Span, Time};
 use policy::pool::{ConnRequest, Rejection};
 use policy::pooler_retry;
+use policy::quota::Answer;
 use policy::replica_ack::Write;
 use store::client::TIME_LIMIT;
 use store::mirror::Update;
@@ -140,6 +141,83 @@
         }
     }
 
+    /// Requests permits for a customer's operations on proxy `by`; `None` without an answer.
+    pub async fn permits(
+        &self,
+        granter: &ProxyId,
+        address: SocketAddr,
+        customer: &CustomerId,
+        count: u32,
+    ) -> Option<Answer> {
+        let message = ToPooler::Permits {
+            customer: customer.clone(),
+            count,
+        };
+        match self.exchange(granter, address, &message).await {
+            Ok(FromPooler::Permits(answer)) => Some(answer),
+            Ok(_) => None,
+            Err(e) => {
+                tracing::info!(%granter, %customer, cause = %e, "a request for permits was not answered");
+                None
+            }
+        }
+    }
+
+    /// Queries whether a granter of a customer's permits knows of an announcement.
+    pub async fn knows(
+        &self,
+        proxy: &ProxyId,
+        address: SocketAddr,
+        customer: &CustomerId,
+        revision: Revision,
+    ) -> bool {
+        let message = ToPooler::Knows {
+            customer: customer.clone(),
+            revision,
+        };
+        match self.exchange(proxy, address, &message).await {
+            Ok(response) => matches!(response, FromPooler::Knows(true)),
+            Err(e) => {
+                tracing::info!(%proxy, cause = %e, "a proxy did not answer whether it knows of this one");
+                false
+            }
+        }
+    }
+
+    /// Sends a message whose response is one line that takes no waiting. On a connection that
+    /// was used before it is sent again if that broke: the proxy may have restarted since.
+    async fn exchange(
+        &self,
+        to: &ProxyId,
+        address: SocketAddr,
+        message: &ToPooler,
+    ) -> Result<FromPooler, ConnError> {
+        let idle = self.take_idle(to);
+        let reused = idle.is_some();
+        let result = self.try_exchange(idle, to, address, message).await;
+        if reused && matches!(result, Err(ConnError::Stream(_))) {
+            return self.try_exchange(None, to, address, message).await;
+        }
+        result
+    }
+
+    async fn try_exchange(
+        &self,
+        conn: Option<Conn>,
+        to: &ProxyId,
+        address: SocketAddr,
+        message: &ToPooler,
+    ) -> Result<FromPooler, ConnError> {
+        let mut conn = match conn {
+            Some(conn) => conn,
+            None => connect(address).await?,
+        };
+        conn.send(encode(message)).await?;
+        let response = read(&mut conn, Span::from(RECEIPT_TIMEOUT)).await?;
+        self.keep(to, conn);
+        Ok(response)
+    }
+
     /// Queries a store reader for the updates after a revision.
     pub async fn follow(
         &self,
--- a/crates/front/src/relay/pooler.rs
+++ b/crates/front/src/relay/pooler.rs
@@ -79,6 +79,12 @@
             cx.reports.receive(by, concerns, clock::now());
             FromPooler::Heard
         }
+        ToPooler::Permits { customer, count } => {
+            FromPooler::Permits(cx.quotas.grant(&customer, count))
+        }
+        ToPooler::Knows { customer, revision } => {
+            FromPooler::Knows(cx.quotas.knows(&customer, revision).await)
+        }
         ToPooler::Follow { after, wait } => {
             writer.send(encode(&FromPooler::Heard)).await?;
             let update = cx.feed.after(after, wait).await;
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -20,7 +20,7 @@
 use crate::distance::Distances;
 use crate::metrics::{self, Metrics};
 use crate::registration::Registration;
-use crate::stop::{self, Phase, StopController};
+use crate::stop::{self, Phase, StopController, StopSignal};
 use crate::{clock, pages, relay, session};
 
 const SIGHUP: i32 = 1;
@@ -45,8 +45,7 @@
 pub async fn run(cfg: Config) -> Result<(), StartError> {
     tracing::info!(proxy = %cfg.proxy, data_centre = %cfg.data_centre, listen = %cfg.listen, store = %cfg.store, "starting");
     let (stopper, stop) = stop::pair();
-    let distances = Distances::new(cfg.data_centre.clone(), cfg.data_centres.clone());
-    let cx = Rc::new(Cx::new(distances, Metrics::new()?, stop));
+    let cx = context(&cfg, stop)?;
     let store = Client::new(vec![format!("http://{}", cfg.store)])?;
     let orders = Client::new(vec![format!("http://{}", cfg.orders)])?;
     let listener = listen(cfg.listen).await?;
@@ -93,17 +92,25 @@
     compio::runtime::spawn(coordinator.run(changes)).detach();
     compio::runtime::spawn(become_ready(cx.clone(), ready.clone())).detach();
     compio::runtime::spawn(accept(cx.clone(), listener)).detach();
+    compio::runtime::spawn(cx.quotas.clone().inform()).detach();
     compio::runtime::spawn(log_reloads()).detach();
 
     stop_signal().await;
     tracing::info!(sessions = cx.sessions(), "stopping");
     ready.store(false, Ordering::Relaxed);
-    registration.leave(&store).await;
+    registration.leave(&cx, &store).await;
     drain(&cfg, &cx, stopper).await;
     tracing::info!(sessions = cx.sessions(), "stopped");
     Ok(())
 }
 
+fn context(cfg: &Config, stop: StopSignal) -> Result<Rc<Cx>, StartError> {
+    let distances = Distances::new(cfg.data_centre.clone(), cfg.data_centres.clone());
+    let (me, terms) = (cfg.proxy.clone(), cfg.quota_terms());
+    let cx = Cx::new(me, terms, distances, Metrics::new()?, stop);
+    Ok(Rc::new(cx))
+}
+
 async fn drain(cfg: &Config, cx: &Cx, stopper: StopController) {
     stopper.run(Span::from(cfg.grace_s), || cx.sessions()).await;
 }
--- a/crates/front/src/session.rs
+++ b/crates/front/src/session.rs
@@ -19,11 +19,14 @@
 use model::statement::{Code, Shape, Statement, StatementId, TxState};
 use model::unit::{Span, Time};
 use platform::line::{self, Request};
-use policy::pool::Rejection;
+use policy::pool::{ConnRequest, Rejection};
+use policy::quota::QuotaRejection;
 
 use crate::clock;
 use crate::conn::{Payload, Values};
 use crate::cx::Cx;
+use crate::group::CheckedOut;
+use crate::quota::Admission;
 use crate::stop::Phase;
 use crate::stream::{self, Reader, StreamError, Writer};
 
@@ -45,6 +48,9 @@
     /// The instance returned an error.
     #[error("the instance answered {0:?}")]
     Instance(Code),
+    /// The customer's rate limit is reached; the statement did not run.
+    #[error(transparent)]
+    OverQuota(#[from] QuotaRejection),
     /// The response was lost; the statement had no lasting effect.
     #[error("no answer came, and nothing of it is kept")]
     LostNoEffect,
@@ -74,7 +80,7 @@
 impl Failure {
     const fn code(self) -> Code {
         match self {
-            Self::Rejected(_) => Code::Busy,
+            Self::Rejected(_) | Self::OverQuota(_) => Code::Busy,
             Self::Instance(code) => code,
             Self::LostNoEffect | Self::Aborted(_) => Code::Aborted,
             Self::LostInDoubt | Self::Unacknowledged => Code::InDoubt,
@@ -377,6 +383,37 @@
         }
     }
 
+    async fn admit(&self, target: &Target) -> Result<Admission, Failure> {
+        let admission = self.cx.quotas.admit(target.customer.as_ref()).await;
+        Ok(admission?)
+    }
+
+    /// Checks out a connection for an attempt that is sent at once, within the customer's rate
+    /// limit. An additional attempt does not wait for its permit.
+    async fn checkout(
+        &self,
+        target: &Target,
+        request: ConnRequest,
+        admission: &mut Admission,
+        is_additional: bool,
+    ) -> Result<CheckedOut, Failure> {
+        loop {
+            let checkout = self.cx.checkout(&target.route.group, request.clone());
+            let checkout = checkout.await?;
+            if admission.send() {
+                return Ok(checkout);
+            }
+            checkout.release();
+            if is_additional {
+                return Err(QuotaRejection {
+                    retry_after: Span::from_millis(0),
+                }
+                .into());
+            }
+            *admission = self.admit(target).await?;
+        }
+    }
+
     /// Until when a successful write waits for a replica's acknowledgement; `None` if writes
     /// to this group need none.
     fn ack_deadline(&self, route: &Route, deadline: Time) -> Option<Time> {
--- a/crates/front/src/session/attempt.rs
+++ b/crates/front/src/session/attempt.rs
@@ -211,9 +211,11 @@
         let deadline = job.arrived + route.time_limit;
         let mut last = Failure::Instance(Code::Busy);
         let mut attempts = Attempts::default();
+        let mut admission = self.admit(target).await?;
         while attempts.any_left() {
             let request = request(job, Kind::Write, target, self.own_write);
-            let checkout = self.cx.checkout(&route.group, request).await?;
+            let checkout = self.checkout(target, request, &mut admission, false);
+            let checkout = checkout.await?;
             let instance = checkout.instance.clone();
             let attempt = Attempt {
                 job,
@@ -229,6 +231,7 @@
                     return Ok(outcome);
                 }
                 Err(AttemptFailure::NotRun(code)) => {
+                    admission.did_not_run();
                     tracing::info!(id = %job.id, %instance, ?code, failed = attempts.failed, busy = attempts.busy, "a write did not run");
                     last = Failure::Instance(code);
                     attempts.record_not_run(code).await;
--- a/crates/front/src/session/read.rs
+++ b/crates/front/src/session/read.rs
@@ -9,7 +9,7 @@
 use model::id::InstanceId;
 use model::statement::{Access, Code};
 use model::unit::Span;
-use policy::pool::Kind;
+use policy::pool::{ConnRequest, Kind};
 
 use super::attempt::{self, Attempt, AttemptFailure, Attempts};
 use super::{Failure, Job, Outcome, Session, Target};
@@ -40,18 +40,17 @@
         let mut slow: Option<RunningAttempt> = None;
         let mut last = Failure::Instance(Code::Busy);
         let mut attempts = Attempts::default();
+        let mut admission = self.admit(target).await?;
         while attempts.any_left() {
-            let mut request =
-                attempt::request(job, Kind::Read(route.guarantee), target, self.own_write);
-            request.avoid = avoid.take();
-            let checkout = match self.cx.checkout(&route.group, request).await {
+            let kind = Kind::Read(route.guarantee);
+            let request = ConnRequest {
+                avoid: avoid.take(),
+                ..attempt::request(job, kind, target, self.own_write)
+            };
+            let checkout = self.checkout(target, request, &mut admission, slow.is_some());
+            let checkout = match checkout.await {
                 Ok(checkout) => checkout,
-                Err(rejection) => {
-                    return match slow {
-                        Some(slow) => slow.await.map_err(AttemptFailure::into_read_failure),
-                        None => Err(rejection.into()),
-                    };
-                }
+                Err(failure) => return result_of(slow, failure).await,
             };
             avoid = Some(checkout.instance.clone());
             let new = run(
@@ -78,9 +77,12 @@
                 Err(AttemptFailure::Final(failure)) => return Err(failure),
                 Err(failure) => {
                     last = failure.into_read_failure();
-                    tracing::info!(id = %job.id, instance = avoid.as_ref().map(tracing::field::display), failed = attempts.failed, busy = attempts.busy, cause = %last, "an attempt of a read failed");
+                    log_failure(job, avoid.as_ref(), attempts, last);
                     match failure {
-                        AttemptFailure::NotRun(code) => attempts.record_not_run(code).await,
+                        AttemptFailure::NotRun(code) => {
+                            admission.did_not_run();
+                            attempts.record_not_run(code).await;
+                        }
                         AttemptFailure::NoResponse(_) | AttemptFailure::Final(_) => attempts.lost(),
                     }
                 }
@@ -93,6 +95,18 @@
     }
 }
 
+/// The result of an attempt that still runs, or `failure` if there is none.
+async fn result_of(running: Option<RunningAttempt>, failure: Failure) -> Result<Outcome, Failure> {
+    match running {
+        Some(running) => running.await.map_err(AttemptFailure::into_read_failure),
+        None => Err(failure),
+    }
+}
+
+fn log_failure(job: &Job, instance: Option<&InstanceId>, attempts: Attempts, cause: Failure) {
+    tracing::info!(id = %job.id, instance = instance.map(tracing::field::display), failed = attempts.failed, busy = attempts.busy, %cause, "an attempt of a read failed");
+}
+
 fn run(
     job: Job,
     payload: Payload,
--- a/crates/front/src/session/tx.rs
+++ b/crates/front/src/session/tx.rs
@@ -290,6 +290,7 @@
         let route = &target.route;
         let mut avoid = None;
         let mut attempts = Attempts::default();
+        let mut admission = self.admit(target).await?;
         while attempts.any_left() {
             let kind = match access {
                 Access::Write => Kind::Write,
@@ -300,7 +301,8 @@
                 avoid: avoid.take(),
                 ..attempt::request(job, kind, target, self.own_write)
             };
-            let mut lent = self.cx.checkout(&route.group, request).await?;
+            let lent = self.checkout(target, request, &mut admission, false);
+            let mut lent = lent.await?;
             let setup = Setup {
                 values: Some(&self.values),
                 shape,
@@ -323,6 +325,7 @@
                     return Ok(());
                 }
                 Ok(SetupOutcome::Rejected(code)) => {
+                    admission.did_not_run();
                     attempt::report_rejection(&lent, code);
                     tracing::info!(id = %job.id, instance = %lent.instance, ?code, after = after.map(tracing::field::display), prove, failed = attempts.failed, busy = attempts.busy, "a transaction was not opened");
                     avoid = Some(lent.instance.clone());
--- a/crates/front/tests/customers.rs
+++ b/crates/front/tests/customers.rs
@@ -3,6 +3,7 @@
 mod env;
 
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use env::{Caller, customer, proxy, wait, with_connections, with_customers};
 use serde_json::json;
@@ -150,3 +151,56 @@
         }
     }
 }
+
+/// Guards against a customer that sends several times its limit through several proxies at
+/// once, and takes the slots of the others.
+#[test]
+fn a_hot_customer_is_limited_over_all_proxies() {
+    const HOT_RATE: u32 = 20;
+    let managed = Managed::start(3).unwrap();
+    let customers = [
+        customer("hot", &["key-h"], HOT_RATE),
+        customer("calm", &["key-c"], RATE),
+    ];
+    managed.configure(&with_customers(1, &customers));
+    let proxies = ["p1", "p2"].map(|name| proxy(&managed, name));
+    // Eight sessions on each proxy.
+    let hot = proxies.repeat(8).into_iter().map(|proxy| {
+        std::thread::spawn(move || {
+            let mut session = session(proxy, "key-h");
+            let end = Instant::now() + Duration::from_secs(3);
+            let mut hints = Vec::new();
+            while Instant::now() < end {
+                let reply = session.query("READ a");
+                if !reply.done() {
+                    assert_eq!(reply.code(), Some("BUSY"), "{reply:?}");
+                    let line = reply.lines.last().unwrap().clone();
+                    assert!(line.contains("retry after"), "{line}");
+                    hints.push(line);
+                }
+            }
+            hints
+        })
+    });
+    let hot: Vec<_> = hot.collect();
+    let mut calm = session(proxies[0], "key-c");
+    for _ in 0..50 {
+        assert!(calm.query("READ a").done());
+    }
+    let hints = hot.into_iter().flat_map(|thread| thread.join().unwrap());
+    assert!(hints.count() > 10);
+    let arrivals = managed.arrivals();
+    let times: Vec<_> = arrivals
+        .iter()
+        .filter(|a| a.customer == "hot")
+        .map(|a| a.at)
+        .collect();
+    // Rate and burst of one window.
+    let allowed = 5 * HOT_RATE as usize + HOT_RATE as usize;
+    for (first, from) in times.iter().enumerate() {
+        let until = *from + Duration::from_secs(5);
+        let count = times[first..].iter().filter(|at| **at < until).count();
+        assert!(count <= allowed, "{count} of {allowed}");
+    }
+    assert!(times.len() > 2 * HOT_RATE as usize, "{}", times.len());
+}
--- a/crates/front/tests/intents.rs
+++ b/crates/front/tests/intents.rs
@@ -14,6 +14,7 @@
 use model::position::Revision;
 use platform::kv;
 use policy::pooler::Proxy;
+use policy::quota::Terms;
 use standin::managed::Managed;
 use store::client::Client;
 use store::kv::Record;
@@ -39,7 +40,13 @@
     };
     let distances = Distances::new(me.data_centre.clone(), IndexMap::new());
     let (_stopper, stop) = stop::pair();
-    let cx = Rc::new(Cx::new(distances, Metrics::new().unwrap(), stop));
+    let cx = Rc::new(Cx::new(
+        "p1".parse().unwrap(),
+        Terms::default(),
+        distances,
+        Metrics::new().unwrap(),
+        stop,
+    ));
     let (changed, _) = flume::bounded(1);
     let directory = Directory::new(cx, me, changed, Duration::from_secs(4), |_| true);
     let coordinator_record = coordinator_record(&client).await;
--- a/crates/front/tests/report.rs
+++ b/crates/front/tests/report.rs
@@ -14,6 +14,7 @@
 use model::id::{GroupId, InstanceId, ProxyId};
 use model::unit::Span;
 use policy::primary_monitor::Suspicion;
+use policy::quota::Terms;
 
 fn group() -> GroupId {
     "ledger".parse().unwrap()
@@ -40,7 +41,13 @@
     runtime.block_on(async {
         let distances = Distances::new("dc".parse().unwrap(), IndexMap::new());
         let (_stopper, stop) = stop::pair();
-        let cx = Rc::new(Cx::new(distances, Metrics::new().unwrap(), stop));
+        let cx = Rc::new(Cx::new(
+            "p1".parse().unwrap(),
+            Terms::default(),
+            distances,
+            Metrics::new().unwrap(),
+            stop,
+        ));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         compio::runtime::spawn(relay::serve(cx.clone(), listener)).detach();
--- a/crates/front/tests/settings.rs
+++ b/crates/front/tests/settings.rs
@@ -9,7 +9,7 @@
 const TEMPLATE: &str = include_str!("../../../deploy/settings.jsonc");
 
 /// The values that the platform substitutes for the placeholders of the template.
-const PLACEHOLDERS: [(&str, &str); 13] = [
+const PLACEHOLDERS: [(&str, &str); 16] = [
     ("{{nodeName|json}}", "\"front-a-1\""),
     ("{{zone|json}}", "\"a\""),
     ("{{zones|json}}", "{\"a\": \"north\", \"b\": \"south\"}"),
@@ -23,11 +23,25 @@
     ("{{bounds.configApplyMs|json}}", "4000.5"),
     ("{{bounds.graceS|json}}", "6.5"),
     ("{{bootstrap|json}}", "true"),
+    ("{{bounds.quotaWindowS|json}}", "5"),
+    ("{{bounds.quotaOverage|json}}", "0.1"),
+    ("{{bounds.quotaSlack|json}}", "20"),
 ];
 
+/// Begin and end of the template's section for deployments with quotas.
+const QUOTA_SECTION: (&str, &str) = ("{{#bounds.quotaWindowS}}", "{{/bounds.quotaWindowS}}");
+
 fn filled_template() -> String {
+    fill(
+        &TEMPLATE
+            .replace(QUOTA_SECTION.0, "")
+            .replace(QUOTA_SECTION.1, ""),
+    )
+}
+
+fn fill(template: &str) -> String {
     let fill = |text: String, (from, to): &(&str, &str)| text.replace(from, to);
-    PLACEHOLDERS.iter().fold(TEMPLATE.to_owned(), fill)
+    PLACEHOLDERS.iter().fold(template.to_owned(), fill)
 }
 
 fn read(text: &str) -> Result<Config, String> {
@@ -43,12 +57,25 @@
     assert_eq!(cfg.grace_s.as_millis(), 6_500);
     assert_eq!(cfg.data_centres.len(), 2);
     assert!(cfg.first_start);
+    let terms = cfg.quota_terms();
+    assert_eq!((terms.overage, terms.slack), (0.1, 20.0));
+}
+
+/// A deployment without quotas has no such settings.
+#[test]
+fn the_template_is_valid_without_quotas() {
+    let (before, rest) = TEMPLATE.split_once(QUOTA_SECTION.0).unwrap();
+    let (_, after) = rest.split_once(QUOTA_SECTION.1).unwrap();
+    let cfg = read(&fill(&format!("{before}{after}"))).unwrap();
+    assert_eq!(cfg.quota_terms().slack, 0.0);
 }
 
 #[test_case("\"listen\"", "\"lisen\"", "lisen"; "unknown key")]
 #[test_case("10.1.0.8:8784", "front:8784", "front:8784"; "name instead of an address")]
 #[test_case("6.5", "\"soon\"", "soon"; "not a number")]
 #[test_case("\"store\"", "// \"store\"", "store"; "missing store")]
+#[test_case("\"quota_overage\": 0.1", "\"quota_overage\": -0.1", "quota_overage"; "negative overage")]
+#[test_case("\"quota_window_s\": 5", "\"quota_window_s\": 0", "quota_window_s"; "no window")]
 fn an_error_names_its_cause(from: &str, to: &str, named: &str) {
     let text = filled_template().replacen(from, to, 1);
     assert_ne!(text, filled_template(), "the replacement must match");
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod proof;
 pub mod queue;
 pub mod quorum;
+pub mod quota;
 pub mod rank;
 pub mod read;
 pub mod replica_ack;
--- /dev/null
+++ b/crates/policy/src/quota/budget.rs
@@ -0,0 +1,91 @@
+//! Division of a customer's limit.
+
+use model::customer::RateLimit;
+use model::unit::Span;
+
+use super::{GRANTERS, PERMIT_TTL};
+
+/// Part of the reserve with which granters begin, after a start or a change of granter.
+const INITIAL: f64 = 0.2;
+
+/// Part of the reserve that extends the granters' bursts. Without it, customers with small
+/// bursts would never have a whole permit at one granter.
+const BURST: f64 = 0.4;
+
+/// Part of the reserve for granters whose authority is not confirmed.
+const UNCONFIRMED: f64 = 0.4;
+
+/// Number of granters that may be active in one window: those that lose their parts and those
+/// that take them over.
+const MAX_GRANTERS: f64 = 2.0 * GRANTERS as f64;
+
+/// Least reserve, as a part of what is allowed in a window.
+const MIN_RESERVE: f64 = 0.125;
+
+/// What the operators tolerate beyond a customer's limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Length of the windows in which operations are counted.
+    pub window: Span,
+    /// Accepted excess, as a part of the limit.
+    pub overage: f64,
+    /// Accepted excess, in operations a window.
+    pub slack: f64,
+}
+
+impl Default for Terms {
+    /// Windows of five seconds, without tolerance.
+    fn default() -> Self {
+        Self {
+            window: Span::from_millis(5_000),
+            overage: 0.0,
+            slack: 0.0,
+        }
+    }
+}
+
+/// What one granter of a customer may grant, in operations.
+///
+/// Invariant: with all parts in use, whatever window is counted, no more operations are sent
+/// than the terms allow; see [`Budget::new`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Budget {
+    /// Permits a second of a granter with confirmed authority.
+    pub rate: f64,
+    /// Permits a second of any other granter.
+    pub unconfirmed_rate: f64,
+    /// Permits that a confirmed granter may accumulate.
+    pub capacity: f64,
+    /// Permits with which a granter begins, and that an unconfirmed one may accumulate.
+    pub initial: f64,
+}
+
+impl Budget {
+    /// Divides a limit among the granters.
+    ///
+    /// What is sent in a window was granted in it, or at most [`PERMIT_TTL`] before. In that
+    /// time granters issue at most their rates, what had accumulated before, what new granters
+    /// begin with, and what unconfirmed granters issue. The sum of these is the allowed
+    /// number. The regular rates and bursts get most of it, and the reserve the rest.
+    pub fn new(limit: RateLimit, terms: Terms) -> Self {
+        let window = seconds(terms.window);
+        let limited = limit.per_s() * window + limit.burst();
+        let allowed = limited * (1.0 + terms.overage) + terms.slack;
+        let granted_in = window + seconds(PERMIT_TTL);
+        let unreserved = limit.per_s() * granted_in + limit.burst() / 2.0;
+        let reserve = (allowed - unreserved).max(allowed * MIN_RESERVE);
+        let regular = allowed - reserve;
+        let burst = (limit.burst() / 2.0).min(regular / 2.0);
+        let parts = GRANTERS as f64;
+        Self {
+            rate: (regular - burst) / granted_in / parts,
+            unconfirmed_rate: reserve * UNCONFIRMED / granted_in / MAX_GRANTERS,
+            capacity: (burst + reserve * BURST) / parts,
+            initial: reserve * INITIAL / MAX_GRANTERS,
+        }
+    }
+}
+
+fn seconds(span: Span) -> f64 {
+    span.as_micros() as f64 / 1e6
+}
--- /dev/null
+++ b/crates/policy/tests/quota.rs
@@ -0,0 +1,269 @@
+//! Rate limits of customers: permits of one part, and the requests of one proxy.
+
+use model::customer::RateLimit;
+use model::id::{CustomerId, ProxyId};
+use model::position::Revision;
+use model::unit::{Span, Time};
+use policy::quota::{
+    Action, Answer, Authority, Budget, Granter, Holder, PERMIT_TTL, Standing, Terms,
+};
+use test_case::test_case;
+
+const TERMS: Terms = Terms {
+    window: Span::from_millis(5_000),
+    overage: 0.1,
+    slack: 20.0,
+};
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn proxy(n: usize) -> ProxyId {
+    format!("p{n}").parse().unwrap()
+}
+
+fn customer() -> CustomerId {
+    "c".parse().unwrap()
+}
+
+fn limit(per_s: f64, burst: f64) -> RateLimit {
+    RateLimit::new(per_s, burst).unwrap()
+}
+
+fn requests<W>(actions: &[Action<W>]) -> Vec<(ProxyId, u32)> {
+    let request = |a: &Action<W>| match a {
+        Action::Request(granter, count) => Some((granter.clone(), *count)),
+        _ => None,
+    };
+    actions.iter().filter_map(request).collect()
+}
+
+/// Whatever the limit, three parts with all bursts, all initial permits and as many
+/// unconfirmed granters stay within what the terms allow.
+#[test_case(4.0, 4.0, TERMS)]
+#[test_case(147.0, 147.0, TERMS)]
+#[test_case(10_000.0, 0.0, TERMS)]
+#[test_case(50.0, 500.0, Terms { overage: 0.0, slack: 0.0, ..TERMS }; "without tolerance")]
+fn all_parts_together_stay_within_the_limit(per_s: f64, burst: f64, terms: Terms) {
+    let budget = Budget::new(limit(per_s, burst), terms);
+    let window = terms.window.as_micros() as f64 / 1e6;
+    let granted_in = window + PERMIT_TTL.as_micros() as f64 / 1e6;
+    let confirmed = 3.0 * (budget.rate * granted_in + budget.capacity);
+    let any = 6.0 * (budget.unconfirmed_rate * granted_in + budget.initial);
+    let all = confirmed + any;
+    let allowed = (per_s * window + burst) * (1.0 + terms.overage) + terms.slack;
+    assert!(all <= allowed + 1e-6, "{all} of {allowed}");
+    assert!(3.0 * budget.rate >= 0.7 * per_s);
+}
+
+/// A hot customer is granted its limit and no more.
+#[test]
+fn a_granter_grants_its_part() {
+    let budget = Budget::new(limit(90.0, 90.0), TERMS);
+    let mut granter = Granter::new(budget, at(0));
+    granter.set_standing(Standing::Confirmed, at(0));
+    let granted: u32 = (0..5_000).map(|ms| granter.grant(9, at(ms)).granted).sum();
+    let expected = budget.rate * 5.0 + budget.initial;
+    assert!(
+        (f64::from(granted) - expected).abs() < 2.0,
+        "{granted} of {expected}"
+    );
+}
+
+/// Guards against a granter that was disconnected or has just appeared and uses the whole part
+/// while another proxy does as well.
+#[test_case(Standing::Other, 0)]
+#[test_case(Standing::Unconfirmed, 11)]
+fn a_granter_without_authority_grants_little(standing: Standing, most: u32) {
+    let budget = Budget::new(limit(90.0, 90.0), TERMS);
+    let mut granter = Granter::new(budget, at(0));
+    granter.set_standing(standing, at(0));
+    let granted: u32 = (0..1_000).map(|ms| granter.grant(9, at(ms)).granted).sum();
+    assert!(granted <= most + budget.initial as u32, "{granted}");
+}
+
+fn holder() -> Holder<u32> {
+    let mut holder = Holder::new(at(0));
+    holder.set_granters((0..3).map(proxy).collect());
+    holder
+}
+
+fn none(retry_ms: u64) -> Option<Answer> {
+    Some(Answer {
+        granted: 0,
+        retry_after: Span::from_millis(retry_ms),
+    })
+}
+
+/// An operation over the limit is rejected as soon as all granters have refused, and not only
+/// after a wait.
+#[test]
+fn an_operation_over_the_limit_is_rejected_at_once() {
+    let mut holder = holder();
+    let mut actions = holder.request(1, at(0));
+    for n in 0..3 {
+        assert_eq!(requests(&actions), [(proxy(n), 1)]);
+        actions = holder.answered(&proxy(n), none(700 + n as u64), at(2 + n as u64));
+    }
+    let [Action::Reject(1, rejection)] = &actions[..] else {
+        panic!("not rejected: {actions:?}");
+    };
+    assert_eq!(rejection.retry_after, Span::from_millis(698));
+}
+
+/// A permit is available in a moment: the operation waits for it.
+#[test]
+fn an_operation_waits_for_a_permit_that_is_due_soon() {
+    let mut holder = holder();
+    holder.request(1, at(0));
+    for n in 0..3 {
+        holder.answered(&proxy(n), none(60), at(1));
+    }
+    assert_eq!(holder.next_step(), Some(at(61)));
+    assert_eq!(requests(&holder.step(at(61))), [(proxy(0), 1)]);
+    let granted = Answer {
+        granted: 1,
+        retry_after: Span::from_millis(60),
+    };
+    let actions = holder.answered(&proxy(0), Some(granted), at(62));
+    assert!(matches!(actions[..], [Action::Admit(1, _)]), "{actions:?}");
+}
+
+/// A granter does not answer: the next one is asked, and an operation is not held for long.
+#[test]
+fn an_unresponsive_granter_is_passed_over() {
+    let mut holder = holder();
+    holder.request(1, at(0));
+    assert_eq!(
+        requests(&holder.answered(&proxy(0), None, at(150))),
+        [(proxy(1), 1)]
+    );
+    let actions = holder.step(at(250));
+    assert!(matches!(actions[..], [Action::Reject(1, _)]), "{actions:?}");
+}
+
+/// Guards against permits that are spent long after they were granted, by a process that was
+/// suspended or by operations that waited for a connection.
+#[test]
+fn a_permit_expires() {
+    let mut holder = holder();
+    holder.request(1, at(0));
+    let granted = Answer {
+        granted: 9,
+        retry_after: Span::from_millis(0),
+    };
+    let actions = holder.answered(&proxy(0), Some(granted), at(10));
+    let [Action::Admit(1, permit), ..] = &actions[..] else {
+        panic!("not admitted: {actions:?}");
+    };
+    assert!(permit.is_valid(at(499)) && !permit.is_valid(at(500)));
+    assert_eq!(holder.available(at(500)), 0);
+    assert_eq!(holder.try_take(at(500)), None);
+}
+
+/// Steady demand is served from permits that were requested in advance, in batches.
+#[test]
+fn steady_demand_is_admitted_without_a_wait() {
+    let mut holder = holder();
+    let (mut admitted, mut asked) = (0, 0);
+    for n in 0..400_u64 {
+        let now = at(n * 10);
+        let mut actions = holder.request(1, now);
+        while let Some(action) = actions.pop() {
+            match action {
+                Action::Admit(..) => admitted += 1,
+                Action::Reject(..) => panic!("rejected"),
+                Action::Request(granter, count) => {
+                    asked += 1;
+                    let answer = Answer {
+                        granted: count,
+                        retry_after: Span::from_millis(0),
+                    };
+                    actions.extend(holder.answered(&granter, Some(answer), now));
+                }
+            }
+        }
+    }
+    assert_eq!(admitted, 400);
+    assert!(asked <= 80, "{asked} requests");
+}
+
+/// A view of proxies `0..n`, announced at the given revisions.
+fn authority(me: usize, announced: &[(usize, u64)], revision: u64) -> Authority {
+    let mut authority = Authority::new(proxy(me));
+    let live = announced.iter().map(|(n, at)| (proxy(*n), Revision(*at)));
+    authority.set_live(live.collect(), Revision(revision));
+    let mine = announced.iter().find(|(n, _)| *n == me);
+    authority.set_announced(mine.map(|(_, at)| Revision(*at)));
+    authority.set_valid_until(at(5_000));
+    authority
+}
+
+/// The granters among proxies `0..5`, by number.
+fn granters() -> Vec<usize> {
+    let all: Vec<_> = (0..5).map(|n| (n, 1)).collect();
+    let ids = authority(0, &all, 1).granters(&customer()).to_vec();
+    let number = |id: &ProxyId| (0..5).find(|n| proxy(*n) == *id).unwrap();
+    ids.iter().map(number).collect()
+}
+
+/// A proxy that appears takes a part over only when those that held the parts know of it.
+#[test]
+fn a_new_granter_waits_for_those_that_it_displaces() {
+    let new = granters()[0];
+    let mut announced: Vec<_> = (0..5).map(|n| (n, 1)).collect();
+    announced[new].1 = 9;
+    let mut authority = authority(new, &announced, 9);
+    let standing = |a: &mut Authority| a.standing(&customer(), at(0));
+    assert_eq!(standing(&mut authority), Standing::Unconfirmed);
+    let customers = [customer()];
+    let (uninformed, revision) = authority.to_inform(&customers).unwrap();
+    assert_eq!((uninformed.len(), revision), (3, Revision(9)));
+    for (customer, id) in uninformed {
+        assert_eq!(standing(&mut authority), Standing::Unconfirmed);
+        authority.set_informed(customer, id, Revision(9));
+    }
+    assert_eq!(standing(&mut authority), Standing::Confirmed);
+}
+
+/// A proxy that vanished grants no more, so the next one by rank takes its part over at once.
+#[test]
+fn a_granter_that_vanished_is_replaced_at_once() {
+    let gone = granters()[0];
+    let announced: Vec<_> = (0..5).map(|n| (n, n as u64 + 1)).collect();
+    let left: Vec<_> = announced
+        .iter()
+        .copied()
+        .filter(|(n, _)| *n != gone)
+        .collect();
+    let next = (0..5).filter(|n| !granters().contains(n)).map(|n| {
+        let mut next = authority(n, &left, 9);
+        for (other, _) in &left {
+            next.set_informed(customer(), proxy(*other), Revision(n as u64 + 1));
+        }
+        next.standing(&customer(), at(0))
+    });
+    let next: Vec<_> = next.collect();
+    assert_eq!(
+        next.iter().filter(|s| **s == Standing::Confirmed).count(),
+        1,
+        "{next:?}"
+    );
+}
+
+/// A granter whose registration may have lapsed may have been replaced.
+#[test]
+fn a_granter_is_confirmed_only_while_it_is_registered() {
+    let me = granters()[0];
+    let announced: Vec<_> = (0..5).map(|n| (n, if n == me { 1 } else { 2 })).collect();
+    let mut authority = authority(me, &announced, 9);
+    assert_eq!(
+        authority.standing(&customer(), at(4_999)),
+        Standing::Confirmed
+    );
+    assert_eq!(
+        authority.standing(&customer(), at(5_000)),
+        Standing::Unconfirmed
+    );
+}
--- /dev/null
+++ b/crates/policy/tests/quota_fleet/world.rs
@@ -0,0 +1,578 @@
+//! Proxies that hold and grant permits, with their messages and failures.
+
+use model::customer::RateLimit;
+use model::id::{CustomerId, ProxyId};
+use model::position::Revision;
+use model::unit::{Span, Time};
+use policy::quota::{Action, Answer, Authority, Budget, Granter, Holder, Permit, Standing, Terms};
+use rand::rngs::SmallRng;
+use rand::{Rng as _, SeedableRng as _};
+
+use crate::store::{LEASE, MARGIN, Store};
+
+const TICK: Span = Span::from_millis(5);
+const RENEW_INTERVAL: Span = Span::from_millis(1_800);
+const INFORM_INTERVAL: Span = Span::from_millis(100);
+
+/// Time until a granter's silence is noticed.
+const ANSWER_TIMEOUT: Span = Span::from_millis(150);
+
+/// Time for which proxies run without demand and failures, to find each other.
+const START: Time = Time::from_millis(3_000);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Faults {
+    /// Calm; demand comes through so many proxies.
+    None { active: usize },
+    /// A half of the fleet loses the store for good.
+    Partition,
+    /// Two thirds of the fleet appear while the others have lost the store.
+    Join,
+    /// Two thirds of the fleet appear; then the others restart from an earlier state of the
+    /// store, and lose it once they have announced themselves.
+    Restart,
+    /// Instances stall, and admitted operations wait for their connections.
+    Stall,
+    /// All of these and more, at random.
+    All,
+}
+
+/// Guards that can be switched off.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Guards {
+    /// New granters wait until those that they displace know of them.
+    pub(crate) informs: bool,
+    /// Granters are confirmed only while they are certainly registered.
+    pub(crate) registered: bool,
+    /// Permits expire.
+    pub(crate) expiry: bool,
+}
+
+impl Guards {
+    pub(crate) fn all() -> Self {
+        Self {
+            informs: true,
+            registered: true,
+            expiry: true,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Setup {
+    pub(crate) proxies: usize,
+    pub(crate) limit: RateLimit,
+    pub(crate) terms: Terms,
+    /// Demand as a multiple of the limit's rate.
+    pub(crate) demand: f64,
+    pub(crate) faults: Faults,
+    pub(crate) guards: Guards,
+    pub(crate) length: Span,
+}
+
+/// What a run sent.
+pub(crate) struct Outcome {
+    /// When operations arrived at proxies.
+    pub(crate) asked: Vec<Time>,
+    /// When operations were sent to instances.
+    pub(crate) sent: Vec<Time>,
+    pub(crate) rejected: usize,
+}
+
+impl Outcome {
+    /// Operations that a single bucket with the customer's rate and burst would reject.
+    pub(crate) fn over_limit(&self, setup: &Setup) -> usize {
+        let (mut level, mut over) = (setup.limit.burst(), 0);
+        let mut last = START;
+        for at in &self.asked {
+            let passed = at.since(last).as_micros() as f64 / 1e6;
+            level = (level + passed * setup.limit.per_s()).min(setup.limit.burst());
+            last = *at;
+            if level >= 1.0 {
+                level -= 1.0;
+            } else {
+                over += 1;
+            }
+        }
+        over
+    }
+
+    /// The first window with more operations than the terms allow.
+    pub(crate) fn violation(&self, setup: &Setup) -> Option<String> {
+        let Terms {
+            window,
+            overage,
+            slack,
+        } = setup.terms;
+        let seconds = window.as_micros() as f64 / 1e6;
+        let limited = setup.limit.per_s() * seconds + setup.limit.burst();
+        let allowed = limited * (1.0 + overage) + slack;
+        let mut first = 0;
+        for (last, at) in self.sent.iter().enumerate() {
+            while at.since(self.sent[first]) >= window {
+                first += 1;
+            }
+            let count = last + 1 - first;
+            if count as f64 > allowed {
+                return Some(format!(
+                    "{count} of {allowed} in the window that ends at {at}"
+                ));
+            }
+        }
+        None
+    }
+}
+
+/// An admitted operation that waits for its connection.
+struct Ready {
+    send_at: Time,
+    permit: Permit,
+}
+
+struct Node {
+    id: ProxyId,
+    /// Increased by each restart; messages to an earlier process are dropped.
+    incarnation: u32,
+    down_until: Time,
+    paused_until: Time,
+    store_cut_until: Time,
+    peers_cut_until: Time,
+    announced_at: Option<Revision>,
+    renew_at: Time,
+    inform_at: Time,
+    authority: Authority,
+    holder: Holder<()>,
+    granter: Option<Granter>,
+    ready: Vec<Ready>,
+    weight: f64,
+}
+
+impl Node {
+    fn new(id: ProxyId, now: Time, weight: f64) -> Self {
+        Self {
+            authority: Authority::new(id.clone()),
+            id,
+            incarnation: 0,
+            down_until: now,
+            paused_until: now,
+            store_cut_until: now,
+            peers_cut_until: now,
+            announced_at: None,
+            renew_at: now,
+            inform_at: now,
+            holder: Holder::new(now),
+            granter: None,
+            ready: Vec::new(),
+            weight,
+        }
+    }
+
+    fn runs(&self, now: Time) -> bool {
+        self.down_until <= now && self.paused_until <= now
+    }
+}
+
+enum Message {
+    Request(u32),
+    Answer(Option<Answer>),
+}
+
+struct Envelope {
+    deliver_at: Time,
+    from: usize,
+    to: usize,
+    /// The holder's incarnation.
+    incarnation: u32,
+    message: Message,
+}
+
+pub(crate) struct World {
+    setup: Setup,
+    budget: Budget,
+    customer: CustomerId,
+    rng: SmallRng,
+    now: Time,
+    store: Store,
+    nodes: Vec<Node>,
+    mail: Vec<Envelope>,
+    /// Until when no operation gets a connection.
+    stalled_until: Time,
+    restart_from: Revision,
+    faults_per_s: f64,
+    outcome: Outcome,
+}
+
+impl World {
+    pub(crate) fn new(setup: &Setup, seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let now = Time::from_millis(0);
+        let nodes = (0..setup.proxies).map(|n| {
+            let weight = match setup.faults {
+                Faults::None { active } if n >= active => 0.0,
+                Faults::None { .. } => 1.0,
+                Faults::Partition | Faults::Join | Faults::Restart | Faults::Stall => 1.0,
+                Faults::All => rng.random_range(0.0..1.0_f64).powi(3),
+            };
+            Node::new(format!("p{n}").parse().unwrap(), now, weight)
+        });
+        let nodes = nodes.collect();
+        let faults_per_s = rng.random_range(0.1..2.0);
+        Self {
+            setup: setup.clone(),
+            budget: Budget::new(setup.limit, setup.terms),
+            // Another ranking of the proxies for each seed.
+            customer: format!("hot{seed}").parse().unwrap(),
+            rng,
+            now,
+            store: Store::default(),
+            nodes,
+            mail: Vec::new(),
+            stalled_until: now,
+            restart_from: Revision(0),
+            faults_per_s,
+            outcome: Outcome {
+                asked: Vec::new(),
+                sent: Vec::new(),
+                rejected: 0,
+            },
+        }
+    }
+
+    pub(crate) fn run(mut self) -> Outcome {
+        let end = START + self.setup.length;
+        while self.now < end {
+            self.now = self.now + TICK;
+            self.store.expire(self.now);
+            self.inject_faults();
+            self.deliver();
+            for n in 0..self.nodes.len() {
+                if self.nodes[n].runs(self.now) {
+                    self.tick(n);
+                }
+            }
+        }
+        self.outcome
+    }
+
+    fn chance(&mut self, per_s: f64) -> bool {
+        let p = per_s * TICK.as_micros() as f64 / 1e6;
+        self.rng.random_bool(p.min(1.0))
+    }
+
+    fn later(&mut self, most_ms: u64) -> Time {
+        self.now + Span::from_millis(self.rng.random_range(0..most_ms))
+    }
+
+    fn inject_faults(&mut self) {
+        let ms = |ms| Time::from_millis(ms);
+        let at = |time| self.now == time;
+        match self.setup.faults {
+            Faults::Partition if at(ms(5_000)) => self.cut_half_from_store(ms(60_000)),
+            Faults::Join | Faults::Restart if at(ms(5)) => {
+                let new = self.nodes.len() * 2 / 3;
+                for node in &mut self.nodes[..new] {
+                    node.down_until = ms(6_000);
+                }
+            }
+            Faults::Join if at(ms(5_500)) => self.cut_old_from_store(ms(11_000)),
+            Faults::Restart if at(ms(5_500)) => self.restart_from = self.store.revision(),
+            Faults::Restart if at(ms(8_000)) => {
+                for n in self.nodes.len() * 2 / 3..self.nodes.len() {
+                    self.restart(n, self.restart_from);
+                    self.nodes[n].down_until = self.now;
+                    self.nodes[n].renew_at = self.now;
+                }
+            }
+            Faults::Restart if at(ms(8_010)) => self.cut_old_from_store(ms(14_000)),
+            Faults::Stall if at(ms(8_000)) => self.stalled_until = ms(11_000),
+            _ => {}
+        }
+        let is_random = self.setup.faults == Faults::All && self.now > START;
+        if is_random && self.chance(self.faults_per_s) {
+            self.inject_random_fault();
+        }
+    }
+
+    /// Takes the store from the third of the fleet that was there first.
+    fn cut_old_from_store(&mut self, until: Time) {
+        let new = self.nodes.len() * 2 / 3;
+        for node in &mut self.nodes[new..] {
+            node.store_cut_until = until;
+        }
+    }
+
+    fn cut_half_from_store(&mut self, until: Time) {
+        for n in 0..self.nodes.len() {
+            if self.rng.random_bool(0.5) {
+                self.nodes[n].store_cut_until = until;
+            }
+        }
+    }
+
+    fn inject_random_fault(&mut self) {
+        let n = self.rng.random_range(0..self.nodes.len());
+        match self.rng.random_range(0..12) {
+            0 => self.restart_from_some(n),
+            1 => self.stalled_until = self.later(4_000),
+            2 => {
+                let share = self.rng.random_range(0.3..=1.0);
+                for n in 0..self.nodes.len() {
+                    if self.rng.random_bool(share) {
+                        self.restart_from_some(n);
+                    }
+                }
+            }
+            3 | 4 => self.nodes[n].paused_until = self.later(9_000),
+            5 | 6 => self.nodes[n].peers_cut_until = self.later(9_000),
+            7 => self.leave(n),
+            8 | 9 => {
+                // The store turns a part of the fleet away.
+                let until = self.later(14_000);
+                for n in 0..self.nodes.len() {
+                    if self.rng.random_bool(0.35) {
+                        self.nodes[n].store_cut_until = until;
+                    }
+                }
+            }
+            10 => {
+                let until = self.later(9_000);
+                for node in &mut self.nodes {
+                    node.store_cut_until = until;
+                }
+            }
+            _ => self.nodes[n].store_cut_until = self.later(14_000),
+        }
+    }
+
+    /// Restarts a process from a state of the store that may be some seconds old.
+    fn restart_from_some(&mut self, n: usize) {
+        let newest = self.store.revision().0;
+        let revision = self.rng.random_range(newest.saturating_sub(6)..=newest);
+        self.restart(n, Revision(revision));
+    }
+
+    fn restart(&mut self, n: usize, revision: Revision) {
+        let down = Span::from_millis(self.rng.random_range(50..2_500));
+        let now = self.now;
+        let node = &mut self.nodes[n];
+        let mut fresh = Node::new(node.id.clone(), now, node.weight);
+        fresh.incarnation = node.incarnation + 1;
+        fresh.down_until = now + down;
+        fresh.renew_at = now + down;
+        fresh.store_cut_until = node.store_cut_until;
+        fresh.peers_cut_until = node.peers_cut_until;
+        fresh.authority.set_live(self.store.at(revision), revision);
+        let granters = fresh.authority.granters(&self.customer).to_vec();
+        fresh.holder.set_granters(granters);
+        *node = fresh;
+    }
+
+    /// Stops gracefully, and starts again a little later.
+    fn leave(&mut self, n: usize) {
+        let id = self.nodes[n].id.clone();
+        if self.nodes[n].store_cut_until <= self.now {
+            self.store.withdraw(&id);
+        }
+        self.restart_from_some(n);
+    }
+
+    fn tick(&mut self, n: usize) {
+        let reaches_store = self.nodes[n].store_cut_until <= self.now;
+        if reaches_store {
+            self.register(n);
+            if self.chance(4.0) {
+                self.read_store(n);
+            }
+        }
+        if self.nodes[n].inform_at <= self.now {
+            self.nodes[n].inform_at = self.now + INFORM_INTERVAL;
+            self.inform(n);
+        }
+        let total: f64 = self.nodes.iter().map(|n| n.weight).sum();
+        let demand = self.setup.demand * self.setup.limit.per_s();
+        let share = self.nodes[n].weight / total.max(1e-9);
+        let now = self.now;
+        if now > START && self.chance(demand * share) {
+            self.outcome.asked.push(now);
+            let actions = self.nodes[n].holder.request((), now);
+            self.act(n, actions);
+        }
+        // Keeps the granter's bucket filling while nobody asks.
+        self.grant(n, 0);
+        let actions = self.nodes[n].holder.step(now);
+        self.act(n, actions);
+        self.send_ready(n);
+    }
+
+    fn register(&mut self, n: usize) {
+        let now = self.now;
+        let registered = self.setup.guards.registered;
+        let node = &mut self.nodes[n];
+        if node.renew_at > now {
+            return;
+        }
+        node.renew_at = now + RENEW_INTERVAL;
+        let renewed = node.announced_at.is_some() && self.store.renew(&node.id, now);
+        if !renewed {
+            let at = self.store.announce(&node.id, now);
+            node.announced_at = Some(at);
+            node.authority.set_announced(Some(at));
+        }
+        let lease = Span::from_micros(LEASE.as_micros() - MARGIN.as_micros());
+        let lease = if registered { lease } else { lease.times(100) };
+        node.authority.set_valid_until(now + lease);
+    }
+
+    /// Reads the store up to now, or up to an earlier change.
+    fn read_store(&mut self, n: usize) {
+        let newest = self.store.revision().0;
+        let known = self.nodes[n].authority.revision().0;
+        let revision = Revision(self.rng.random_range(known..=newest));
+        let live = self.store.at(revision);
+        let node = &mut self.nodes[n];
+        node.authority.set_live(live, revision);
+        let granters = node.authority.granters(&self.customer).to_vec();
+        node.holder.set_granters(granters);
+    }
+
+    fn inform(&mut self, n: usize) {
+        let Some((uninformed, revision)) = self.nodes[n].authority.to_inform([&self.customer])
+        else {
+            return;
+        };
+        for (customer, id) in uninformed {
+            let Some(other) = self.nodes.iter().position(|node| node.id == id) else {
+                continue;
+            };
+            let reached = self.reaches(n, other) && self.nodes[other].runs(self.now);
+            let knows = self.nodes[other].authority.knows(&customer, revision);
+            if (knows && reached) || !self.setup.guards.informs {
+                let authority = &mut self.nodes[n].authority;
+                authority.set_informed(customer, id, revision);
+            }
+        }
+    }
+
+    fn reaches(&self, a: usize, b: usize) -> bool {
+        let is_cut = |n: usize| self.nodes[n].peers_cut_until > self.now;
+        a == b || !(is_cut(a) || is_cut(b))
+    }
+
+    fn act(&mut self, n: usize, actions: Vec<Action<()>>) {
+        let mut queue = actions;
+        while let Some(action) = queue.pop() {
+            match action {
+                Action::Admit((), permit) => {
+                    let send_at = self.later(300).max(self.stalled_until);
+                    self.nodes[n].ready.push(Ready { send_at, permit });
+                }
+                Action::Reject(..) => self.outcome.rejected += 1,
+                Action::Request(granter, count) => {
+                    let to = self.nodes.iter().position(|node| node.id == granter);
+                    let Some(to) = to else { continue };
+                    if to == n {
+                        let answer = self.grant(n, count);
+                        let now = self.now;
+                        let holder = &mut self.nodes[n].holder;
+                        queue.extend(holder.answered(&granter, Some(answer), now));
+                    } else {
+                        self.post_request(n, to, count);
+                    }
+                }
+            }
+        }
+    }
+
+    fn post_request(&mut self, from: usize, to: usize, count: u32) {
+        let incarnation = self.nodes[from].incarnation;
+        let calm = matches!(self.setup.faults, Faults::None { .. });
+        let arrives = self.reaches(from, to) && (calm || self.rng.random_bool(0.97));
+        if arrives {
+            let slow = !calm && self.rng.random_bool(0.03);
+            let deliver_at = self.later(if slow { 700 } else { 30 });
+            self.mail.push(Envelope {
+                deliver_at,
+                from,
+                to,
+                incarnation,
+                message: Message::Request(count),
+            });
+        } else {
+            self.mail.push(Envelope {
+                deliver_at: self.now + ANSWER_TIMEOUT,
+                from: to,
+                to: from,
+                incarnation,
+                message: Message::Answer(None),
+            });
+        }
+    }
+
+    fn grant(&mut self, n: usize, count: u32) -> Answer {
+        let now = self.now;
+        let node = &mut self.nodes[n];
+        let standing = node.authority.standing(&self.customer, now);
+        if standing == Standing::Other {
+            node.granter = None;
+            return Answer::refusal();
+        }
+        let budget = self.budget;
+        let granter = node
+            .granter
+            .get_or_insert_with(|| Granter::new(budget, now));
+        granter.set_standing(standing, now);
+        granter.grant(count, now)
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let due: Vec<_> = self.mail.extract_if(.., |m| m.deliver_at <= now).collect();
+        for mut envelope in due {
+            let to = envelope.to;
+            if self.nodes[to].paused_until > now && self.nodes[to].down_until <= now {
+                envelope.deliver_at = self.nodes[to].paused_until;
+                self.mail.push(envelope);
+                continue;
+            }
+            if !self.nodes[to].runs(now) {
+                continue;
+            }
+            match envelope.message {
+                Message::Request(count) => {
+                    let answer = self.grant(to, count);
+                    let deliver_at = self.later(30);
+                    self.mail.push(Envelope {
+                        deliver_at,
+                        from: to,
+                        to: envelope.from,
+                        incarnation: envelope.incarnation,
+                        message: Message::Answer(Some(answer)),
+                    });
+                }
+                Message::Answer(answer) => {
+                    if self.nodes[to].incarnation != envelope.incarnation {
+                        continue;
+                    }
+                    let granter = self.nodes[envelope.from].id.clone();
+                    let actions = self.nodes[to].holder.answered(&granter, answer, now);
+                    self.act(to, actions);
+                }
+            }
+        }
+    }
+
+    fn send_ready(&mut self, n: usize) {
+        let (now, expiry) = (self.now, self.setup.guards.expiry);
+        let node = &mut self.nodes[n];
+        let due: Vec<_> = node.ready.extract_if(.., |r| r.send_at <= now).collect();
+        for Ready { permit, .. } in due {
+            let valid = permit.is_valid(now) || !expiry;
+            if valid || self.nodes[n].holder.try_take(now).is_some() {
+                self.outcome.sent.push(now);
+            } else {
+                let actions = self.nodes[n].holder.request((), now);
+                self.act(n, actions);
+            }
+        }
+    }
+}
