Give the soak customers, revoked keys and a hot customer

Each configuration has a key of its own; once a proxy serves a version, it must not accept the key of an earlier one. One customer reads through all proxies as fast as it can, with 15 operations a second allowed: what arrives at the instances is counted in every window, lengthened by the longest time for which a wire holds statements up. Every statement must have run for a customer.

--- a/crates/front/tests/env/mod.rs
+++ b/crates/front/tests/env/mod.rs
@@ -192,6 +192,11 @@
 
     /// Opens a session if the proxy accepts one now.
     pub(crate) fn try_connect(proxy: SocketAddr, database: &str) -> Option<Self> {
+        Self::try_connect_as(proxy, database, "me")
+    }
+
+    /// [`Caller::try_connect`] with a key.
+    pub(crate) fn try_connect_as(proxy: SocketAddr, database: &str, key: &str) -> Option<Self> {
         let stream = TcpStream::connect_timeout(&proxy, Duration::from_secs(1)).ok()?;
         stream.set_read_timeout(Some(CALLER_TIMEOUT)).ok()?;
         let mut caller = Self {
@@ -199,7 +204,7 @@
             writer: stream,
             timed_out: false,
         };
-        let line = caller.exchange(&format!("START {database} me"))?;
+        let line = caller.exchange(&format!("START {database} {key}"))?;
         line.starts_with("READY I").then_some(caller)
     }
 
--- a/crates/front/tests/soak/faults.rs
+++ b/crates/front/tests/soak/faults.rs
@@ -13,6 +13,9 @@
 use crate::oracle::Oracle;
 use crate::testbed::{INSTANCES, Testbed};
 
+/// Longest duration of a fault that is ended.
+pub(crate) const MAX_FAULT: Duration = Duration::from_millis(1_800);
+
 /// A fault that is ended after some time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum TimedFault {
@@ -83,7 +86,8 @@
     }
 
     fn end_later(&mut self, fault: TimedFault) {
-        let after = Duration::from_millis(self.rng.random_range(100..1_800));
+        let longest = MAX_FAULT.as_millis() as u64;
+        let after = Duration::from_millis(self.rng.random_range(100..longest));
         self.active.push((fault, Instant::now() + after));
     }
 
--- a/crates/front/tests/soak/main.rs
+++ b/crates/front/tests/soak/main.rs
@@ -13,6 +13,7 @@
 
 mod callers;
 mod config;
+mod customers;
 mod faults;
 mod oracle;
 mod testbed;
@@ -54,6 +55,7 @@
         let mut running: Vec<_> = writers.collect();
         running.extend(readers);
         running.push(scope.spawn(move || config::check_versions(direct, oracle)));
+        running.push(scope.spawn(move || customers::press(seed, addresses, oracle)));
         faults::inject(seed, &mut testbed, length, oracle);
         oracle.stop.store(true, Ordering::Relaxed);
         running.into_iter().filter_map(|c| c.join().err()).count()
@@ -72,7 +74,9 @@
         });
         wait(|| Caller::try_connect(*address, &config::database(oracle.version())));
     }
-    match oracle.verify(&testbed.managed.log()) {
+    let verified = oracle.verify(&testbed.managed.log());
+    let customers = customers::verify(&testbed.managed.arrivals());
+    match verified.and_then(|summary| customers.map(|()| summary)) {
         Ok(summary) => {
             // Standard error may be closed.
             let _ = writeln!(std::io::stderr(), "seed {seed}: {summary}");
