Divide a customer's limit into six parts, and take a permit when it is used

Trials, in order: - A permit was taken on arrival and expired while the operation waited for a connection.

A part now has one holder and displaces one, so the wait of a new granter is for one proxy a part. The rejection says that the limit leaves no room now, which is also true where granters are not in reach.

--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -11,6 +11,8 @@
 };
 use store::calls::Calls;
 
+use crate::quota::Usage;
+
 /// Upper bounds of the buckets for statement times, in seconds. The lowest fits statements
 /// that the proxy answers itself, the highest is the longest statement timeout.
 const STATEMENT_SECONDS_BUCKETS: [f64; 11] = [
@@ -57,6 +59,7 @@
     connections_opened: IntCounterVec,
     store_calls: IntGaugeVec,
     gauges: IntGaugeVec,
+    customers: IntGaugeVec,
     lines_dropped: IntCounter,
     coordinator: Coordinator,
 }
@@ -133,6 +136,14 @@
             Opts::new("pomelo_state", "what the process holds and believes"),
             &["what"],
         )?;
+        let customers = IntGaugeVec::new(
+            Opts::new(
+                "pomelo_customer",
+                "use of the limits of the customers with the most rejections",
+            ),
+            &["customer", "what"],
+        )?;
+        registry.register(Box::new(customers.clone()))?;
         let lines_dropped = IntCounter::new(
             "pomelo_log_lines_left_out_total",
             "lines about served statements beyond the bound",
@@ -149,6 +160,7 @@
             connections_opened,
             store_calls,
             gauges,
+            customers,
             lines_dropped,
         })
     }
@@ -208,7 +220,13 @@
     }
 
     /// Renders all metrics; `gauges` holds the present values of the state gauges.
-    pub fn render(&self, calls: &Calls, gauges: &[(&str, u64)]) -> Result<String, MetricsError> {
+    pub fn render(
+        &self,
+        calls: &Calls,
+        gauges: &[(&str, u64)],
+        customers: &[Usage],
+    ) -> Result<String, MetricsError> {
+        self.set_customers(customers);
         for (purpose, kind, count) in calls.by_purpose() {
             let count = i64::try_from(count).unwrap_or(i64::MAX);
             self.store_calls
@@ -225,6 +243,25 @@
     }
 }
 
+impl Metrics {
+    fn set_customers(&self, customers: &[Usage]) {
+        self.customers.reset();
+        for usage in customers {
+            let set = |what, value: i64| {
+                let labels = [usage.customer.as_str(), what];
+                self.customers.with_label_values(&labels).set(value);
+            };
+            set("part_per_s", usage.part_per_s as i64);
+            set("parts", i64::from(usage.parts));
+            set("permits", i64::from(usage.at_hand));
+            set(
+                "rejected",
+                i64::try_from(usage.rejected).unwrap_or(i64::MAX),
+            );
+        }
+    }
+}
+
 /// Creates a counter and registers it.
 fn counter(
     registry: &Registry,
--- a/crates/front/src/pages.rs
+++ b/crates/front/src/pages.rs
@@ -96,7 +96,10 @@
         ("doubted_primaries", suspected as u64),
         ("lagging_groups", lagging as u64),
     ];
-    match cx.metrics.render(store.calls(), &gauges) {
+    match cx
+        .metrics
+        .render(store.calls(), &gauges, &cx.quotas.usage())
+    {
         Ok(text) => text,
         Err(e) => {
             tracing::error!(cause = %e, "cannot render the metrics");
--- a/crates/front/src/quota.rs
+++ b/crates/front/src/quota.rs
@@ -11,7 +11,7 @@
 use model::position::Revision;
 use model::unit::{Span, Time};
 use policy::quota::{
-    Action, Answer, Authority, Budget, Granter, Holder, Permit, QuotaRejection, Standing, Terms,
+    Action, Answer, Authority, Budget, Granter, Holder, Parts, Permit, QuotaRejection, Terms,
 };
 
 use crate::clock;
@@ -33,6 +33,9 @@
 /// Shortest time between two checks of a waiting operation.
 const MIN_STEP: Span = Span::from_millis(1);
 
+/// Number of customers in the metrics; each adds some series.
+const MAX_REPORTED: usize = 20;
+
 type Reply = flume::Sender<Result<Permit, QuotaRejection>>;
 
 /// The limits of all customers on this proxy.
@@ -53,7 +56,8 @@
 
 /// Admission of one operation.
 ///
-/// One that is dropped before it was sent returns its permit.
+/// It takes a permit only when the operation is sent, so that none expires while the operation
+/// waits for its connection.
 pub struct Admission(Option<Limited>);
 
 /// Admission by a permit, for a customer with a limit.
@@ -65,12 +69,12 @@
 
 #[derive(Clone, Debug)]
 enum Stage {
-    /// The operation has not been sent.
-    Reserved(Permit),
-    /// The operation has been sent; it may be sent again if it did not run.
+    /// The operation needs a permit to be sent.
+    Waiting,
+    /// The operation was sent. It may be sent again with the same permit if it did not run.
     Sent(Permit),
-    /// The operation may have run. To send it again needs another permit.
-    Used,
+    /// The operation was sent and did not run.
+    Reserved(Permit),
 }
 
 impl Quotas {
@@ -166,19 +170,23 @@
         }
     }
 
-    /// Waits for the admission of an operation that is about to be sent; one without a customer
+    /// Admits an operation, unless it is known that it would be rejected; one without a customer
     /// is not limited.
-    pub async fn admit(&self, customer: Option<&CustomerId>) -> Result<Admission, QuotaRejection> {
+    pub fn admit(&self, customer: Option<&CustomerId>) -> Result<Admission, QuotaRejection> {
         let limited = |id: &&CustomerId| self.0.borrow().budgets.contains_key(*id);
         let Some(customer) = customer.filter(limited) else {
             return Ok(Admission(None));
         };
-        let permit = self.permit(customer).await;
-        let permit = permit.inspect_err(|_| self.count_rejection(customer))?;
+        let now = clock::now();
+        let rejection = self.with_holder(customer, now, |holder| holder.known_rejection(now));
+        if let Some(rejection) = rejection {
+            self.count_rejection(customer);
+            return Err(rejection);
+        }
         Ok(Admission(Some(Limited {
             quotas: self.clone(),
             customer: customer.clone(),
-            stage: Stage::Reserved(permit),
+            stage: Stage::Waiting,
         })))
     }
 
@@ -189,7 +197,7 @@
         self.act(customer, actions);
         loop {
             let now = clock::now();
-            let due = self.with_holder(customer, now, |holder| holder.next_step());
+            let due = self.with_holder(customer, now, |holder| holder.next_step(now));
             let pause = due.map_or(STEP_INTERVAL, |due| due.since(now).min(STEP_INTERVAL));
             let pause = pause.max(MIN_STEP).as_duration();
             match compio::time::timeout(pause, rx.recv_async()).await {
@@ -341,31 +349,60 @@
         }
     }
 
-    /// For each customer that used this proxy: its permits at hand, and its rejections.
-    pub fn usage(&self) -> Vec<(CustomerId, u32, u64)> {
+    /// The use of limits by the [`MAX_REPORTED`] customers with the most rejections here.
+    pub fn usage(&self) -> Vec<Usage> {
         let now = clock::now();
         let state = self.0.borrow();
-        let usage = state.holders.iter().map(|(id, holder)| {
-            let rejected = state.rejected.get(id).copied().unwrap_or_default();
-            (id.clone(), holder.available(now), rejected)
-        });
-        usage.collect()
+        let usage = |(customer, holder): (&CustomerId, &Holder<Reply>)| {
+            let budget = state.budgets.get(customer)?;
+            let granter = state.granters.get(customer);
+            Some(Usage {
+                customer: customer.clone(),
+                part_per_s: budget.rate,
+                parts: granter.map_or(0, |granter| granter.parts().confirmed),
+                at_hand: holder.available(now),
+                rejected: state.rejected.get(customer).copied().unwrap_or_default(),
+            })
+        };
+        let mut usage: Vec<_> = state.holders.iter().filter_map(usage).collect();
+        usage.sort_by_key(|u| std::cmp::Reverse(u.rejected));
+        usage.truncate(MAX_REPORTED);
+        usage
     }
 }
 
+/// Use of one customer's limit on this proxy.
+#[derive(Clone, Debug)]
+pub struct Usage {
+    /// The customer.
+    pub customer: CustomerId,
+    /// Operations a second of one part of its limit.
+    pub part_per_s: f64,
+    /// Confirmed parts that this proxy grants.
+    pub parts: u32,
+    /// Permits at hand.
+    pub at_hand: u32,
+    /// Operations that this proxy has rejected.
+    pub rejected: u64,
+}
+
 impl State {
     /// This proxy's part of a customer's limit, if it is a granter.
     fn granter(&mut self, customer: &CustomerId, now: Time) -> Option<&mut Granter> {
-        let standing = self.authority.standing(customer, now);
+        let parts = self.authority.parts(customer, now);
         let budget = self.budgets.get(customer);
-        let Some(budget) = budget.filter(|_| standing != Standing::Other) else {
+        let Some(budget) = budget.filter(|_| parts != Parts::default()) else {
             self.granters.shift_remove(customer);
             return None;
         };
         let granter = self.granters.entry(customer.clone());
-        let granter = granter.or_insert_with(|| Granter::new(*budget, now));
-        if granter.set_standing(standing, now) {
-            tracing::debug!(%customer, ?standing, "the standing as a granter has changed");
+        let granter = granter.or_insert_with(|| Granter::new(*budget, parts, now));
+        if granter.set_parts(parts, now) {
+            let Parts {
+                confirmed,
+                unconfirmed,
+            } = parts;
+            tracing::info!(%customer, confirmed, unconfirmed, "the granted parts of a limit have changed");
         }
         Some(granter)
     }
@@ -377,16 +414,23 @@
     addresses: &IndexMap<ProxyId, (SocketAddr, Span)>,
     customer: &CustomerId,
 ) -> Vec<ProxyId> {
-    let mut granters = authority.granters(customer).to_vec();
+    let mut granters: Vec<_> = authority.granters(customer).iter().cloned().collect();
     granters.sort_by_key(|id| addresses.get(id).map(|(_, round_trip)| *round_trip));
     granters
 }
 
 impl Admission {
-    /// Marks the operation as being sent now; `false` if that needs another permit and none is
-    /// at hand.
-    pub fn send(&mut self) -> bool {
-        self.0.as_mut().is_none_or(Limited::send)
+    /// Waits until the operation may be sent, which must happen at once.
+    pub async fn send(&mut self) -> Result<(), QuotaRejection> {
+        match &mut self.0 {
+            Some(limited) => limited.send().await,
+            None => Ok(()),
+        }
+    }
+
+    /// Whether the operation may be sent once more, without a wait.
+    pub fn try_send(&mut self) -> bool {
+        self.0.as_mut().is_none_or(Limited::try_send)
     }
 
     /// Records that the operation was sent and certainly did not run.
@@ -398,47 +442,36 @@
 }
 
 impl Limited {
-    fn send(&mut self) -> bool {
+    async fn send(&mut self) -> Result<(), QuotaRejection> {
+        if !self.try_send() {
+            let permit = self.quotas.permit(&self.customer).await;
+            let permit = permit.inspect_err(|_| self.quotas.count_rejection(&self.customer))?;
+            self.stage = Stage::Sent(permit);
+        }
+        Ok(())
+    }
+
+    fn try_send(&mut self) -> bool {
         let now = clock::now();
-        let permit = match std::mem::replace(&mut self.stage, Stage::Used) {
+        let permit = match std::mem::replace(&mut self.stage, Stage::Waiting) {
             Stage::Reserved(permit) if permit.is_valid(now) => Some(permit),
-            Stage::Reserved(permit) => {
-                self.give_back(permit);
-                self.take(now)
+            Stage::Reserved(_) | Stage::Sent(_) | Stage::Waiting => {
+                let take = |holder: &mut Holder<Reply>| holder.try_take(now);
+                self.quotas.with_holder(&self.customer, now, take)
             }
-            Stage::Sent(_) | Stage::Used => self.take(now),
         };
         let Some(permit) = permit else {
             return false;
         };
         self.stage = Stage::Sent(permit);
+        self.quotas.step(&self.customer);
         true
     }
 
     fn did_not_run(&mut self) {
-        let Stage::Sent(permit) = std::mem::replace(&mut self.stage, Stage::Used) else {
-            return;
+        self.stage = match std::mem::replace(&mut self.stage, Stage::Waiting) {
+            Stage::Sent(permit) => Stage::Reserved(permit),
+            stage => stage,
         };
-        self.stage = Stage::Reserved(permit);
-    }
-
-    fn take(&self, now: Time) -> Option<Permit> {
-        let take = |holder: &mut Holder<Reply>| holder.try_take(now);
-        self.quotas.with_holder(&self.customer, now, take)
-    }
-
-    fn give_back(&self, permit: Permit) {
-        let now = clock::now();
-        let back = |holder: &mut Holder<Reply>| holder.give_back(permit, now);
-        let actions = self.quotas.with_holder(&self.customer, now, back);
-        self.quotas.act(&self.customer, actions);
-    }
-}
-
-impl Drop for Limited {
-    fn drop(&mut self) {
-        if let Stage::Reserved(permit) = std::mem::replace(&mut self.stage, Stage::Used) {
-            self.give_back(permit);
-        }
     }
 }
--- a/crates/front/src/session.rs
+++ b/crates/front/src/session.rs
@@ -320,6 +320,7 @@
                 tracing::warn!(
                     id = %job.id,
                     database = %self.database,
+                    customer = self.customer().map(tracing::field::display),
                     code = line::code_word(failure.code()),
                     cause = %failure,
                     took_ms = took.as_millis(),
@@ -383,9 +384,8 @@
         }
     }
 
-    async fn admit(&self, target: &Target) -> Result<Admission, Failure> {
-        let admission = self.cx.quotas.admit(target.customer.as_ref()).await;
-        Ok(admission?)
+    fn admit(&self, target: &Target) -> Result<Admission, Failure> {
+        Ok(self.cx.quotas.admit(target.customer.as_ref())?)
     }
 
     /// Checks out a connection for an attempt that is sent at once, within the customer's rate
@@ -397,20 +397,20 @@
         admission: &mut Admission,
         is_additional: bool,
     ) -> Result<CheckedOut, Failure> {
-        loop {
-            let checkout = self.cx.checkout(&target.route.group, request.clone());
-            let checkout = checkout.await?;
-            if admission.send() {
-                return Ok(checkout);
-            }
-            checkout.release();
-            if is_additional {
-                return Err(QuotaRejection {
-                    retry_after: Span::from_millis(0),
-                }
-                .into());
+        let checkout = self.cx.checkout(&target.route.group, request).await?;
+        let sent = match is_additional {
+            false => admission.send().await,
+            true if admission.try_send() => Ok(()),
+            true => Err(QuotaRejection {
+                retry_after: Span::from_millis(0),
+            }),
+        };
+        match sent {
+            Ok(()) => Ok(checkout),
+            Err(rejection) => {
+                checkout.release();
+                Err(rejection.into())
             }
-            *admission = self.admit(target).await?;
         }
     }
 
@@ -423,6 +423,13 @@
         needs.then_some(deadline)
     }
 
+    /// The customer to which the caller's key belongs now.
+    fn customer(&self) -> Option<CustomerId> {
+        let routes = self.cx.routes();
+        let customers = routes.customers.as_ref()?;
+        customers.of_key(self.key.as_ref()?).cloned()
+    }
+
     /// Where a statement or transaction that starts now runs, by the configuration in force.
     fn target(&self) -> Result<Target, Failure> {
         let routes = self.cx.routes();
--- a/crates/front/src/session/attempt.rs
+++ b/crates/front/src/session/attempt.rs
@@ -211,7 +211,7 @@
         let deadline = job.arrived + route.time_limit;
         let mut last = Failure::Instance(Code::Busy);
         let mut attempts = Attempts::default();
-        let mut admission = self.admit(target).await?;
+        let mut admission = self.admit(target)?;
         while attempts.any_left() {
             let request = request(job, Kind::Write, target, self.own_write);
             let checkout = self.checkout(target, request, &mut admission, false);
--- a/crates/front/src/session/read.rs
+++ b/crates/front/src/session/read.rs
@@ -40,7 +40,7 @@
         let mut slow: Option<RunningAttempt> = None;
         let mut last = Failure::Instance(Code::Busy);
         let mut attempts = Attempts::default();
-        let mut admission = self.admit(target).await?;
+        let mut admission = self.admit(target)?;
         while attempts.any_left() {
             let kind = Kind::Read(route.guarantee);
             let request = ConnRequest {
--- a/crates/front/src/session/tx.rs
+++ b/crates/front/src/session/tx.rs
@@ -290,7 +290,7 @@
         let route = &target.route;
         let mut avoid = None;
         let mut attempts = Attempts::default();
-        let mut admission = self.admit(target).await?;
+        let mut admission = self.admit(target)?;
         while attempts.any_left() {
             let kind = match access {
                 Access::Write => Kind::Write,
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -1,14 +1,15 @@
 //! Rate limits of customers, enforced by all proxies together.
 //!
 //! A customer's limit counts what arrives at instances from all proxies, connected to each
-//! other or not, in any window of time. Its rate is divided into [`GRANTERS`] fixed parts,
-//! each held by one proxy. A proxy needs a permit for each operation; it requests permits
-//! from the granters in small batches, and sends an operation only while its permit is valid.
+//! other or not, in any window of time. Its rate is divided into [`PARTS`] fixed parts, each
+//! held by one proxy. A proxy needs a permit for each operation; it requests permits from the
+//! granters, the holders of the parts, in small batches, and sends an operation only while its
+//! permit is valid.
 //!
 //! - Load: one customer sends several times its limit, through a few proxies or through all.
 //! - Harm: its operations would take the slots of all others.
 //! - Why parts and not one granter: a granter that restarts or is disconnected takes one part
-//!   with it, and customers usually need less than the other two.
+//!   with it, and of a divided fleet each side keeps some.
 //!
 //! Decisions: [`budget`] divides the limit, [`authority`] says who holds a part, [`granter`]
 //! grants permits of one part, and [`holder`] requests and spends them.
@@ -21,7 +22,7 @@
 pub mod granter;
 pub mod holder;
 
-pub use authority::{Authority, Standing};
+pub use authority::{Authority, Parts};
 pub use budget::{Budget, Terms};
 pub use granter::{Answer, Granter};
 pub use holder::{Action, Holder, Permit, QuotaRejection};
@@ -31,4 +32,4 @@
 pub const PERMIT_TTL: Span = Span::from_millis(500);
 
 /// Parts into which a customer's limit is divided.
-pub const GRANTERS: usize = 3;
+pub const PARTS: usize = 6;
--- a/crates/policy/src/quota/authority.rs
+++ b/crates/policy/src/quota/authority.rs
@@ -1,36 +1,41 @@
-//! Which proxies grant a customer's permits, and whether a proxy may use its whole part.
+//! Which proxies grant a customer's permits, and which parts of its limit a proxy may use.
 //!
-//! Granters are the first live proxies by rendezvous hash. Proxies see changes of the live
-//! ones at different times, so two proxies may take themselves for holder of the same part.
-//! A granter is confirmed, and uses its whole part, only when no other one can be:
+//! The first live proxy by rendezvous hash holds a part. Proxies see changes of the live ones at
+//! different times, so two proxies may take themselves for holder of the same part. A part is
+//! confirmed, and used in full, only when no other proxy can hold it:
 //!
-//! - One that vanishes from the store has stopped: it grants only while its own registration is
-//!   certainly valid. So the next one by rank needs no confirmation.
-//! - One that appears displaces others, which may not know of it yet. It waits until those
-//!   that were granters before it know of its announcement, or have vanished. They answer only
-//!   when those that they displaced in turn know of them: of several that appear at once, each
-//!   may displace another one that is itself not confirmed yet.
+//! - A holder that vanishes from the store has stopped: it grants only while its own
+//!   registration is certainly valid. So the next one by rank needs no confirmation.
+//! - A proxy that appears displaces the holder, which may not know of it yet. It waits until
+//!   that one knows of its announcement, or has vanished. The holder answers only when those
+//!   that it displaced in turn know of it: of several proxies that appear at once, each may
+//!   displace another one that is itself not confirmed yet.
 
 use indexmap::{IndexMap, IndexSet};
 use model::id::{CustomerId, ProxyId};
 use model::position::Revision;
 use model::unit::Time;
 
-use super::GRANTERS;
+use super::PARTS;
 use crate::rank;
 
 /// Prefix of the key under which proxies are ranked as granters.
 const RANK_KEY: &str = "quota/";
 
-/// Whether a proxy may grant permits to a customer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Standing {
-    /// It is no granter.
-    Other,
-    /// It is a granter by its own view; another proxy may hold the same part.
-    Unconfirmed,
-    /// It is the only holder of its part.
-    Confirmed,
+/// Numbers of parts of a customer's limit that a proxy holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Parts {
+    /// Parts that no other proxy can hold.
+    pub confirmed: u32,
+    /// Parts that another proxy may hold as well.
+    pub unconfirmed: u32,
+}
+
+impl Parts {
+    /// Number of all parts.
+    pub const fn all(self) -> u32 {
+        self.confirmed + self.unconfirmed
+    }
 }
 
 /// What one proxy knows about the granters.
@@ -51,16 +56,16 @@
     ranked: IndexMap<CustomerId, Ranking>,
 }
 
-/// The granters of one customer.
+/// The holders of the parts of one customer's limit.
 #[derive(Clone, Debug)]
 struct Ranking {
-    /// By rank, among the live proxies.
-    granters: Vec<ProxyId>,
-    /// Whether this proxy is a granter in its own view, in which it is always live.
-    includes_me: bool,
-    /// Live proxies that were granters before this proxy announced itself, if it became a
-    /// granter then.
-    displaced: Vec<ProxyId>,
+    /// Each once, among the live proxies.
+    granters: IndexSet<ProxyId>,
+    /// For each part that this proxy holds in its own view, in which it is always live: the
+    /// live proxy that it displaced when it announced itself.
+    mine: Vec<Option<ProxyId>>,
+    /// Live proxies that this proxy displaced as holder of a part, whoever holds it now.
+    displaced: IndexSet<ProxyId>,
 }
 
 impl Authority {
@@ -118,23 +123,26 @@
         is_announced && self.revision >= revision && self.uninformed(customer).is_empty()
     }
 
-    /// The granters of a customer, by rank.
-    pub fn granters(&mut self, customer: &CustomerId) -> &[ProxyId] {
+    /// The granters of a customer.
+    pub fn granters(&mut self, customer: &CustomerId) -> &IndexSet<ProxyId> {
         &self.ranking(customer).granters
     }
 
-    /// Whether this proxy may grant permits to a customer.
-    pub fn standing(&mut self, customer: &CustomerId, now: Time) -> Standing {
-        if !self.ranking(customer).includes_me {
-            return Standing::Other;
-        }
+    /// The parts of a customer's limit that this proxy holds.
+    pub fn parts(&mut self, customer: &CustomerId, now: Time) -> Parts {
         let is_known = self.announced_at.is_some_and(|at| self.revision >= at);
         let is_registered = is_known && now < self.valid_until;
-        if is_registered && self.uninformed(customer).is_empty() {
-            Standing::Confirmed
-        } else {
-            Standing::Unconfirmed
+        let mine = self.ranking(customer).mine.clone();
+        let mut parts = Parts::default();
+        for displaced in mine {
+            let is_informed = |id| self.informed.contains(&(customer.clone(), id));
+            if is_registered && displaced.is_none_or(is_informed) {
+                parts.confirmed += 1;
+            } else {
+                parts.unconfirmed += 1;
+            }
         }
+        parts
     }
 
     /// Granters of `customers` that must learn of this proxy's announcement before it is
@@ -174,24 +182,27 @@
                 .iter()
                 .filter(|(id, at)| **at < announced_at && *id != me);
             let earlier: Vec<_> = earlier.map(|(id, _)| id).collect();
-            let entered = top(customer, earlier.iter().copied().chain([&*me])).contains(me);
-            let with_me: IndexSet<_> = live.keys().chain([&*me]).collect();
-            Ranking {
-                granters: top(customer, live.keys()),
-                includes_me: top(customer, with_me).contains(me),
-                displaced: if entered {
-                    top(customer, earlier)
-                } else {
-                    Vec::new()
-                },
+            let mut ranking = Ranking {
+                granters: IndexSet::new(),
+                mine: Vec::new(),
+                displaced: IndexSet::new(),
+            };
+            for part in 0..PARTS {
+                let first = |ids: &mut dyn Iterator<Item = &ProxyId>| {
+                    let key = format!("{RANK_KEY}{part}/{customer}");
+                    rank::first(&key, ids).cloned()
+                };
+                let displaced = first(&mut earlier.iter().copied());
+                let entered = first(&mut earlier.iter().copied().chain([&*me]));
+                let displaced = displaced.filter(|_| entered.as_ref() == Some(me));
+                let holder = first(&mut live.keys());
+                if first(&mut live.keys().chain([&*me])).as_ref() == Some(me) {
+                    ranking.mine.push(displaced.clone());
+                }
+                ranking.granters.extend(holder);
+                ranking.displaced.extend(displaced);
             }
+            ranking
         })
     }
 }
-
-/// The first proxies by rank.
-fn top<'a>(customer: &CustomerId, ids: impl IntoIterator<Item = &'a ProxyId>) -> Vec<ProxyId> {
-    let mut ids: Vec<_> = ids.into_iter().collect();
-    rank::sort(&format!("{RANK_KEY}{customer}"), &mut ids);
-    ids.into_iter().take(GRANTERS).cloned().collect()
-}
--- a/crates/policy/src/quota/budget.rs
+++ b/crates/policy/src/quota/budget.rs
@@ -3,7 +3,7 @@
 use model::customer::RateLimit;
 use model::unit::Span;
 
-use super::{GRANTERS, PERMIT_TTL};
+use super::{PARTS, PERMIT_TTL};
 
 /// Part of the reserve with which granters begin, after a start or a change of granter.
 const INITIAL: f64 = 0.2;
@@ -15,9 +15,8 @@
 /// Part of the reserve for granters whose authority is not confirmed.
 const UNCONFIRMED: f64 = 0.4;
 
-/// Number of granters that may be active in one window: those that lose their parts and those
-/// that take them over.
-const MAX_GRANTERS: f64 = 2.0 * GRANTERS as f64;
+/// Number of parts that may be granted in one window, if each is taken over by another proxy.
+const MAX_PARTS: f64 = 2.0 * PARTS as f64;
 
 /// Least reserve, as a part of what is allowed in a window.
 const MIN_RESERVE: f64 = 0.125;
@@ -44,7 +43,7 @@
     }
 }
 
-/// What one granter of a customer may grant, in operations.
+/// What the granter of one part may grant, in operations.
 ///
 /// Invariant: with all parts in use, whatever window is counted, no more operations are sent
 /// than the terms allow; see [`Budget::new`].
@@ -76,12 +75,12 @@
         let reserve = (allowed - unreserved).max(allowed * MIN_RESERVE);
         let regular = allowed - reserve;
         let burst = (limit.burst() / 2.0).min(regular / 2.0);
-        let parts = GRANTERS as f64;
+        let parts = PARTS as f64;
         Self {
             rate: (regular - burst) / granted_in / parts,
-            unconfirmed_rate: reserve * UNCONFIRMED / granted_in / MAX_GRANTERS,
+            unconfirmed_rate: reserve * UNCONFIRMED / granted_in / MAX_PARTS,
             capacity: (burst + reserve * BURST) / parts,
-            initial: reserve * INITIAL / MAX_GRANTERS,
+            initial: reserve * INITIAL / MAX_PARTS,
         }
     }
 }
--- a/crates/policy/src/quota/granter.rs
+++ b/crates/policy/src/quota/granter.rs
@@ -1,9 +1,9 @@
-//! Grants permits of one part of a customer's limit.
+//! Grants permits of the parts of a customer's limit that one proxy holds.
 
 use model::unit::{Span, Time};
 use serde::{Deserialize, Serialize};
 
-use super::Standing;
+use super::authority::Parts;
 use super::bucket::Bucket;
 use super::budget::Budget;
 
@@ -32,54 +32,57 @@
     }
 }
 
-/// One part of a customer's limit.
+/// The parts of a customer's limit that one proxy holds.
 #[derive(Clone, Debug)]
 pub struct Granter {
     budget: Budget,
     bucket: Bucket,
-    standing: Standing,
+    parts: Parts,
 }
 
 impl Granter {
-    /// A part that begins with its initial permits.
-    pub fn new(budget: Budget, now: Time) -> Self {
+    /// Parts that begin with their initial permits.
+    pub fn new(budget: Budget, parts: Parts, now: Time) -> Self {
         Self {
             budget,
-            bucket: Bucket::new(budget.initial, now),
-            standing: Standing::Other,
+            bucket: Bucket::new(budget.initial * f64::from(parts.all()), now),
+            parts,
         }
     }
 
     /// Changes the budget, when the limit changes.
     pub fn set_budget(&mut self, budget: Budget, now: Time) {
+        self.bucket.refill(self.rate(), now);
         self.budget = budget;
-        self.set_standing(self.standing, now);
+        self.set_parts(self.parts, now);
     }
 
-    /// Sets whether the whole part may be used; returns whether that has changed.
-    pub fn set_standing(&mut self, standing: Standing, now: Time) -> bool {
+    /// Sets which parts are held; returns whether that has changed.
+    pub fn set_parts(&mut self, parts: Parts, now: Time) -> bool {
         self.bucket.refill(self.rate(), now);
-        // Another granter of the same part may have accumulated as much.
-        self.bucket.set_capacity(match standing {
-            Standing::Confirmed => self.budget.capacity,
-            Standing::Unconfirmed | Standing::Other => self.budget.initial,
-        });
-        std::mem::replace(&mut self.standing, standing) != standing
+        // Another granter of an unconfirmed part may have accumulated as much.
+        let confirmed = self.budget.capacity * f64::from(parts.confirmed);
+        let unconfirmed = self.budget.initial * f64::from(parts.unconfirmed);
+        self.bucket.set_capacity(confirmed + unconfirmed);
+        std::mem::replace(&mut self.parts, parts) != parts
+    }
+
+    /// The parts that are held.
+    pub fn parts(&self) -> Parts {
+        self.parts
     }
 
     fn rate(&self) -> f64 {
-        match self.standing {
-            Standing::Other => 0.0,
-            Standing::Unconfirmed => self.budget.unconfirmed_rate,
-            Standing::Confirmed => self.budget.rate,
-        }
+        let Parts {
+            confirmed,
+            unconfirmed,
+        } = self.parts;
+        self.budget.rate * f64::from(confirmed)
+            + self.budget.unconfirmed_rate * f64::from(unconfirmed)
     }
 
     /// Grants up to `count` permits.
     pub fn grant(&mut self, count: u32, now: Time) -> Answer {
-        if self.standing == Standing::Other {
-            return Answer::refusal();
-        }
         let rate = self.rate();
         self.bucket.refill(rate, now);
         Answer {
--- a/crates/policy/src/quota/holder.rs
+++ b/crates/policy/src/quota/holder.rs
@@ -21,7 +21,11 @@
 const MAX_REQUEST: u32 = 64;
 
 /// Pause after a granter did not answer.
-const UNREACHABLE_PAUSE: Span = Span::from_millis(300);
+const UNREACHABLE_PAUSE: Span = Span::from_millis(1_000);
+
+/// Time after which a request is not relied on, and the same permits are requested from another
+/// granter: a round trip between regions, with one or two late timers.
+const OVERDUE_AFTER: Span = Span::from_millis(60);
 
 /// Shortest pause before a granter that had too few permits is asked again.
 const MIN_PAUSE: Span = Span::from_millis(20);
@@ -47,7 +51,7 @@
 
 /// No permit was available; the operation did not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error, Serialize, Deserialize)]
-#[error("the customer's rate limit is reached; retry after {} ms", retry_after.as_millis())]
+#[error("the customer's rate limit leaves no room now; retry after {} ms", retry_after.as_millis())]
 pub struct QuotaRejection {
     /// When a retry is likely to be served.
     pub retry_after: Span,
@@ -137,17 +141,32 @@
         self.waiting.len()
     }
 
-    /// Requests a permit for an operation.
+    /// Why an operation that arrives now would be rejected, if that is known already: no permit
+    /// is at hand, and all granters have refused.
+    pub fn known_rejection(&self, now: Time) -> Option<QuotaRejection> {
+        if self.available(now) > 0 {
+            return None;
+        }
+        let retry_at = self.refused_until(now)?;
+        (retry_at >= now + MAX_WAIT).then(|| QuotaRejection {
+            retry_after: retry_at.since(now),
+        })
+    }
+
+    /// Requests a permit for an operation that has its connection and is sent at once.
     pub fn request(&mut self, waiter: W, now: Time) -> Vec<Action<W>> {
-        self.measure(1.0, now);
         self.waiting.push_back(Waiter { waiter, since: now });
         self.step(now)
     }
 
-    /// Takes a permit if one is at hand; for an operation that is sent once more.
+    /// Takes a permit if one is at hand.
     pub fn try_take(&mut self, now: Time) -> Option<Permit> {
         self.expire(now);
         let batch = self.batches.front_mut()?;
+        // Only operations that are sent count as demand: while instances stall, permits
+        // requested in advance would expire.
+        let window = DEMAND_WINDOW.as_micros() as f64 / 1e6;
+        self.demand += 1.0 / window;
         batch.count -= 1;
         let permit = Permit { until: batch.until };
         if batch.count == 0 {
@@ -205,11 +224,14 @@
         actions
     }
 
-    /// When [`Holder::step`] must be called next.
-    pub fn next_step(&self) -> Option<Time> {
+    /// When [`Holder::step`] must be called next, after it was called at `now`.
+    pub fn next_step(&self, now: Time) -> Option<Time> {
         let first = self.waiting.front()?;
-        let idle = self.granters.values().filter(|s| s.requested.is_none());
-        let due = idle.map(|s| s.not_before);
+        let due = self.granters.values().map(|s| match s.requested {
+            Some((_, at)) => at + OVERDUE_AFTER,
+            None => s.not_before,
+        });
+        let due = due.filter(|at| *at > now);
         due.chain([first.since + MAX_WAIT]).min()
     }
 
@@ -227,17 +249,26 @@
     }
 
     /// Updates the measured demand, an exponential average.
-    fn measure(&mut self, operations: f64, now: Time) {
+    fn decay_demand(&mut self, now: Time) {
         let window = DEMAND_WINDOW.as_micros() as f64;
         let passed = now.since(self.measured_at).as_micros() as f64;
-        self.demand = self.demand * (-passed / window).exp() + operations / (window / 1e6);
+        self.demand *= (-passed / window).exp();
         self.measured_at = now;
     }
 
+    /// When the first granter is worth asking again, if all of them have refused.
+    fn refused_until(&self, now: Time) -> Option<Time> {
+        let may_grant = |s: &Source| s.requested.is_some() || s.not_before <= now;
+        if self.granters.values().any(may_grant) {
+            return None;
+        }
+        self.granters.values().map(|s| s.not_before).min()
+    }
+
     /// The next request, if permits are needed: for the waiting operations, and in advance
     /// where the permits will be used before they expire.
     fn next_request(&mut self, now: Time) -> Option<(ProxyId, u32)> {
-        self.measure(0.0, now);
+        self.decay_demand(now);
         let available = self.available(now);
         let ahead = (self.demand * AHEAD.as_micros() as f64 / 1e6) as u32;
         let waiting = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
@@ -245,7 +276,8 @@
             return None;
         }
         let under_way = self.granters.values().filter_map(|s| s.requested);
-        let under_way: u32 = under_way.map(|(count, _)| count).sum();
+        let in_time = under_way.filter(|(_, at)| now.since(*at) < OVERDUE_AFTER);
+        let under_way: u32 = in_time.map(|(count, _)| count).sum();
         let needed = waiting.saturating_add(ahead);
         let count = needed
             .saturating_sub(available + under_way)
@@ -261,12 +293,7 @@
     /// Rejects operations that have waited for too long, and all of them if no granter has a
     /// permit soon.
     fn reject_hopeless(&mut self, now: Time, actions: &mut Vec<Action<W>>) {
-        let may_grant = |s: &Source| s.requested.is_some() || s.not_before <= now;
-        let soonest = if self.granters.values().any(may_grant) {
-            None
-        } else {
-            self.granters.values().map(|s| s.not_before).min()
-        };
+        let soonest = self.refused_until(now);
         let retry_after = soonest.map_or(UNREACHABLE_RETRY, |at| at.since(now));
         while let Some(first) = self.waiting.front() {
             let end = first.since + MAX_WAIT;
--- a/crates/policy/src/rank.rs
+++ b/crates/policy/src/rank.rs
@@ -13,6 +13,11 @@
     ids.sort_by_cached_key(|id| Reverse(hash::of([key, id.as_str()])));
 }
 
+/// The first of some proxies by their rank for a key.
+pub fn first<'a>(key: &str, ids: impl Iterator<Item = &'a ProxyId>) -> Option<&'a ProxyId> {
+    ids.max_by_key(|id| hash::of([key, id.as_str()]))
+}
+
 /// Number of live proxies that rank before `me` for a group.
 ///
 /// Proxies in the data centre `lost` rank last: a primary is often lost together with its data
