Follow this proxy's announcement when it is carried out late

Cause, by reading: a write of the announcement without a response may be carried out after a later one, so that the store's revision of it is above the one that the proxy knows. Proxies that appeared in between would rank as announced before it for themselves and after it for this proxy, and both could hold a part. The proxy now takes the later revision when it sees it, and informs again those that it displaced. Test: such a revision makes its parts unconfirmed until then.

--- a/crates/policy/src/quota/authority.rs
+++ b/crates/policy/src/quota/authority.rs
@@ -90,6 +90,11 @@
             self.ranked.clear();
         }
         self.revision = revision;
+        // A write of the announcement without a response may be carried out after a later one.
+        let seen = self.live.get(&self.me).copied();
+        if self.announced_at.is_some() && self.announced_at < seen {
+            self.set_announced(seen);
+        }
     }
 
     /// The revision up to which the live proxies are known.
--- a/crates/policy/tests/quota.rs
+++ b/crates/policy/tests/quota.rs
@@ -293,3 +293,25 @@
     assert_eq!(authority.parts(&customer(), at(4_999)), confirmed(held));
     assert_eq!(authority.parts(&customer(), at(5_000)), unconfirmed(held));
 }
+
+/// An announcement is written again by a call that was carried out late: proxies that appeared
+/// in between rank as announced before this one.
+#[test]
+fn an_announcement_that_is_carried_out_late_counts() {
+    let me = some_granter();
+    let announced: Vec<_> = (0..5).map(|n| (n, if n == me { 9 } else { 2 })).collect();
+    let mut authority = authority(me, &announced, 9);
+    let inform = |a: &mut Authority, revision| {
+        for (customer, id) in a.to_inform(&[customer()]).unwrap().0 {
+            a.set_informed(customer, id, revision);
+        }
+        a.parts(&customer(), at(0)).unconfirmed
+    };
+    assert_eq!(inform(&mut authority, Revision(9)), 0);
+    let later = announced
+        .iter()
+        .map(|(n, at)| (proxy(*n), Revision(if *n == me { 12 } else { *at })));
+    authority.set_live(later.collect(), Revision(12));
+    assert!(authority.parts(&customer(), at(0)).unconfirmed > 0);
+    assert_eq!(inform(&mut authority, Revision(12)), 0);
+}
