Name membership events, share requests and round trips in the field's terms

The tasks of proxy for membership, connection shares and groups spoke of what they "tell", "hear" and "ask", and of a "trip" and a "way". They now have FleetEvent and Update for what is passed between tasks, Requests and Responses for loans, RoundTrip for the measured time, sync_servers and sync_holds for what follows the configuration.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -18,7 +18,7 @@
 use crate::config::Config;
 use crate::cx::Cx;
 use crate::http::Health;
-use crate::member::{self, Setup, Told};
+use crate::member::{self, FleetEvent, Setup};
 use crate::trace::Tracer;
 use crate::{fleet, http, relay, share};
 
@@ -46,8 +46,8 @@
     health: Health,
     listener: Option<TcpListener>,
     routes: Routes,
-    told: flume::Receiver<Told>,
-    /// Takes views of groups to be told to peers.
+    events: flume::Receiver<FleetEvent>,
+    /// Sends reports about groups to peers.
     pub tell: flume::Sender<(Recipients, PeerReport)>,
 }
 
@@ -92,7 +92,7 @@
             health: Health::default(),
             listener,
             routes: started.routes,
-            told: started.told,
+            events: started.events,
             tell,
         })
     }
@@ -107,7 +107,7 @@
         self.listener.as_ref()?.local_addr().ok()
     }
 
-    /// Answers peers and operators, and passes news on, until the runtime ends.
+    /// Serves peers and operators, and dispatches fleet events, until the runtime ends.
     pub fn serve(self, cx: &Rc<Cx>) -> Running {
         let running = Running {
             members: self.members,
@@ -121,20 +121,20 @@
             compio::runtime::spawn(serve_http(listener, router)).detach();
         }
         let changed = cx.fleet.changed();
-        compio::runtime::spawn(pass_on_fleet(cx.clone(), changed)).detach();
-        compio::runtime::spawn(pass_on(cx.clone(), self.told)).detach();
+        compio::runtime::spawn(apply_configurations(cx.clone(), changed)).detach();
+        compio::runtime::spawn(dispatch(cx.clone(), self.events)).detach();
         running
     }
 }
 
 impl Running {
-    /// Tells the balancer and the peers that this process is being stopped.
+    /// Reports to the balancer and to peers that this process is shutting down.
     pub fn drain(&self) {
         self.health.drain();
         self.members.drain();
     }
 
-    /// Tells the peers that this process ends.
+    /// Notifies peers that this process ends.
     pub async fn leave(&self) {
         self.members.leave().await;
     }
@@ -151,49 +151,49 @@
     }
 }
 
-async fn pass_on_fleet(cx: Rc<Cx>, changed: flume::Receiver<Arc<fleet::Snapshot>>) {
+async fn apply_configurations(cx: Rc<Cx>, changed: flume::Receiver<Arc<fleet::Snapshot>>) {
     while let Ok(snapshot) = changed.recv_async().await {
         cx.configure(&snapshot.fleet);
     }
 }
 
-async fn pass_on(cx: Rc<Cx>, told: flume::Receiver<Told>) {
-    while let Ok(told) = told.recv_async().await {
-        match told {
-            Told::Peers(running) => {
-                let addresses = running.iter().map(|news| (news.id.clone(), news.address));
+async fn dispatch(cx: Rc<Cx>, events: flume::Receiver<FleetEvent>) {
+    while let Ok(event) = events.recv_async().await {
+        match event {
+            FleetEvent::Peers(running) => {
+                let addresses = running.iter().map(|info| (info.id.clone(), info.address));
                 cx.relay.peers(addresses.collect());
                 cx.share.peers(running.iter().map(live).collect());
                 cx.peers(peers(&cx, running));
             }
-            Told::View(view) => cx.peer_view(view),
-            Told::Record(record) => pass_on_record(&cx, &record),
+            FleetEvent::View(view) => cx.peer_view(view),
+            FleetEvent::Record(record) => dispatch_record(&cx, &record),
         }
     }
 }
 
-fn live(news: &MemberInfo) -> (ProxyId, share::Live) {
+fn live(info: &MemberInfo) -> (ProxyId, share::Live) {
     let live = share::Live {
-        data_centre: news.data_centre.clone(),
-        address: news.address,
+        data_centre: info.data_centre.clone(),
+        address: info.address,
     };
-    (news.id.clone(), live)
+    (info.id.clone(), live)
 }
 
 /// The running proxies with their places; one in an undeclared data centre has none.
 fn peers(cx: &Cx, running: Vec<MemberInfo>) -> Vec<Peer> {
     let fleet = &cx.fleet.current().fleet;
-    let peers = running.into_iter().filter_map(|news| {
-        let location = fleet.location(&news.data_centre)?;
+    let peers = running.into_iter().filter_map(|info| {
+        let location = fleet.location(&info.data_centre)?;
         Some(Peer {
-            id: news.id,
+            id: info.id,
             location,
         })
     });
     peers.collect()
 }
 
-fn pass_on_record(cx: &Cx, record: &Record) {
+fn dispatch_record(cx: &Cx, record: &Record) {
     let name = record.key.strip_prefix(GROUPS);
     let Some(group) = name.and_then(|name| name.split('/').next()) else {
         return;
--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -4,8 +4,8 @@
 mod link;
 mod log;
 mod record;
+mod round_trip;
 mod task;
-mod trip;
 
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -48,12 +48,12 @@
     Failed(InstanceId, Failure),
     Released(InstanceId),
     Configure(Arc<Fleet>),
-    Told(Told),
+    Update(Update),
     Snapshot(flume::Sender<Snapshot>),
 }
 
-/// News from other proxies and from the store's watch.
-enum Told {
+/// An update from other proxies or from the watch on the store.
+enum Update {
     Peers(Vec<Peer>),
     View(PeerReport),
     Record(Versioned),
@@ -62,7 +62,7 @@
 /// What a group task knows and has decided.
 #[derive(Clone, Debug)]
 pub struct Snapshot {
-    /// The present on the clock of this task, to which all times here refer.
+    /// Current time on the clock of this task; all other times refer to it.
     pub now: Time,
     /// The newest known primary.
     pub lead: Leadership,
@@ -72,7 +72,7 @@
     pub decisions: Vec<Decision>,
 }
 
-/// What a group task is started with.
+/// What a group task needs.
 #[derive(Clone)]
 pub struct Setup {
     /// The group.
@@ -83,13 +83,13 @@
     pub location: Location,
     /// Address that outgoing connections are bound to.
     pub address: IpAddr,
-    /// Told of the time on the way to each instance.
+    /// Receives the round-trip time to each instance.
     pub admit: admit::Handle,
     /// The configuration in force.
     pub fleet: Arc<Fleet>,
     /// The platform's store, which keeps the leadership record.
     pub store: store::client::Client,
-    /// Views that other proxies are to be told.
+    /// Reports to send to other proxies.
     pub tell: flume::Sender<(Recipients, PeerReport)>,
     /// Starts the spans of changes of primary.
     pub tracer: Tracer,
@@ -210,24 +210,24 @@
         let _ = self.tx.send(Request::Failed(instance.clone(), failure));
     }
 
-    /// Hands over a newer configuration.
+    /// Passes on a newer configuration.
     pub fn configure(&self, fleet: Arc<Fleet>) {
         let _ = self.tx.send(Request::Configure(fleet));
     }
 
-    /// Hands over the list of live proxies.
+    /// Passes on the list of live proxies.
     pub fn peers(&self, live: Vec<Peer>) {
-        let _ = self.tx.send(Request::Told(Told::Peers(live)));
+        let _ = self.tx.send(Request::Update(Update::Peers(live)));
     }
 
-    /// Hands over another proxy's view of the group.
+    /// Passes on another proxy's report about the group.
     pub fn peer_view(&self, view: PeerReport) {
-        let _ = self.tx.send(Request::Told(Told::View(view)));
+        let _ = self.tx.send(Request::Update(Update::View(view)));
     }
 
-    /// Hands over the leadership record as a watch or a peer reported it.
+    /// Passes on the leadership record as a watch or a peer reported it.
     pub fn record(&self, versioned: Versioned) {
-        let _ = self.tx.send(Request::Told(Told::Record(versioned)));
+        let _ = self.tx.send(Request::Update(Update::Record(versioned)));
     }
 
     /// What the group task knows and has decided; `None` while it shuts down.
--- a/crates/proxy/src/group/link.rs
+++ b/crates/proxy/src/group/link.rs
@@ -12,7 +12,7 @@
 use policy::status::Status;
 
 use super::client::{Connection, Login, Reader};
-use super::trip::Trip;
+use super::round_trip::RoundTrip;
 
 /// Longest time for a question on a connection of its own, its opening included.
 const FRESH_WITHIN: Duration = Duration::from_millis(1_000);
@@ -32,16 +32,16 @@
     pub(super) query: QueryId,
     pub(super) result: Result<Status, Failure>,
     /// The time on the way there and back, when it is known to have changed.
-    pub(super) trip: Option<(InstanceId, Duration)>,
+    pub(super) round_trip: Option<(InstanceId, Duration)>,
 }
 
 impl Answer {
     fn new(query: QueryId, result: Result<Status, Failure>) -> Self {
-        let trip = None;
+        let round_trip = None;
         Self {
             query,
             result,
-            trip,
+            round_trip,
         }
     }
 }
@@ -166,8 +166,14 @@
 fn open(instance: &InstanceId, login: &Rc<Login>, answers: &flume::Sender<Answer>) -> Steady {
     let (tx, rx) = flume::unbounded();
     let pending = Pending::default();
-    let trip = (instance.clone(), Trip::new(Instant::now()));
-    let task = run(trip, login.clone(), rx, answers.clone(), pending.clone());
+    let round_trip = (instance.clone(), RoundTrip::new(Instant::now()));
+    let task = run(
+        round_trip,
+        login.clone(),
+        rx,
+        answers.clone(),
+        pending.clone(),
+    );
     Steady {
         tx,
         pending,
@@ -178,13 +184,13 @@
 /// Serves the long-lived connection until it breaks; then every question without an
 /// answer has failed.
 async fn run(
-    mut trip: (InstanceId, Trip),
+    mut round_trip: (InstanceId, RoundTrip),
     login: Rc<Login>,
     rx: flume::Receiver<Question>,
     answers: flume::Sender<Answer>,
     pending: Pending,
 ) {
-    let failure = serve(&mut trip, &login, &rx, &answers, &pending).await;
+    let failure = serve(&mut round_trip, &login, &rx, &answers, &pending).await;
     drop(rx);
     for (query, _) in pending.borrow_mut().drain(..) {
         let _ = answers.send(Answer::new(query, Err(failure)));
@@ -192,7 +198,7 @@
 }
 
 async fn serve(
-    trip: &mut (InstanceId, Trip),
+    round_trip: &mut (InstanceId, RoundTrip),
     login: &Login,
     rx: &flume::Receiver<Question>,
     answers: &flume::Sender<Answer>,
@@ -214,7 +220,7 @@
         }
         Failure::Broken
     };
-    let read = read(trip, &mut reader, answers, pending);
+    let read = read(round_trip, &mut reader, answers, pending);
     futures_util::pin_mut!(write, read);
     futures_util::future::select(write, read)
         .await
@@ -223,7 +229,7 @@
 }
 
 async fn read(
-    (instance, trip): &mut (InstanceId, Trip),
+    (instance, round_trip): &mut (InstanceId, RoundTrip),
     reader: &mut Reader,
     answers: &flume::Sender<Answer>,
     pending: &Pending,
@@ -235,11 +241,11 @@
         }
         let answered = pending.borrow_mut().pop_front();
         if let Some((query, asked)) = answered {
-            let changed = trip.note(asked.elapsed(), Instant::now());
+            let changed = round_trip.record(asked.elapsed(), Instant::now());
             let _ = answers.send(Answer {
                 query,
                 result,
-                trip: changed.map(|way| (instance.clone(), way)),
+                round_trip: changed.map(|round_trip| (instance.clone(), round_trip)),
             });
         }
     }
--- a/crates/proxy/src/group/task.rs
+++ b/crates/proxy/src/group/task.rs
@@ -18,7 +18,7 @@
 use super::client::Login;
 use super::link::{Answer, Link, Question};
 use super::record;
-use super::{Request, Setup, Snapshot, Told};
+use super::{Request, Setup, Snapshot, Update};
 
 /// Time for which an unknown answer of the store is kept back.
 ///
@@ -209,18 +209,18 @@
             Request::Released(instance) => self.step(Event::Released { instance }),
             Request::Failed(instance, failure) => self.step(Event::Failed { instance, failure }),
             Request::Configure(fleet) => self.configure(&fleet),
-            Request::Told(told) => self.told(told),
+            Request::Update(update) => self.update(update),
             Request::Snapshot(tx) => {
                 let _ = tx.send(self.snapshot());
             }
         }
     }
 
-    fn told(&mut self, told: Told) {
-        match told {
-            Told::Peers(live) => self.step(Event::Peers(live)),
-            Told::View(view) => self.step(Event::PeerReport(view)),
-            Told::Record(versioned) => self.step(Event::Record(versioned)),
+    fn update(&mut self, update: Update) {
+        match update {
+            Update::Peers(live) => self.step(Event::Peers(live)),
+            Update::View(view) => self.step(Event::PeerReport(view)),
+            Update::Record(versioned) => self.step(Event::Record(versioned)),
         }
     }
 
@@ -249,10 +249,10 @@
             Inner::Instance(Answer {
                 query,
                 result,
-                trip,
+                round_trip,
             }) => {
-                if let Some((instance, way)) = trip {
-                    self.setup.admit.round_trip(&instance, way.into());
+                if let Some((instance, round_trip)) = round_trip {
+                    self.setup.admit.round_trip(&instance, round_trip.into());
                 }
                 if result.is_ok() {
                     let links = self.links.values_mut();
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -20,7 +20,7 @@
 use policy::membership::table::{MemberInfo, State};
 
 use crate::cx::Cx;
-use crate::member::{self, Nothing, OWN, Own};
+use crate::member::{self, Empty, OWN, OwnState};
 use crate::metrics::Gauges;
 
 /// Path of the metrics.
@@ -164,7 +164,7 @@
         return None;
     }
     let client = members.client();
-    let own = client.call::<_, Own>(news.address, OWN, &Nothing {}, OWN_LIMIT, None);
+    let own = client.call::<_, OwnState>(news.address, OWN, &Empty {}, OWN_LIMIT, None);
     Some(own.await.ok()?.revision)
 }
 
--- a/crates/proxy/src/member.rs
+++ b/crates/proxy/src/member.rs
@@ -1,4 +1,4 @@
-//! Membership and configuration: the face of the task that owns both.
+//! Membership and configuration: the interface of the task that owns both.
 
 mod exchange;
 mod task;
@@ -29,7 +29,7 @@
 /// Path of requests for a proxy's own state.
 pub const OWN: &str = "/peer/own";
 
-/// Asks for the records that changed after a revision.
+/// A request for the records that changed after a revision.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(default)]
 pub struct Fetch {
@@ -37,19 +37,19 @@
     pub after: Revision,
 }
 
-/// A message that needs no answer, and the answer to it.
+/// An empty message.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct Nothing {}
+pub struct Empty {}
 
-/// What a proxy tells of itself when asked.
+/// A proxy's own state.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(default)]
-pub struct Own {
-    /// Revision of the configuration that it has in force.
+pub struct OwnState {
+    /// Revision of the configuration in force.
     pub revision: Revision,
 }
 
-/// What the task is started with.
+/// What the task needs.
 pub struct Setup {
     /// This proxy.
     pub id: ProxyId,
@@ -57,28 +57,28 @@
     pub data_centre: DataCentre,
     /// Where peers reach it.
     pub address: SocketAddr,
-    /// Addresses to try first.
+    /// Addresses of the first peers to contact.
     pub seeds: Vec<SocketAddr>,
     /// URL of the platform's list of VMs.
     pub vm_list: Option<String>,
-    /// Proves requests and answers.
+    /// Authenticates requests and responses.
     pub key: Key,
     /// The platform's store.
     pub store: store::Client,
-    /// Takes the configurations that come into force.
+    /// Receives each configuration that comes into force.
     pub fleet: fleet::Handle,
     /// Starts the spans of exchanges with peers.
     pub tracer: Tracer,
-    /// Views of groups to tell others.
+    /// Reports about groups to send to peers.
     pub views: flume::Receiver<(Recipients, PeerReport)>,
 }
 
-/// What other tasks hear of.
+/// A change in the fleet, for other tasks.
 #[derive(Clone, Debug)]
-pub enum Told {
+pub enum FleetEvent {
     /// The running proxies changed.
     Peers(Vec<MemberInfo>),
-    /// A peer's view of a group.
+    /// A peer's report about a group.
     View(PeerReport),
     /// A record of the store that is not part of the configuration.
     Record(Record),
@@ -108,11 +108,11 @@
     beats: flume::Receiver<Call<Heartbeat, Heartbeat>>,
     compares: flume::Receiver<Call<Compare, Tables>>,
     fetches: flume::Receiver<Call<Fetch, Delta>>,
-    views: flume::Receiver<Call<PeerReport, Nothing>>,
-    owns: flume::Receiver<Call<Nothing, Own>>,
+    views: flume::Receiver<Call<PeerReport, Empty>>,
+    owns: flume::Receiver<Call<Empty, OwnState>>,
 }
 
-/// Talks to the task.
+/// Sends requests to the task.
 #[derive(Clone)]
 pub struct Handle {
     tx: flume::Sender<Request>,
@@ -122,12 +122,12 @@
 
 /// A started task with what belongs to it.
 pub struct Started {
-    /// Talks to the task.
+    /// Sends requests to the task.
     pub handle: Handle,
     /// The paths on which peers reach it.
     pub routes: Routes,
-    /// News for other tasks.
-    pub told: flume::Receiver<Told>,
+    /// Changes in the fleet.
+    pub events: flume::Receiver<FleetEvent>,
 }
 
 /// Starts the task on the current runtime.
@@ -153,8 +153,8 @@
         owns,
     };
     let (tx, rx) = flume::unbounded();
-    let (told_tx, told) = flume::unbounded();
-    compio::runtime::spawn(task::run(setup, client.clone(), inbox, rx, told_tx)).detach();
+    let (events_tx, events) = flume::unbounded();
+    compio::runtime::spawn(task::run(setup, client.clone(), inbox, rx, events_tx)).detach();
     let handle = Handle {
         tx,
         traffic,
@@ -163,7 +163,7 @@
     Ok(Started {
         handle,
         routes,
-        told,
+        events,
     })
 }
 
@@ -180,7 +180,7 @@
         let _ = self.tx.send(Request::Drain);
     }
 
-    /// Tells peers that the process ends, and waits until they were told.
+    /// Notifies peers that the process ends, and waits until they can have received it.
     pub async fn leave(&self) {
         let (tx, rx) = flume::bounded(1);
         if self.tx.send(Request::Leave(tx)).is_ok() {
--- a/crates/proxy/src/member/exchange.rs
+++ b/crates/proxy/src/member/exchange.rs
@@ -9,7 +9,7 @@
 
 use crate::trace::Tracer;
 
-use super::{BEAT, COMPARE, Fetch, Nothing, RECORDS, VIEW};
+use super::{BEAT, COMPARE, Empty, Fetch, RECORDS, VIEW};
 
 /// Longest wait for the answer to a heartbeat: well above a round trip between regions
 /// and below the time between two heartbeats.
@@ -86,14 +86,14 @@
         .detach();
     }
 
-    /// Tells a view; the sender repeats it while it matters.
-    pub(super) fn tell(&self, address: SocketAddr, view: policy::message::PeerReport) {
+    /// Sends a report; the sender repeats it while it is relevant.
+    pub(super) fn send_report(&self, address: SocketAddr, view: policy::message::PeerReport) {
         let client = self.client.clone();
         compio::runtime::spawn(async move {
             let answer = client.call(address, VIEW, &view, BEAT_LIMIT, None);
-            let told: Result<Nothing, _> = answer.await;
-            if let Err(e) = told {
-                tracing::debug!(peer = %address, cause = %e, "view not told");
+            let result: Result<Empty, _> = answer.await;
+            if let Err(e) = result {
+                tracing::debug!(peer = %address, cause = %e, "report not delivered");
             }
         })
         .detach();
--- a/crates/proxy/src/member/task.rs
+++ b/crates/proxy/src/member/task.rs
@@ -14,17 +14,17 @@
 
 use super::exchange::{End, Exchanges};
 use super::watch::{self, Seen};
-use super::{Fetch, Inbox, Nothing, Own, Request, Setup, Snapshot, Told};
+use super::{Empty, Fetch, FleetEvent, Inbox, OwnState, Request, Setup, Snapshot};
 
-/// How often the controller is told the time.
+/// Interval between two ticks of the controller.
 const TICK: Duration = Duration::from_millis(100);
 
-/// Time that a starting proxy gives its peers before it asks the store itself. Load: a
-/// wave of restarts. Harm: each would read the whole configuration from the store.
+/// Time for which a starting proxy waits for its peers before it reads the store. In a wave
+/// of restarts, each proxy would otherwise read the whole configuration from the store.
 const PEERS_FIRST: Duration = Duration::from_millis(300);
 
-/// Time for peers to be told of the end of this process.
-const FAREWELL: Duration = Duration::from_millis(100);
+/// Time for peers to receive the notice that this process ends.
+const LEAVE_WAIT: Duration = Duration::from_millis(100);
 
 struct Task {
     setup: Setup,
@@ -33,7 +33,7 @@
     member: Membership,
     adopter: ConfigMirror,
     exchanges: Exchanges,
-    told: flume::Sender<Told>,
+    events: flume::Sender<FleetEvent>,
     seen_tx: flume::Sender<Seen>,
     /// Dropping it ends the watch.
     watch: Option<compio::runtime::JoinHandle<()>>,
@@ -44,9 +44,9 @@
     Beat(Call<Heartbeat, Heartbeat>),
     Compare(Call<policy::membership::message::Compare, policy::membership::message::Tables>),
     Fetch(Call<Fetch, Delta>),
-    View(Call<PeerReport, Nothing>),
-    Own(Call<Nothing, Own>),
-    Tell(Recipients, PeerReport),
+    View(Call<PeerReport, Empty>),
+    OwnState(Call<Empty, OwnState>),
+    Report(Recipients, PeerReport),
     End(End),
     Seen(Seen),
     Vms(Vec<SocketAddr>),
@@ -59,7 +59,7 @@
     client: peer::Client,
     inbox: Inbox,
     requests: flume::Receiver<Request>,
-    told: flume::Sender<Told>,
+    events: flume::Sender<FleetEvent>,
 ) {
     let (ends_tx, ends) = flume::unbounded();
     let (seen_tx, seen) = flume::unbounded();
@@ -68,7 +68,7 @@
         let port = setup.address.port();
         compio::runtime::spawn(read_vms(setup.store.clone(), url, port, vms_tx)).detach();
     }
-    let (me, seeds) = (news_of_self(&setup), setup.seeds.clone());
+    let (me, seeds) = (own_info(&setup), setup.seeds.clone());
     let member = Membership::new(Time::default(), me, seeds, rand::random());
     let views = setup.views.clone();
     let mut task = Task {
@@ -80,7 +80,7 @@
             ends: ends_tx,
             tracer: setup.tracer.clone(),
         },
-        told,
+        events,
         seen_tx,
         watch: None,
         wants_watch: false,
@@ -95,8 +95,8 @@
                 call = inbox.compares.recv_async() => call.map(Input::Compare),
                 call = inbox.fetches.recv_async() => call.map(Input::Fetch),
                 call = inbox.views.recv_async() => call.map(Input::View),
-                call = inbox.owns.recv_async() => call.map(Input::Own),
-                view = pending(views.recv_async()) => Ok(Input::Tell(view.0, view.1)),
+                call = inbox.owns.recv_async() => call.map(Input::OwnState),
+                view = pending(views.recv_async()) => Ok(Input::Report(view.0, view.1)),
                 end = ends.recv_async() => end.map(Input::End),
                 seen = seen.recv_async() => seen.map(Input::Seen),
                 vms = pending(vms.recv_async()) => Ok(Input::Vms(vms)),
@@ -114,7 +114,7 @@
     }
 }
 
-fn news_of_self(setup: &Setup) -> MemberInfo {
+fn own_info(setup: &Setup) -> MemberInfo {
     MemberInfo {
         id: setup.id.clone(),
         data_centre: setup.data_centre.clone(),
@@ -133,7 +133,7 @@
     compio::time::timeout(left, next).await.ok()
 }
 
-/// Waits for ever once the sender is gone: its end must not end the task.
+/// Never completes once the sender is dropped, so that this does not end the task.
 fn pending<T>(
     next: impl Future<Output = Result<T, flume::RecvError>>,
 ) -> impl futures_util::future::FusedFuture<Output = T> {
@@ -147,7 +147,7 @@
     Box::pin(wait).fuse()
 }
 
-/// The VM list names addresses to try; the port of the others is taken to be our own.
+/// Reads peer addresses from the VM list, assuming that all proxies use the same port.
 async fn read_vms(
     client: store::Client,
     url: String,
@@ -204,17 +204,17 @@
                 let _ = call.reply.send(self.adopter.changes_since(call.req.after));
             }
             Input::View(call) => {
-                let _ = call.reply.send(Nothing {});
-                let _ = self.told.send(Told::View(call.req));
+                let _ = call.reply.send(Empty {});
+                let _ = self.events.send(FleetEvent::View(call.req));
             }
-            Input::Own(call) => {
+            Input::OwnState(call) => {
                 let current = self.setup.fleet.current();
                 let revision = current.revision;
-                let _ = call.reply.send(Own { revision });
+                let _ = call.reply.send(OwnState { revision });
             }
-            // Peers that hear no view from here do not route through here any more.
-            Input::Tell(..) if self.member.me().draining => {}
-            Input::Tell(to, view) => self.tell(&to, &view),
+            // Peers without reports from this proxy stop routing through it.
+            Input::Report(..) if self.member.me().draining => {}
+            Input::Report(to, view) => self.send_report(&to, &view),
             Input::End(end) => self.end(now, end),
             Input::Seen(seen) => self.seen(now, seen),
             Input::Vms(addresses) => self.member.add_seeds(addresses),
@@ -258,13 +258,13 @@
                 Change::Applied(snapshot) => {
                     tracing::info!(revision = %snapshot.revision, "configuration in force");
                     self.setup.fleet.set(snapshot);
-                    self.tell_peers();
+                    self.publish_peers();
                 }
                 Change::Rejected(revision, cause) => {
                     tracing::error!(%revision, %cause, "configuration refused");
                 }
                 Change::Record(record) => {
-                    let _ = self.told.send(Told::Record(record));
+                    let _ = self.events.send(FleetEvent::Record(record));
                 }
             }
         }
@@ -291,7 +291,7 @@
                 let actions = self.member.leave(now);
                 self.perform(actions);
                 compio::runtime::spawn(async move {
-                    compio::time::sleep(FAREWELL).await;
+                    compio::time::sleep(LEAVE_WAIT).await;
                     let _ = tx.send(());
                 })
                 .detach();
@@ -311,24 +311,24 @@
                         self.watch = None;
                     }
                 }
-                Action::Changed => self.tell_peers(),
+                Action::Changed => self.publish_peers(),
             }
         }
     }
 
-    fn tell_peers(&self) {
+    fn publish_peers(&self) {
         let running = self.member.table().running().cloned();
-        let _ = self.told.send(Told::Peers(running.collect()));
+        let _ = self.events.send(FleetEvent::Peers(running.collect()));
     }
 
-    fn tell(&self, to: &Recipients, view: &PeerReport) {
+    fn send_report(&self, to: &Recipients, view: &PeerReport) {
         let me = &self.setup.id;
-        let wanted = |news: &&MemberInfo| match to {
-            Recipients::All => news.id != *me,
-            Recipients::One(id) => news.id == *id,
+        let wanted = |info: &&MemberInfo| match to {
+            Recipients::All => info.id != *me,
+            Recipients::One(id) => info.id == *id,
         };
-        for news in self.member.table().running().filter(wanted) {
-            self.exchanges.tell(news.address, view.clone());
+        for info in self.member.table().running().filter(wanted) {
+            self.exchanges.send_report(info.address, view.clone());
         }
     }
 }
--- a/crates/proxy/src/share.rs
+++ b/crates/proxy/src/share.rs
@@ -1,4 +1,4 @@
-//! Shares of the backend servers' connections: the face of the task that borrows and
+//! Shares of the backend servers' connections: the interface of the task that borrows and
 //! lends them.
 
 mod authority;
@@ -14,26 +14,26 @@
 
 use crate::{admit, fleet, pool};
 
-/// Path under which peers ask the lender.
+/// Path of requests to the lender.
 pub const PATH: &str = "/peer/share";
 
-/// Requests of one proxy for every backend server that the asked one lends.
-pub type Asks = Vec<LoanRequest>;
+/// One proxy's requests for all backend servers that the lender lends.
+pub type Requests = Vec<LoanRequest>;
 
-/// Answers to those that did not come late.
-pub type Answers = Vec<LoanResponse>;
+/// Responses to the requests that arrived in time.
+pub type Responses = Vec<LoanResponse>;
 
-/// What the task is started with.
+/// What the task needs.
 pub struct Setup {
     /// This proxy.
     pub me: ProxyId,
     /// The configuration in force.
     pub fleet: fleet::Handle,
-    /// Told of this proxy's part of each backend server.
+    /// Receives this proxy's share of each backend server.
     pub admit: admit::Handle,
     /// Sends requests to peers.
     pub client: peer::Client,
-    /// Holds the keys that name the lenders.
+    /// The store, whose keys name the lenders.
     pub store: store::Client,
 }
 
@@ -42,14 +42,14 @@
 pub struct Live {
     /// Its data centre.
     pub data_centre: DataCentre,
-    /// Where it hears peers.
+    /// Address for requests from peers.
     pub address: SocketAddr,
 }
 
 enum Request {
     Pool(InstanceId, pool::Handle),
     Peers(IndexMap<ProxyId, Live>),
-    Answered(ProxyId, Answers),
+    Responded(ProxyId, Responses),
     Authority {
         data_centre: DataCentre,
         hold: u64,
@@ -77,16 +77,16 @@
 #[derive(Clone)]
 pub struct Handle {
     tx: flume::Sender<Request>,
-    calls: flume::Sender<Call<Asks, Answers>>,
+    calls: flume::Sender<Call<Requests, Responses>>,
 }
 
 impl Handle {
-    /// Where requests of peers under [`PATH`] go.
-    pub fn calls(&self) -> flume::Sender<Call<Asks, Answers>> {
+    /// Channel for requests of peers under [`PATH`].
+    pub fn calls(&self) -> flume::Sender<Call<Requests, Responses>> {
         self.calls.clone()
     }
 
-    /// Names the pool of a backend server, whose limit follows the share from now on.
+    /// Sets the pool of a backend server; its limit follows the share.
     pub fn pool(&self, instance: &InstanceId, pool: pool::Handle) {
         let _ = self.tx.send(Request::Pool(instance.clone(), pool));
     }
@@ -103,7 +103,7 @@
         rx.recv_async().await.unwrap_or_default()
     }
 
-    /// Gives everything lent back at the next requests: this proxy is shutting down.
+    /// Returns all borrowed connections with the next requests, since this proxy shuts down.
     pub fn leave(&self) {
         let _ = self.tx.send(Request::Leave);
     }
--- a/crates/proxy/src/share/task.rs
+++ b/crates/proxy/src/share/task.rs
@@ -12,30 +12,30 @@
 use policy::share::{self, Borrower, Demand, Lender, Terms};
 use policy::slots::Share;
 
-use super::{Answers, Asks, Live, PATH, Request, Setup, authority};
+use super::{Live, PATH, Request, Requests, Responses, Setup, authority};
 use crate::pool;
 
-/// Time between two looks at the pools. Short against a loan, so that one that lapses
-/// is noticed well within its margin.
+/// Interval between two checks of the pools; short against the term of a loan, so that a
+/// lapse is noticed within its margin.
 const TICK: Duration = Duration::from_millis(100);
 
-/// Time for which a peak of use keeps connections warm. Load: bursts every few
-/// seconds; harm: each opens connections of 10 to 30 ms that were closed just before.
-const WARM: Span = Span::from_millis(10_000);
+/// Time for which connections are kept after a peak. With bursts every few seconds, each
+/// would otherwise reopen connections that were just closed, at 10 to 30 ms each.
+const PEAK_KEPT: Span = Span::from_millis(10_000);
 
-/// Assumed time on the way to a backend server and back.
+/// Assumed round trip to a backend server.
 const ROUND_TRIP: Span = Span::from_millis(1);
 
-/// Everything about one backend server.
+/// The state of one backend server.
 struct Server {
     data_centre: DataCentre,
     borrower: Borrower,
     lender: Lender,
     settings: Settings,
     pool: Option<pool::Handle>,
-    asked: Option<Time>,
-    /// What pool and admission were last told: connections allowed and shared.
-    told: Option<(u32, u32)>,
+    requested_at: Option<Time>,
+    /// Limits last set on pool and admission: connections allowed and shared.
+    applied: Option<(u32, u32)>,
     peak: u32,
     peak_at: Time,
 }
@@ -64,7 +64,7 @@
     setup: Setup,
     tx: flume::WeakSender<Request>,
     rx: flume::Receiver<Request>,
-    calls: flume::Receiver<Call<Asks, Answers>>,
+    calls: flume::Receiver<Call<Requests, Responses>>,
 ) {
     let mut task = Task {
         setup,
@@ -86,7 +86,7 @@
         let request = future::select(rx.recv_async(), calls.recv_async());
         match compio::time::timeout_at(next, request).await {
             Ok(Either::Left((Ok(req), _))) => task.handle(req),
-            Ok(Either::Right((Ok(call), _))) => task.answer(&call),
+            Ok(Either::Right((Ok(call), _))) => task.respond(&call),
             Ok(_) => return,
             Err(_) => {}
         }
@@ -103,7 +103,7 @@
             Request::Pool(instance, pool) => {
                 if let Some(server) = self.servers.get_mut(&instance) {
                     server.pool = Some(pool.clone());
-                    server.told = None;
+                    server.applied = None;
                 }
                 self.pools.insert(instance, pool);
             }
@@ -113,7 +113,7 @@
                 hold,
                 until,
             } => self.authorise(&data_centre, hold, until),
-            Request::Answered(from, answers) => self.take(&from, &answers),
+            Request::Responded(from, responses) => self.responses_received(&from, &responses),
             Request::Leave => self.leaving = true,
             Request::Shares(tx) => {
                 let now = self.now();
@@ -124,25 +124,25 @@
         }
     }
 
-    /// Answers a peer's requests at once, which keeps the loans' clocks honest.
-    fn answer(&mut self, call: &Call<Asks, Answers>) {
-        let answers = self.lend(&call.req);
-        let _ = call.reply.send(answers);
+    /// Responds to a peer's requests at once, since the terms of loans begin now.
+    fn respond(&mut self, call: &Call<Requests, Responses>) {
+        let responses = self.lend(&call.req);
+        let _ = call.reply.send(responses);
     }
 
-    fn lend(&mut self, asks: &Asks) -> Answers {
+    fn lend(&mut self, requests: &Requests) -> Responses {
         let now = self.now();
-        let answer = |ask: &share::LoanRequest| {
-            let server = self.servers.get_mut(&ask.instance)?;
-            server.lender.respond(ask, now)
+        let respond = |req: &share::LoanRequest| {
+            let server = self.servers.get_mut(&req.instance)?;
+            server.lender.respond(req, now)
         };
-        asks.iter().filter_map(answer).collect()
+        requests.iter().filter_map(respond).collect()
     }
 
-    fn take(&mut self, from: &ProxyId, answers: &Answers) {
-        for answer in answers {
-            if let Some(server) = self.servers.get_mut(&answer.instance) {
-                server.borrower.response_received(from, answer);
+    fn responses_received(&mut self, from: &ProxyId, responses: &Responses) {
+        for response in responses {
+            if let Some(server) = self.servers.get_mut(&response.instance) {
+                server.borrower.response_received(from, response);
             }
         }
         self.apply();
@@ -152,25 +152,25 @@
         if self.live.is_empty() {
             return;
         }
-        self.follow_fleet();
-        self.follow_lenders();
-        let mut batches: IndexMap<ProxyId, Asks> = IndexMap::new();
+        self.sync_servers();
+        self.sync_holds();
+        let mut batches: IndexMap<ProxyId, Requests> = IndexMap::new();
         let instances: Vec<InstanceId> = self.servers.keys().cloned().collect();
         let loads = self.setup.admit.loads().await;
         for instance in instances {
             let queued = loads.get(&instance).map_or(0, |load| load.queued);
-            if let Some((lender, ask)) = self.ask(&instance, queued).await {
-                batches.entry(lender).or_default().push(ask);
+            if let Some((lender, req)) = self.next_request(&instance, queued).await {
+                batches.entry(lender).or_default().push(req);
             }
         }
-        for (lender, asks) in batches {
-            self.send(lender, asks);
+        for (lender, requests) in batches {
+            self.send(lender, requests);
         }
         self.apply();
     }
 
-    /// Starts with what the configuration names and forgets what it names no more.
-    fn follow_fleet(&mut self) {
+    /// Adds and removes backend servers by the configuration in force.
+    fn sync_servers(&mut self) {
         let snapshot = self.setup.fleet.current();
         let fleet = &snapshot.fleet;
         let mut named = IndexMap::new();
@@ -183,13 +183,12 @@
         }
         self.servers.retain(|id, _| named.contains_key(id));
         for (instance, (data_centre, settings)) in named {
-            self.follow_server(instance, data_centre, settings);
+            self.sync_server(instance, data_centre, settings);
         }
     }
 
-    /// The proxy that should lend what stands in a data centre: one of that data
-    /// centre, or any while it has none. Proxies may disagree; the key in the store
-    /// settles who lends.
+    /// The proxy that should lend the connections of a data centre: one of its own proxies,
+    /// or any other one if it has none. Proxies may disagree; the key in the store decides.
     fn lender(&self, data_centre: &DataCentre) -> Option<&ProxyId> {
         let near = |(_, live): &(&ProxyId, &Live)| live.data_centre == *data_centre;
         let locals = self.live.iter().filter(near).map(|(id, _)| id);
@@ -197,8 +196,8 @@
         chosen.or_else(|| share::choose_lender(data_centre.as_str(), self.live.keys()))
     }
 
-    /// Takes the keys that this proxy should hold and gives the others back.
-    fn follow_lenders(&mut self) {
+    /// Acquires the keys that this proxy should hold and releases the others.
+    fn sync_holds(&mut self) {
         let mut mine: Vec<DataCentre> = Vec::new();
         for server in self.servers.values() {
             let place = &server.data_centre;
@@ -208,7 +207,7 @@
             }
         }
         for server in self.servers.values_mut() {
-            // Before the key goes: from then on another proxy may lend.
+            // Before the key is released, since another proxy may lend from then on.
             if !mine.contains(&server.data_centre) {
                 server.lender.resign();
             }
@@ -239,8 +238,8 @@
         self.holds.insert(data_centre, hold);
     }
 
-    /// Failure: a renewal is reported after this proxy gave the key back; another one
-    /// may hold it by now, so that reports of an ended hold are void.
+    /// Ignores a renewal that is reported after the hold ended: another proxy may hold the
+    /// key by now.
     fn authorise(&mut self, data_centre: &DataCentre, hold: u64, until: Instant) {
         if self.holds.get(data_centre).is_none_or(|h| h.number != hold) {
             return;
@@ -253,7 +252,7 @@
         }
     }
 
-    fn follow_server(&mut self, instance: InstanceId, data_centre: DataCentre, settings: Settings) {
+    fn sync_server(&mut self, instance: InstanceId, data_centre: DataCentre, settings: Settings) {
         let now = self.now();
         let terms = terms(&settings);
         if let Some(server) = self.servers.get_mut(&instance) {
@@ -261,7 +260,7 @@
                 server.borrower.set_terms(terms);
                 server.lender.set_terms(terms);
                 server.settings = settings;
-                server.told = None;
+                server.applied = None;
             }
             return;
         }
@@ -272,16 +271,16 @@
             lender: Lender::new(instance.clone(), terms),
             settings,
             pool: self.pools.get(&instance).cloned(),
-            asked: None,
-            told: None,
+            requested_at: None,
+            applied: None,
             peak: 0,
             peak_at: now,
         };
         self.servers.insert(instance, server);
     }
 
-    /// The next request about a backend server, when one is due.
-    async fn ask(
+    /// The next request for a backend server, if one is due.
+    async fn next_request(
         &mut self,
         instance: &InstanceId,
         queued: u32,
@@ -295,41 +294,44 @@
             Some(pool) => pool.usage().await,
             None => pool::Usage::default(),
         };
-        // What waits for a slot counts as well: the part of the slots follows the
-        // part of the connections, and a proxy with a queue needs more of them.
+        // Requests that wait for a slot count as well, since the share of the slots follows
+        // the share of the connections.
         usage.waiting += queued.min(server.settings.connections);
-        // Requests that wait for a connection are worth an early question.
+        // Waiting requests shorten the interval.
         let interval = match usage.waiting {
             0 => terms(&server.settings).interval(),
             _ => Span::from(TICK),
         };
-        if server.asked.is_some_and(|at| now.since(at) < interval) {
+        if server
+            .requested_at
+            .is_some_and(|at| now.since(at) < interval)
+        {
             return None;
         }
         let demand = server.demand(usage, leaving, now);
-        server.asked = Some(now);
-        let ask = server.borrower.request(&lender, demand, now);
-        Some((lender, ask))
+        server.requested_at = Some(now);
+        let req = server.borrower.request(&lender, demand, now);
+        Some((lender, req))
     }
 
-    fn send(&mut self, lender: ProxyId, asks: Asks) {
+    fn send(&mut self, lender: ProxyId, requests: Requests) {
         if lender == self.setup.me {
-            let answers = self.lend(&asks);
-            self.take(&lender, &answers);
+            let responses = self.lend(&requests);
+            self.responses_received(&lender, &responses);
             return;
         }
         let Some(address) = self.live.get(&lender).map(|live| live.address) else {
             return;
         };
         let (client, tx) = (self.setup.client.clone(), self.tx.clone());
-        // A later answer than this belongs to a request that was replaced.
+        // A later response belongs to a request that was replaced.
         let settings = self.servers.values().next().map(|s| terms(&s.settings));
         let limit = settings.map_or(TICK, |t| t.interval().as_duration());
         let exchange = async move {
-            match client.call(address, PATH, &asks, limit, None).await {
-                Ok(answers) => {
+            match client.call(address, PATH, &requests, limit, None).await {
+                Ok(responses) => {
                     if let Some(tx) = tx.upgrade() {
-                        let _ = tx.send(Request::Answered(lender, answers));
+                        let _ = tx.send(Request::Responded(lender, responses));
                     }
                 }
                 Err(e) => tracing::debug!(%lender, error = %e, "lender does not answer"),
@@ -338,20 +340,20 @@
         compio::runtime::spawn(exchange).detach();
     }
 
-    /// Tells pools and admission what they may use.
+    /// Sets the limits of pools and admission.
     ///
-    /// Failure: a loan lapses while the lender is out of reach; the pool must shrink
-    /// although no message says so, which is why every tick looks.
+    /// Called on every tick, since a loan may lapse without a message while the lender is
+    /// unreachable.
     fn apply(&mut self) {
         let now = self.now();
         for (instance, server) in &mut self.servers {
             let allowed = server.borrower.allowed(now);
             let shared = server.borrower.shared(now);
-            if server.told == Some((allowed, shared)) {
+            if server.applied == Some((allowed, shared)) {
                 continue;
             }
             tracing::debug!(%instance, allowed, shared, "connection share");
-            server.told = Some((allowed, shared));
+            server.applied = Some((allowed, shared));
             if let Some(pool) = &server.pool {
                 pool.set_limit(allowed);
             }
@@ -362,11 +364,11 @@
 }
 
 impl Server {
-    /// What to ask for: the peak of late while nobody else is short, and what is
-    /// used at the moment otherwise.
+    /// The demand to report: the recent peak, or the current use while other proxies lack
+    /// connections.
     fn demand(&mut self, usage: pool::Usage, leaving: bool, now: Time) -> Demand {
         let used = usage.busy + usage.waiting;
-        if used >= self.peak || now.since(self.peak_at) >= WARM {
+        if used >= self.peak || now.since(self.peak_at) >= PEAK_KEPT {
             self.peak = used;
             self.peak_at = now;
         }
