Take a customer's permit before a connection is asked for

Cause: Session::checkout got the connection first and then waited up to 250 ms for a permit, so a statement over its customer's limit held a connection of a scarce instance, and had one opened for it if need was.

Now the permit comes first and an operation that is refused costs no connection. While the connection is waited for, the permit is kept for 100 ms at most and then given back, for other operations of the customer; with the connection at hand it takes one of those at hand or, within 20 ms, a new one ahead of those that wait without a connection; else the connection is released. A reserved permit whose operation was not sent is given back, where it was lost before.

Ruled out: keeping the permit for the whole wait (it expires in the queue under saturation), and a count of claims in place of permits (an operation with a connection would compete with newcomers).

Deployments without limits of customers: Admission is empty and the checkout as before, by construction.

--- a/crates/front/src/quota.rs
+++ b/crates/front/src/quota.rs
@@ -1,6 +1,8 @@
 //! Admission of operations by the rate limits of customers: this proxy's permits, and the
 //! parts of limits that it grants to others.
 
+mod admission;
+
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -14,6 +16,8 @@
     Action, Answer, Authority, Budget, Granter, Holder, Parts, Permit, QuotaRejection, Terms,
 };
 
+pub use admission::Admission;
+
 use crate::clock;
 use crate::relay;
 
@@ -54,27 +58,13 @@
     rejected: IndexMap<CustomerId, u64>,
 }
 
-/// Admission of one operation.
-///
-/// It takes a permit only when the operation is sent, so that none expires while the operation
-/// waits for its connection.
-pub struct Admission(Option<Limited>);
-
-/// Admission by a permit, for a customer with a limit.
-struct Limited {
-    quotas: Quotas,
-    customer: CustomerId,
-    stage: Stage,
-}
-
-#[derive(Clone, Debug)]
-enum Stage {
-    /// The operation needs a permit to be sent.
-    Waiting,
-    /// The operation was sent. It may be sent again with the same permit if it did not run.
-    Sent(Permit),
-    /// The operation was sent and did not run.
-    Reserved(Permit),
+/// Which of the waiting operations gets the next permit.
+#[derive(Clone, Copy, Debug)]
+enum Turn {
+    /// This one, which holds a connection.
+    First,
+    /// Those that wait already.
+    Last,
 }
 
 impl Quotas {
@@ -175,7 +165,7 @@
     pub fn admit(&self, customer: Option<&CustomerId>) -> Result<Admission, QuotaRejection> {
         let limited = |id: &&CustomerId| self.0.borrow().budgets.contains_key(*id);
         let Some(customer) = customer.filter(limited) else {
-            return Ok(Admission(None));
+            return Ok(Admission::unlimited());
         };
         let now = clock::now();
         let rejection = self.with_holder(customer, now, |holder| holder.known_rejection(now));
@@ -183,17 +173,16 @@
             self.count_rejection(customer);
             return Err(rejection);
         }
-        Ok(Admission(Some(Limited {
-            quotas: self.clone(),
-            customer: customer.clone(),
-            stage: Stage::Waiting,
-        })))
+        Ok(Admission::limited(self.clone(), customer.clone()))
     }
 
-    async fn permit(&self, customer: &CustomerId) -> Result<Permit, QuotaRejection> {
+    async fn permit(&self, customer: &CustomerId, turn: Turn) -> Result<Permit, QuotaRejection> {
         let now = clock::now();
         let (tx, rx) = flume::bounded(1);
-        let actions = self.with_holder(customer, now, |holder| holder.request(tx, now));
+        let actions = self.with_holder(customer, now, |holder| match turn {
+            Turn::Last => holder.request(tx, now),
+            Turn::First => holder.request_first(tx, now),
+        });
         self.act(customer, actions);
         loop {
             let now = clock::now();
@@ -213,6 +202,12 @@
         }
     }
 
+    fn give_back(&self, customer: &CustomerId, permit: Permit) {
+        let now = clock::now();
+        let actions = self.with_holder(customer, now, |holder| holder.give_back(permit, now));
+        self.act(customer, actions);
+    }
+
     fn count_rejection(&self, customer: &CustomerId) {
         let mut state = self.0.borrow_mut();
         *state.rejected.entry(customer.clone()).or_default() += 1;
@@ -418,60 +413,3 @@
     granters.sort_by_key(|id| addresses.get(id).map(|(_, round_trip)| *round_trip));
     granters
 }
-
-impl Admission {
-    /// Waits until the operation may be sent, which must happen at once.
-    pub async fn send(&mut self) -> Result<(), QuotaRejection> {
-        match &mut self.0 {
-            Some(limited) => limited.send().await,
-            None => Ok(()),
-        }
-    }
-
-    /// Whether the operation may be sent once more, without a wait.
-    pub fn try_send(&mut self) -> bool {
-        self.0.as_mut().is_none_or(Limited::try_send)
-    }
-
-    /// Records that the operation was sent and certainly did not run.
-    pub fn did_not_run(&mut self) {
-        if let Some(limited) = &mut self.0 {
-            limited.did_not_run();
-        }
-    }
-}
-
-impl Limited {
-    async fn send(&mut self) -> Result<(), QuotaRejection> {
-        if !self.try_send() {
-            let permit = self.quotas.permit(&self.customer).await;
-            let permit = permit.inspect_err(|_| self.quotas.count_rejection(&self.customer))?;
-            self.stage = Stage::Sent(permit);
-        }
-        Ok(())
-    }
-
-    fn try_send(&mut self) -> bool {
-        let now = clock::now();
-        let permit = match std::mem::replace(&mut self.stage, Stage::Waiting) {
-            Stage::Reserved(permit) if permit.is_valid(now) => Some(permit),
-            Stage::Reserved(_) | Stage::Sent(_) | Stage::Waiting => {
-                let take = |holder: &mut Holder<Reply>| holder.try_take(now);
-                self.quotas.with_holder(&self.customer, now, take)
-            }
-        };
-        let Some(permit) = permit else {
-            return false;
-        };
-        self.stage = Stage::Sent(permit);
-        self.quotas.step(&self.customer);
-        true
-    }
-
-    fn did_not_run(&mut self) {
-        self.stage = match std::mem::replace(&mut self.stage, Stage::Waiting) {
-            Stage::Sent(permit) => Stage::Reserved(permit),
-            stage => stage,
-        };
-    }
-}
--- a/crates/front/src/session.rs
+++ b/crates/front/src/session.rs
@@ -389,7 +389,8 @@
     }
 
     /// Checks out a connection for an attempt that is sent at once, within the customer's rate
-    /// limit. An additional attempt does not wait for its permit.
+    /// limit. The permit comes first, and a connection is not held while one is waited for. An
+    /// additional attempt does not wait for its permit.
     async fn checkout(
         &self,
         target: &Target,
@@ -397,20 +398,20 @@
         admission: &mut Admission,
         is_additional: bool,
     ) -> Result<CheckedOut, Failure> {
-        let checkout = self.cx.checkout(&target.route.group, request).await?;
-        let sent = match is_additional {
-            false => admission.send().await,
-            true if admission.try_send() => Ok(()),
-            true => Err(QuotaRejection {
-                retry_after: Span::from_millis(0),
-            }),
-        };
-        match sent {
-            Ok(()) => Ok(checkout),
-            Err(rejection) => {
-                checkout.release();
-                Err(rejection.into())
+        loop {
+            if !admission.try_reserve() {
+                if is_additional {
+                    let retry_after = Span::from_millis(0);
+                    return Err(QuotaRejection { retry_after }.into());
+                }
+                admission.reserve().await?;
+            }
+            let checkout = self.cx.checkout(&target.route.group, request.clone());
+            let checkout = admission.hold(checkout).await?;
+            if admission.send().await {
+                return Ok(checkout);
             }
+            checkout.release();
         }
     }
 
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -12,7 +12,8 @@
 //!   with it, and of a divided fleet each side keeps some.
 //!
 //! Decisions: [`budget`] divides the limit, [`authority`] says who holds a part, [`granter`]
-//! grants permits of one part, and [`holder`] requests and spends them.
+//! grants permits of one part, [`holder`] requests and spends them, and [`reservation`] keeps
+//! one for an operation that waits for its connection.
 
 use model::unit::Span;
 
@@ -21,11 +22,13 @@
 pub mod budget;
 pub mod granter;
 pub mod holder;
+pub mod reservation;
 
 pub use authority::{Authority, Parts};
 pub use budget::{Budget, Terms};
 pub use granter::{Answer, Granter};
 pub use holder::{Action, Holder, Permit, QuotaRejection};
+pub use reservation::Reservation;
 
 /// Time for which a permit is valid. A longer one would leave less for bursts: what is granted
 /// in this time before a window may be sent in the window.
--- a/crates/policy/src/quota/holder.rs
+++ b/crates/policy/src/quota/holder.rs
@@ -153,18 +153,26 @@
         })
     }
 
-    /// Requests a permit for an operation that has its connection and is sent at once.
+    /// Requests a permit for an operation.
     pub fn request(&mut self, waiter: W, now: Time) -> Vec<Action<W>> {
         self.waiting.push_back(Waiter { waiter, since: now });
         self.step(now)
     }
 
+    /// Requests a permit for an operation that holds a connection: before all that wait without
+    /// one.
+    pub fn request_first(&mut self, waiter: W, now: Time) -> Vec<Action<W>> {
+        let since = self.waiting.front().map_or(now, |first| first.since);
+        self.waiting.push_front(Waiter { waiter, since });
+        self.step(now)
+    }
+
     /// Takes a permit if one is at hand.
     pub fn try_take(&mut self, now: Time) -> Option<Permit> {
         self.expire(now);
         let batch = self.batches.front_mut()?;
-        // Only operations that are sent count as demand: while instances stall, permits
-        // requested in advance would expire.
+        // Operations whose permits are given back do not count as demand: while instances
+        // stall, permits requested in advance would expire.
         let window = DEMAND_WINDOW.as_micros() as f64 / 1e6;
         self.demand += 1.0 / window;
         batch.count -= 1;
@@ -175,10 +183,12 @@
         Some(permit)
     }
 
-    /// Returns a permit whose operation was not sent.
+    /// Returns a permit whose operation was not sent, for those that wait for one.
     pub fn give_back(&mut self, permit: Permit, now: Time) -> Vec<Action<W>> {
+        let window = DEMAND_WINDOW.as_micros() as f64 / 1e6;
+        self.demand = (self.demand - 1.0 / window).max(0.0);
         self.add(1, permit.until);
-        self.step(now)
+        self.admit_waiting(now)
     }
 
     /// Handles a granter's answer; `None` if it did not answer.
@@ -208,15 +218,7 @@
 
     /// Admits, requests and rejects what is due.
     pub fn step(&mut self, now: Time) -> Vec<Action<W>> {
-        let mut actions = Vec::new();
-        while !self.waiting.is_empty() {
-            let Some(permit) = self.try_take(now) else {
-                break;
-            };
-            if let Some(first) = self.waiting.pop_front() {
-                actions.push(Action::Admit(first.waiter, permit));
-            }
-        }
+        let mut actions = self.admit_waiting(now);
         if let Some((granter, count)) = self.next_request(now) {
             actions.push(Action::Request(granter, count));
         }
@@ -235,6 +237,19 @@
         due.chain([first.since + MAX_WAIT]).min()
     }
 
+    fn admit_waiting(&mut self, now: Time) -> Vec<Action<W>> {
+        let mut actions = Vec::new();
+        while !self.waiting.is_empty() {
+            let Some(permit) = self.try_take(now) else {
+                break;
+            };
+            if let Some(first) = self.waiting.pop_front() {
+                actions.push(Action::Admit(first.waiter, permit));
+            }
+        }
+        actions
+    }
+
     fn add(&mut self, count: u32, until: Time) {
         if count > 0 {
             let at = self.batches.partition_point(|b| b.until <= until);
