Refuse over a limit at once, and pass over granters that do not answer

- policy::quota::silence: what one customer's request finds out about a granter holds for all customers on the proxy; after 60 ms it is passed over.
Queries for no permits, at 100 to 800 ms, show when it is back; no operation waits for them.
- holder: when a permit that was due went to others, operations no longer wait for the next one; when all granters that answer have refused, the operation is refused at once and the proxy pauses, for half the time after which it had a permit on average.
Granters farther than 4 ms are asked in parallel then, no more of them than the demand can use.
Refused operations are told to return one after the other, at the rate of the permits, within 1 s.
- Counters of permits (granted, spent, given back, expired) in pomelo_customer, a log line every 5 s for customers over their limits, and pomelo_state{what="silent_granters"}.

Ruled out: asking all granters at once in calm (permits expired: 1 or 2 of 60 operations of a customer with 4/s were refused below its limit), taking any lost permit as contention (the same).

Tests: quota_silence (7); quota_fleet with 14 new cases: all failures with permits before connections, 0.9 of the limit in each window of 9 to 87 proxies, 0.6 of its part on each side of a cut, refusals at 20 ms (median) and 50 ms (99 %) at up to 20 ms a round trip. The oracle, the cases before and their bounds are unchanged; the simulation now also tells holders of silent granters, and its operations moved to a module.

Without limits of customers no holder exists, so none of it runs.

--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -254,10 +254,16 @@
             set("part_per_s", usage.part_per_s as i64);
             set("parts", i64::from(usage.parts));
             set("permits", i64::from(usage.at_hand));
-            set(
-                "rejected",
-                i64::try_from(usage.rejected).unwrap_or(i64::MAX),
-            );
+            let counts = [
+                ("granted", usage.counts.granted),
+                ("spent", usage.counts.spent()),
+                ("expired", usage.counts.expired),
+                ("given_back", usage.counts.given_back),
+                ("rejected", usage.rejected),
+            ];
+            for (what, count) in counts {
+                set(what, i64::try_from(count).unwrap_or(i64::MAX));
+            }
         }
     }
 }
--- a/crates/front/src/pages.rs
+++ b/crates/front/src/pages.rs
@@ -95,6 +95,7 @@
         ("connections", connections),
         ("doubted_primaries", suspected as u64),
         ("lagging_groups", lagging as u64),
+        ("silent_granters", cx.quotas.silent_granters() as u64),
     ];
     match cx
         .metrics
--- a/crates/front/src/quota.rs
+++ b/crates/front/src/quota.rs
@@ -2,6 +2,8 @@
 //! parts of limits that it grants to others.
 
 mod admission;
+mod requests;
+mod usage;
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -13,10 +15,12 @@
 use model::position::Revision;
 use model::unit::{Span, Time};
 use policy::quota::{
-    Action, Answer, Authority, Budget, Granter, Holder, Parts, Permit, QuotaRejection, Terms,
+    Action, Answer, Authority, Budget, Granter, Holder, Parts, Permit, QuotaRejection, Silence,
+    Terms,
 };
 
 pub use admission::Admission;
+pub use usage::Usage;
 
 use crate::clock;
 use crate::relay;
@@ -37,9 +41,6 @@
 /// Shortest time between two checks of a waiting operation.
 const MIN_STEP: Span = Span::from_millis(1);
 
-/// Number of customers in the metrics; each adds some series.
-const MAX_REPORTED: usize = 20;
-
 type Reply = flume::Sender<Result<Permit, QuotaRejection>>;
 
 /// The limits of all customers on this proxy.
@@ -55,6 +56,7 @@
     budgets: IndexMap<CustomerId, Budget>,
     holders: IndexMap<CustomerId, Holder<Reply>>,
     granters: IndexMap<CustomerId, Granter>,
+    silence: Silence,
     rejected: IndexMap<CustomerId, u64>,
 }
 
@@ -79,6 +81,7 @@
             budgets: IndexMap::new(),
             holders: IndexMap::new(),
             granters: IndexMap::new(),
+            silence: Silence::default(),
             rejected: IndexMap::new(),
         })))
     }
@@ -123,10 +126,12 @@
             authority,
             holders,
             addresses,
+            silence,
             ..
         } = &mut *state;
+        silence.retain(|id| addresses.contains_key(id));
         for (customer, holder) in holders {
-            holder.set_granters(nearest_first(authority, addresses, customer));
+            set_granters(holder, authority, addresses, silence, customer);
         }
     }
 
@@ -224,11 +229,12 @@
             authority,
             addresses,
             holders,
+            silence,
             ..
         } = &mut *state;
         let holder = holders.entry(customer.clone()).or_insert_with(|| {
             let mut holder = Holder::new(now);
-            holder.set_granters(nearest_first(authority, addresses, customer));
+            set_granters(&mut holder, authority, addresses, silence, customer);
             holder
         });
         act(holder)
@@ -291,26 +297,17 @@
         }
     }
 
-    /// Requests permits from another proxy.
-    async fn ask(&self, customer: &CustomerId, granter: ProxyId, count: u32) {
-        let (relay, address) = {
-            let state = self.0.borrow();
-            let address = state.addresses.get(&granter).map(|(address, _)| *address);
-            (state.relay.clone(), address)
-        };
-        let answer = match address {
-            Some(address) => relay.permits(&granter, address, customer, count).await,
-            None => None,
-        };
-        let now = clock::now();
-        let answered = |holder: &mut Holder<Reply>| holder.answered(&granter, answer, now);
-        let actions = self.with_holder(customer, now, answered);
-        self.act(customer, actions);
+    /// Does what recurs, for as long as the process runs.
+    pub async fn run(self) {
+        futures_util::join!(
+            self.clone().inform(),
+            self.clone().query_silent(),
+            self.log_usage()
+        );
     }
 
-    /// Informs the proxies that this proxy displaces as granter, for as long as the process
-    /// runs.
-    pub async fn inform(self) {
+    /// Informs the proxies that this proxy displaces as granter.
+    async fn inform(self) {
         loop {
             clock::sleep_until(clock::now() + INFORM_INTERVAL).await;
             self.refresh_granters();
@@ -343,42 +340,6 @@
             state.authority.set_informed(customer, proxy, revision);
         }
     }
-
-    /// The use of limits by the [`MAX_REPORTED`] customers with the most rejections here.
-    pub fn usage(&self) -> Vec<Usage> {
-        let now = clock::now();
-        let state = self.0.borrow();
-        let usage = |(customer, holder): (&CustomerId, &Holder<Reply>)| {
-            let budget = state.budgets.get(customer)?;
-            let granter = state.granters.get(customer);
-            Some(Usage {
-                customer: customer.clone(),
-                part_per_s: budget.rate,
-                parts: granter.map_or(0, |granter| granter.parts().confirmed),
-                at_hand: holder.available(now),
-                rejected: state.rejected.get(customer).copied().unwrap_or_default(),
-            })
-        };
-        let mut usage: Vec<_> = state.holders.iter().filter_map(usage).collect();
-        usage.sort_by_key(|u| std::cmp::Reverse(u.rejected));
-        usage.truncate(MAX_REPORTED);
-        usage
-    }
-}
-
-/// Use of one customer's limit on this proxy.
-#[derive(Clone, Debug)]
-pub struct Usage {
-    /// The customer.
-    pub customer: CustomerId,
-    /// Operations a second of one part of its limit.
-    pub part_per_s: f64,
-    /// Confirmed parts that this proxy grants.
-    pub parts: u32,
-    /// Permits at hand.
-    pub at_hand: u32,
-    /// Operations that this proxy has rejected.
-    pub rejected: u64,
 }
 
 impl State {
@@ -403,13 +364,18 @@
     }
 }
 
-/// A customer's granters, the nearest one first.
-fn nearest_first(
+/// Sets a customer's granters, the nearest one first.
+fn set_granters(
+    holder: &mut Holder<Reply>,
     authority: &mut Authority,
     addresses: &IndexMap<ProxyId, (SocketAddr, Span)>,
+    silence: &Silence,
     customer: &CustomerId,
-) -> Vec<ProxyId> {
+) {
     let mut granters: Vec<_> = authority.granters(customer).iter().cloned().collect();
     granters.sort_by_key(|id| addresses.get(id).map(|(_, round_trip)| *round_trip));
-    granters
+    holder.set_granters(granters.clone());
+    for granter in &granters {
+        holder.set_silent(granter, silence.is_silent(granter));
+    }
 }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -92,7 +92,7 @@
     compio::runtime::spawn(coordinator.run(changes)).detach();
     compio::runtime::spawn(become_ready(cx.clone(), ready.clone())).detach();
     compio::runtime::spawn(accept(cx.clone(), listener)).detach();
-    compio::runtime::spawn(cx.quotas.clone().inform()).detach();
+    compio::runtime::spawn(cx.quotas.clone().run()).detach();
     compio::runtime::spawn(log_reloads()).detach();
 
     stop_signal().await;
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -12,8 +12,9 @@
 //!   with it, and of a divided fleet each side keeps some.
 //!
 //! Decisions: [`budget`] divides the limit, [`authority`] says who holds a part, [`granter`]
-//! grants permits of one part, [`holder`] requests and spends them, and [`reservation`] keeps
-//! one for an operation that waits for its connection.
+//! grants permits of one part, [`holder`] requests and spends them, [`silence`] passes
+//! over granters that do not answer, and [`reservation`] keeps a permit for an operation that
+//! waits for its connection.
 
 use model::unit::Span;
 
@@ -23,12 +24,14 @@
 pub mod granter;
 pub mod holder;
 pub mod reservation;
+pub mod silence;
 
 pub use authority::{Authority, Parts};
 pub use budget::{Budget, Terms};
 pub use granter::{Answer, Granter};
-pub use holder::{Action, Holder, Permit, QuotaRejection};
+pub use holder::{Action, Counts, Holder, Permit, QuotaRejection};
 pub use reservation::Reservation;
+pub use silence::{SILENT_AFTER, Silence};
 
 /// Time for which a permit is valid. A longer one would leave less for bursts: what is granted
 /// in this time before a window may be sent in the window.
--- a/crates/policy/src/quota/holder.rs
+++ b/crates/policy/src/quota/holder.rs
@@ -9,24 +9,42 @@
 
 use super::PERMIT_TTL;
 use super::granter::Answer;
+use super::silence::SILENT_AFTER;
 
-/// Longest wait of an operation for a permit. Operations over the limit are rejected instead
-/// of queueing: a queue would make all of them late.
+/// Longest wait of an operation for a permit. Operations over the limit are rejected instead of
+/// queueing: a queue would make all of them late.
 const MAX_WAIT: Span = Span::from_millis(250);
 
+/// Time for which no operation waits for a permit that is due, after such a permit went to
+/// others.
+const CONTENTION: Span = Span::from_millis(1_000);
+
+/// Longest time until a permit was due that shows, when it went to others, that more is asked
+/// than granted.
+const CONTENDED_DUE: Span = Span::from_millis(60);
+
+/// Longest pause after all granters have refused permits that went to others.
+const MAX_CONTENTION_PAUSE: Span = Span::from_millis(200);
+
+/// Longest time after which a rejected operation is told to return.
+const MAX_RETRY: Span = Span::from_millis(1_000);
+
+/// Longest round trip to granters that are asked one after the other. Farther ones are asked at
+/// the same time, so that a rejection takes one round trip.
+const NEAR: Span = Span::from_millis(4);
+
 /// Time of demand for which permits are requested in advance.
 const AHEAD: Span = Span::from_millis(250);
 
 /// Most permits requested at once.
 const MAX_REQUEST: u32 = 64;
 
+/// Time of demand that may use permits of several granters asked for the same operation.
+const SURPLUS_USE: Span = Span::from_millis(400);
+
 /// Pause after a granter did not answer.
 const UNREACHABLE_PAUSE: Span = Span::from_millis(1_000);
 
-/// Time after which a request is not relied on, and the same permits are requested from another
-/// granter: a round trip between regions, with one or two late timers.
-const OVERDUE_AFTER: Span = Span::from_millis(60);
-
 /// Shortest pause before a granter that had too few permits is asked again.
 const MIN_PAUSE: Span = Span::from_millis(20);
 
@@ -82,11 +100,52 @@
     requested: Option<(u32, Time)>,
     /// No request is sent before this time.
     not_before: Time,
+    /// When it will have a permit, by its last answer, if it had too few and that is soon.
+    due: Option<Time>,
+    /// When it answered last that it had too few.
+    refused_at: Option<Time>,
+    /// Time that its last answer took.
+    round_trip: Span,
+    /// It answers nobody on this proxy.
+    is_silent: bool,
 }
 
 impl Source {
     fn is_free(self, now: Time) -> bool {
-        self.requested.is_none() && self.not_before <= now
+        self.requested.is_none() && self.not_before <= now && !self.is_silent
+    }
+
+    /// Permits that a request under way will bring.
+    fn expected(self, now: Time) -> u32 {
+        let in_time = self
+            .requested
+            .filter(|(_, at)| now.since(*at) < SILENT_AFTER);
+        in_time.map_or(0, |(count, _)| count)
+    }
+
+    /// Whether it has no permit for an operation that waits since a time.
+    fn has_refused(self, since: Time, now: Time) -> bool {
+        self.not_before > now || self.refused_at.is_some_and(|at| at >= since)
+    }
+}
+
+/// What has become of the permits of one customer on one proxy.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Permits granted.
+    pub granted: u64,
+    /// Permits taken by operations.
+    pub taken: u64,
+    /// Permits given back by operations that were not sent; valid ones are taken again.
+    pub given_back: u64,
+    /// Permits that expired unused.
+    pub expired: u64,
+}
+
+impl Counts {
+    /// Permits with which operations were sent.
+    pub fn spent(self) -> u64 {
+        self.taken.saturating_sub(self.given_back)
     }
 }
 
@@ -102,9 +161,16 @@
     /// Permits by expiry, the earliest first.
     batches: VecDeque<Batch>,
     waiting: VecDeque<Waiter<W>>,
-    /// Operations a second.
+    /// Operations a second that got a permit.
     demand: f64,
+    /// Operations a second that were rejected.
+    rejected: f64,
     measured_at: Time,
+    /// Until when permits that are due are expected to go to others.
+    contended_until: Time,
+    /// When the operation that was rejected last was told to return.
+    next_return: Time,
+    counts: Counts,
 }
 
 impl<W> Holder<W> {
@@ -115,7 +181,11 @@
             batches: VecDeque::new(),
             waiting: VecDeque::new(),
             demand: 0.0,
+            rejected: 0.0,
             measured_at: now,
+            contended_until: now,
+            next_return: now,
+            counts: Counts::default(),
         }
     }
 
@@ -130,6 +200,21 @@
         self.granters = granters.into_iter().map(source).collect();
     }
 
+    /// Sets whether a granter answers nobody on this proxy; it is passed over then.
+    pub fn set_silent(&mut self, granter: &ProxyId, is_silent: bool) {
+        if let Some(source) = self.granters.get_mut(granter) {
+            if source.is_silent && !is_silent {
+                source.not_before = Time::default();
+            }
+            source.is_silent = is_silent;
+        }
+    }
+
+    /// What has become of the permits.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
     /// Permits at hand.
     pub fn available(&self, now: Time) -> u32 {
         let valid = self.batches.iter().filter(|b| now < b.until);
@@ -143,14 +228,12 @@
 
     /// Why an operation that arrives now would be rejected, if that is known already: no permit
     /// is at hand, and all granters have refused.
-    pub fn known_rejection(&self, now: Time) -> Option<QuotaRejection> {
+    pub fn known_rejection(&mut self, now: Time) -> Option<QuotaRejection> {
         if self.available(now) > 0 {
             return None;
         }
         let retry_at = self.refused_until(now)?;
-        (retry_at >= now + MAX_WAIT).then(|| QuotaRejection {
-            retry_after: retry_at.since(now),
-        })
+        (retry_at >= now + self.due_wait(now)).then(|| self.rejection(retry_at, now))
     }
 
     /// Requests a permit for an operation.
@@ -175,6 +258,7 @@
         // stall, permits requested in advance would expire.
         let window = DEMAND_WINDOW.as_micros() as f64 / 1e6;
         self.demand += 1.0 / window;
+        self.counts.taken += 1;
         batch.count -= 1;
         let permit = Permit { until: batch.until };
         if batch.count == 0 {
@@ -187,6 +271,7 @@
     pub fn give_back(&mut self, permit: Permit, now: Time) -> Vec<Action<W>> {
         let window = DEMAND_WINDOW.as_micros() as f64 / 1e6;
         self.demand = (self.demand - 1.0 / window).max(0.0);
+        self.counts.given_back += 1;
         self.add(1, permit.until);
         self.admit_waiting(now)
     }
@@ -207,21 +292,32 @@
         match answer {
             None => source.not_before = now + UNREACHABLE_PAUSE,
             Some(answer) => {
-                if answer.granted < requested {
-                    source.not_before = now + answer.retry_after.max(MIN_PAUSE);
+                source.round_trip = now.since(sent_at);
+                let was_due = source.due.is_some_and(|due| due <= sent_at);
+                if answer.granted == 0 && was_due {
+                    self.contended_until = now + CONTENTION;
                 }
-                self.add(answer.granted.min(requested), sent_at + PERMIT_TTL);
+                let pause = answer.retry_after.max(MIN_PAUSE);
+                let is_short = answer.granted < requested;
+                // One that is due later may also go to another operation by chance.
+                let is_soon = answer.retry_after <= CONTENDED_DUE;
+                source.due = (is_short && is_soon).then_some(now + pause);
+                source.refused_at = is_short.then_some(now);
+                source.not_before = if is_short { now + pause } else { now };
+                let granted = answer.granted.min(requested);
+                self.counts.granted += u64::from(granted);
+                self.add(granted, sent_at + PERMIT_TTL);
             }
         }
+        self.pause_if_contended(now);
         self.step(now)
     }
 
     /// Admits, requests and rejects what is due.
     pub fn step(&mut self, now: Time) -> Vec<Action<W>> {
         let mut actions = self.admit_waiting(now);
-        if let Some((granter, count)) = self.next_request(now) {
-            actions.push(Action::Request(granter, count));
-        }
+        let requests = self.next_requests(now).into_iter();
+        actions.extend(requests.map(|(granter, count)| Action::Request(granter, count)));
         self.reject_hopeless(now, &mut actions);
         actions
     }
@@ -229,8 +325,9 @@
     /// When [`Holder::step`] must be called next, after it was called at `now`.
     pub fn next_step(&self, now: Time) -> Option<Time> {
         let first = self.waiting.front()?;
-        let due = self.granters.values().map(|s| match s.requested {
-            Some((_, at)) => at + OVERDUE_AFTER,
+        let heard = self.granters.values().filter(|s| !s.is_silent);
+        let due = heard.map(|s| match s.requested {
+            Some((_, at)) => at + SILENT_AFTER,
             None => s.not_before,
         });
         let due = due.filter(|at| *at > now);
@@ -258,8 +355,8 @@
     }
 
     fn expire(&mut self, now: Time) {
-        while self.batches.front().is_some_and(|b| b.until <= now) {
-            self.batches.pop_front();
+        while let Some(batch) = self.batches.pop_front_if(|b| b.until <= now) {
+            self.counts.expired += u64::from(batch.count);
         }
     }
 
@@ -267,57 +364,128 @@
     fn decay_demand(&mut self, now: Time) {
         let window = DEMAND_WINDOW.as_micros() as f64;
         let passed = now.since(self.measured_at).as_micros() as f64;
-        self.demand *= (-passed / window).exp();
+        let decay = (-passed / window).exp();
+        self.demand *= decay;
+        self.rejected *= decay;
         self.measured_at = now;
     }
 
-    /// When the first granter is worth asking again, if all of them have refused.
+    /// When the first granter is worth asking again, if all that can be reached have refused.
     fn refused_until(&self, now: Time) -> Option<Time> {
+        let mut heard = self.granters.values().filter(|s| !s.is_silent).peekable();
+        if heard.peek().is_none() {
+            return Some(now + UNREACHABLE_RETRY);
+        }
         let may_grant = |s: &Source| s.requested.is_some() || s.not_before <= now;
-        if self.granters.values().any(may_grant) {
-            return None;
+        let soonest = heard.try_fold(None, |soonest: Option<Time>, source| {
+            let at = source.not_before;
+            (!may_grant(source)).then(|| Some(soonest.map_or(at, |soonest| soonest.min(at))))
+        });
+        soonest.flatten()
+    }
+
+    fn is_contended(&self, now: Time) -> bool {
+        now < self.contended_until
+    }
+
+    /// How long operations wait for a permit that is due.
+    fn due_wait(&self, now: Time) -> Span {
+        match self.is_contended(now) {
+            true => Span::from_millis(0),
+            false => MAX_WAIT,
+        }
+    }
+
+    /// Whether all granters that answer have refused an operation that waits since a time.
+    fn is_refused(&self, since: Time, now: Time) -> bool {
+        let mut heard = self.granters.values().filter(|s| !s.is_silent);
+        heard.all(|s| s.has_refused(since, now))
+    }
+
+    /// Leaves the next permits to others when all granters have refused: for half the time after
+    /// which this proxy had one on average.
+    fn pause_if_contended(&mut self, now: Time) {
+        let waits_since = self.waiting.front().map(|first| first.since);
+        let Some(since) = waits_since.filter(|_| self.is_contended(now)) else {
+            return;
+        };
+        if !self.is_refused(since, now) {
+            return;
+        }
+        let pause = Span::from_micros((5e5 / self.demand.max(1.0)) as u64);
+        self.contended_until = now + CONTENTION;
+        let until = now + pause.min(MAX_CONTENTION_PAUSE);
+        for source in self.granters.values_mut() {
+            source.not_before = source.not_before.max(until);
+        }
+    }
+
+    /// A rejection when a permit is due at `due`. Operations that are rejected one after the other
+    /// return one after the other, at the rate of the permits.
+    fn rejection(&mut self, due: Time, now: Time) -> QuotaRejection {
+        self.decay_demand(now);
+        self.rejected += 1.0 / (DEMAND_WINDOW.as_micros() as f64 / 1e6);
+        let at = self.next_return.max(due);
+        let latest = now + MAX_RETRY.max(due.since(now));
+        let interval = 1e6 / self.demand.max(1.0);
+        self.next_return = at.min(latest) + Span::from_micros(interval as u64);
+        QuotaRejection {
+            retry_after: at.min(latest).since(now),
         }
-        self.granters.values().map(|s| s.not_before).min()
     }
 
-    /// The next request, if permits are needed: for the waiting operations, and in advance
+    /// The next requests, if permits are needed: for the waiting operations, and in advance
     /// where the permits will be used before they expire.
-    fn next_request(&mut self, now: Time) -> Option<(ProxyId, u32)> {
+    fn next_requests(&mut self, now: Time) -> Vec<(ProxyId, u32)> {
         self.decay_demand(now);
         let available = self.available(now);
         let ahead = (self.demand * AHEAD.as_micros() as f64 / 1e6) as u32;
         let waiting = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
         if waiting == 0 && available >= ahead.div_ceil(2) {
-            return None;
+            return Vec::new();
         }
-        let under_way = self.granters.values().filter_map(|s| s.requested);
-        let in_time = under_way.filter(|(_, at)| now.since(*at) < OVERDUE_AFTER);
-        let under_way: u32 = in_time.map(|(count, _)| count).sum();
+        let heard = || self.granters.values().filter(|s| !s.is_silent);
+        let under_way: u32 = heard().map(|s| s.expected(now)).sum();
         let needed = waiting.saturating_add(ahead);
         let count = needed
             .saturating_sub(available + under_way)
             .min(MAX_REQUEST);
-        if count == 0 {
-            return None;
+        let is_far = heard().any(|s| s.is_free(now) && s.round_trip > NEAR);
+        let in_parallel = waiting > 0 && is_far && self.is_contended(now);
+        let free = self.granters.iter_mut().filter(|(_, s)| s.is_free(now));
+        // More permits than are used while they are valid would be lost.
+        let used = (self.demand + self.rejected) * SURPLUS_USE.as_micros() as f64 / 1e6;
+        let most = if in_parallel {
+            1 + used.ceil() as usize
+        } else {
+            1
+        };
+        let free: Vec<_> = free.take(most).collect();
+        if count == 0 || free.is_empty() {
+            return Vec::new();
         }
-        let (granter, source) = self.granters.iter_mut().find(|(_, s)| s.is_free(now))?;
-        source.requested = Some((count, now));
-        Some((granter.clone(), count))
+        let each = count.div_ceil(u32::try_from(free.len()).unwrap_or(u32::MAX));
+        let request = |(granter, source): (&ProxyId, &mut Source)| {
+            source.requested = Some((each, now));
+            (granter.clone(), each)
+        };
+        free.into_iter().map(request).collect()
     }
 
     /// Rejects operations that have waited for too long, and all of them if no granter has a
     /// permit soon.
     fn reject_hopeless(&mut self, now: Time, actions: &mut Vec<Action<W>>) {
         let soonest = self.refused_until(now);
-        let retry_after = soonest.map_or(UNREACHABLE_RETRY, |at| at.since(now));
         while let Some(first) = self.waiting.front() {
-            let end = first.since + MAX_WAIT;
-            let hopeless = self.granters.is_empty() || soonest.is_some_and(|at| at >= end);
-            if now < end && !hopeless {
+            let is_late = now >= first.since + MAX_WAIT;
+            let due_end = first.since + self.due_wait(now);
+            let is_refused = self.is_contended(now) && self.is_refused(first.since, now);
+            if !is_late && !is_refused && soonest.is_none_or(|at| at < due_end) {
                 break;
             }
             if let Some(first) = self.waiting.pop_front() {
-                actions.push(Action::Reject(first.waiter, QuotaRejection { retry_after }));
+                let due = soonest.unwrap_or(now + UNREACHABLE_RETRY);
+                actions.push(Action::Reject(first.waiter, self.rejection(due, now)));
             }
         }
     }
--- a/crates/policy/tests/quota_fleet/main.rs
+++ b/crates/policy/tests/quota_fleet/main.rs
@@ -4,6 +4,8 @@
 //!
 //! `POMELO_FUZZ_CASES=2000` makes a long run.
 
+mod operations;
+mod outcome;
 mod store;
 mod world;
 
@@ -11,7 +13,7 @@
 use model::unit::Span;
 use policy::quota::Terms;
 use test_case::test_case;
-use world::{Faults, Guards, Setup, World};
+use world::{Faults, Guards, Order, Setup, World};
 
 const TERMS: Terms = Terms {
     window: Span::from_millis(5_000),
@@ -33,6 +35,8 @@
         terms: TERMS,
         demand: 4.0,
         faults: Faults::All,
+        order: Order::ConnectionFirst,
+        latency_ms: 30,
         guards: Guards::all(),
         length: Span::from_millis(25_000),
     }
@@ -137,3 +141,78 @@
     let seconds = setup.length.as_micros() as f64 / 1e6;
     assert!(sent as f64 > 0.9 * 150.0 * seconds, "{sent}");
 }
+
+/// Permits are requested before connections, which take long while instances stall.
+#[test_case(Faults::All, 9, 150.0; "all failures")]
+#[test_case(Faults::All, 30, 150.0; "all failures in a larger fleet")]
+#[test_case(Faults::Stall, 9, 150.0; "instances stall")]
+#[test_case(Faults::Cut, 30, 150.0; "the fleet is divided")]
+fn permits_before_connections_stay_within_the_limit(faults: Faults, proxies: usize, per_s: f64) {
+    let setup = Setup {
+        faults,
+        order: Order::PermitFirst,
+        ..setup(proxies, per_s)
+    };
+    assert_eq!(first_violation(&setup, cases(40)), None);
+}
+
+/// A hot customer gets nine tenths of its limit in every window, however many proxies have a
+/// little of its demand.
+#[test_case(9, 150.0, 4.0; "nine proxies")]
+#[test_case(30, 150.0, 1.5; "thirty proxies")]
+#[test_case(87, 150.0, 4.0; "many proxies")]
+#[test_case(87, 300.0, 1.5; "many proxies and a little more than the limit")]
+#[test_case(87, 60.0, 4.0; "many proxies and a middling customer")]
+fn a_hot_customer_gets_its_limit_in_every_window(proxies: usize, per_s: f64, demand: f64) {
+    let setup = Setup {
+        faults: Faults::None { active: proxies },
+        order: Order::PermitFirst,
+        demand,
+        ..setup(proxies, per_s)
+    };
+    for seed in 0..3 {
+        let outcome = World::new(&setup, seed).run();
+        let share = outcome.least_share(&setup, 0..proxies);
+        assert!(share >= 0.9, "{share:.3} with seed {seed}");
+    }
+}
+
+/// A third of the fleet is disconnected: either side gets most of what its granters have.
+#[test_case(30, 150.0)]
+#[test_case(87, 150.0)]
+#[test_case(87, 300.0)]
+fn a_hot_customer_gets_its_part_on_either_side_of_a_cut(proxies: usize, per_s: f64) {
+    let setup = Setup {
+        faults: Faults::Cut,
+        order: Order::PermitFirst,
+        ..setup(proxies, per_s)
+    };
+    for seed in 0..4 {
+        let outcome = World::new(&setup, seed).run();
+        let at = proxies * 2 / 3;
+        for side in [0..at, at..proxies] {
+            if outcome.parts[side.clone()].iter().sum::<u32>() > 0 {
+                let share = outcome.least_share(&setup, side.clone());
+                assert!(share >= 0.6, "{share:.3} of {side:?} with seed {seed}");
+            }
+        }
+    }
+}
+
+/// Operations over the limit are rejected within 20 ms, 99 of 100 within 50 ms, also while a
+/// third of the fleet is disconnected.
+#[test_case(Faults::None { active: 87 }; "calm")]
+#[test_case(Faults::Cut; "the fleet is divided")]
+fn operations_over_the_limit_are_rejected_soon(faults: Faults) {
+    let setup = Setup {
+        faults,
+        order: Order::PermitFirst,
+        latency_ms: 10,
+        ..setup(87, 150.0)
+    };
+    let mut after = World::new(&setup, 1).run().rejected_after;
+    after.sort();
+    let at = |part: usize| after[after.len() * part / 100];
+    assert!(at(50) <= Span::from_millis(20), "median {}", at(50));
+    assert!(at(99) <= Span::from_millis(50), "99 %: {}", at(99));
+}
--- a/crates/policy/tests/quota_fleet/world.rs
+++ b/crates/policy/tests/quota_fleet/world.rs
@@ -1,13 +1,18 @@
 //! Proxies that hold and grant permits, with their messages and failures.
 
+use indexmap::IndexMap;
 use model::customer::RateLimit;
 use model::id::{CustomerId, ProxyId};
 use model::position::Revision;
 use model::unit::{Span, Time};
-use policy::quota::{Action, Answer, Authority, Budget, Granter, Holder, Parts, Terms};
+use policy::quota::{
+    Action, Answer, Authority, Budget, Granter, Holder, Parts, Reservation, SILENT_AFTER, Silence,
+    Terms,
+};
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 
+use crate::outcome::Outcome;
 use crate::store::{LEASE, MARGIN, Store};
 
 const TICK: Span = Span::from_millis(5);
@@ -18,7 +23,7 @@
 const ANSWER_TIMEOUT: Span = Span::from_millis(150);
 
 /// Time for which proxies run without demand and failures, to find each other.
-const START: Time = Time::from_millis(3_000);
+pub(crate) const START: Time = Time::from_millis(3_000);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Faults {
@@ -33,10 +38,21 @@
     Restart,
     /// Instances stall, and admitted operations wait for their connections.
     Stall,
+    /// The last third of the fleet is disconnected from the others, but not from the store.
+    Cut,
     /// All of these and more, at random.
     All,
 }
 
+/// When operations request their permits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Order {
+    /// When they have their connections.
+    ConnectionFirst,
+    /// Before they request connections.
+    PermitFirst,
+}
+
 /// Guards that can be switched off.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Guards {
@@ -63,65 +79,15 @@
     /// Demand as a multiple of the limit's rate.
     pub(crate) demand: f64,
     pub(crate) faults: Faults,
+    pub(crate) order: Order,
+    /// Longest time that a message takes, in ms, unless it is late.
+    pub(crate) latency_ms: u64,
     pub(crate) guards: Guards,
     pub(crate) length: Span,
 }
 
-/// What a run sent.
-pub(crate) struct Outcome {
-    /// When operations arrived at proxies.
-    pub(crate) asked: Vec<Time>,
-    /// When operations were sent to instances.
-    pub(crate) sent: Vec<Time>,
-    pub(crate) rejected: usize,
-}
-
-impl Outcome {
-    /// Operations that a single bucket with the customer's rate and burst would reject.
-    pub(crate) fn over_limit(&self, setup: &Setup) -> usize {
-        let (mut level, mut over) = (setup.limit.burst(), 0);
-        let mut last = START;
-        for at in &self.asked {
-            let passed = at.since(last).as_micros() as f64 / 1e6;
-            level = (level + passed * setup.limit.per_s()).min(setup.limit.burst());
-            last = *at;
-            if level >= 1.0 {
-                level -= 1.0;
-            } else {
-                over += 1;
-            }
-        }
-        over
-    }
-
-    /// The first window with more operations than the terms allow.
-    pub(crate) fn violation(&self, setup: &Setup) -> Option<String> {
-        let Terms {
-            window,
-            overage,
-            slack,
-        } = setup.terms;
-        let seconds = window.as_micros() as f64 / 1e6;
-        let limited = setup.limit.per_s() * seconds + setup.limit.burst();
-        let allowed = limited * (1.0 + overage) + slack;
-        let mut first = 0;
-        for (last, at) in self.sent.iter().enumerate() {
-            while at.since(self.sent[first]) >= window {
-                first += 1;
-            }
-            let count = last + 1 - first;
-            if count as f64 > allowed {
-                return Some(format!(
-                    "{count} of {allowed} in the window that ends at {at}"
-                ));
-            }
-        }
-        None
-    }
-}
-
-struct Node {
-    id: ProxyId,
+pub(crate) struct Node {
+    pub(crate) id: ProxyId,
     /// Increased by each restart; messages to an earlier process are dropped.
     incarnation: u32,
     down_until: Time,
@@ -132,13 +98,24 @@
     renew_at: Time,
     inform_at: Time,
     authority: Authority,
-    holder: Holder<()>,
+    pub(crate) holder: Holder<u32>,
+    pub(crate) silence: Silence,
     granter: Option<Granter>,
-    /// When admitted operations get their connections.
-    ready: Vec<Time>,
+    /// Operations that were not sent or rejected yet.
+    pub(crate) operations: IndexMap<u32, Operation>,
     weight: f64,
 }
 
+/// An operation that waits for its connection, its permit, or both.
+pub(crate) struct Operation {
+    pub(crate) arrived: Time,
+    pub(crate) reservation: Reservation,
+    /// When it gets its connection; `None` if it has not requested one.
+    pub(crate) ready_at: Option<Time>,
+    /// Until when it waits for a permit and keeps its connection.
+    pub(crate) keeps_until: Option<Time>,
+}
+
 impl Node {
     fn new(id: ProxyId, now: Time, weight: f64) -> Self {
         Self {
@@ -153,19 +130,40 @@
             renew_at: now,
             inform_at: now,
             holder: Holder::new(now),
+            silence: Silence::default(),
             granter: None,
-            ready: Vec::new(),
+            operations: IndexMap::new(),
             weight,
         }
     }
 
-    fn runs(&self, now: Time) -> bool {
+    pub(crate) fn runs(&self, now: Time) -> bool {
         self.down_until <= now && self.paused_until <= now
     }
+
+    fn set_granters(&mut self, customer: &CustomerId) {
+        let granters = self.authority.granters(customer).iter();
+        let granters: Vec<_> = granters.cloned().collect();
+        self.holder.set_granters(granters.clone());
+        for granter in granters {
+            let is_silent = self.silence.is_silent(&granter);
+            self.holder.set_silent(&granter, is_silent);
+        }
+    }
+
+    pub(crate) fn note_answer(&mut self, granter: &ProxyId, answered: bool, now: Time) {
+        match answered {
+            true => self.silence.answered(granter),
+            false => self.silence.no_answer(granter, now),
+        };
+        self.holder.set_silent(granter, !answered);
+    }
 }
 
 enum Message {
     Request(u32),
+    /// The answer takes long.
+    Late,
     Answer(Option<Answer>),
 }
 
@@ -179,19 +177,22 @@
 }
 
 pub(crate) struct World {
-    setup: Setup,
+    pub(crate) setup: Setup,
     budget: Budget,
     customer: CustomerId,
     rng: SmallRng,
-    now: Time,
+    pub(crate) now: Time,
     store: Store,
-    nodes: Vec<Node>,
+    pub(crate) nodes: Vec<Node>,
     mail: Vec<Envelope>,
     /// Until when no operation gets a connection.
-    stalled_until: Time,
+    pub(crate) stalled_until: Time,
     restart_from: Revision,
     faults_per_s: f64,
-    outcome: Outcome,
+    /// The proxies from this one on are disconnected from those before.
+    cut_at: Option<usize>,
+    pub(crate) last_operation: u32,
+    pub(crate) outcome: Outcome,
 }
 
 impl World {
@@ -202,7 +203,11 @@
             let weight = match setup.faults {
                 Faults::None { active } if n >= active => 0.0,
                 Faults::None { .. } => 1.0,
-                Faults::Partition | Faults::Join | Faults::Restart | Faults::Stall => 1.0,
+                Faults::Partition
+                | Faults::Join
+                | Faults::Restart
+                | Faults::Stall
+                | Faults::Cut => 1.0,
                 Faults::All => rng.random_range(0.0..1.0_f64).powi(3),
             };
             Node::new(format!("p{n}").parse().unwrap(), now, weight)
@@ -222,10 +227,15 @@
             stalled_until: now,
             restart_from: Revision(0),
             faults_per_s,
+            cut_at: None,
+            last_operation: 0,
             outcome: Outcome {
                 asked: Vec::new(),
                 sent: Vec::new(),
+                sent_by: Vec::new(),
                 rejected: 0,
+                rejected_after: Vec::new(),
+                parts: Vec::new(),
             },
         }
     }
@@ -243,6 +253,10 @@
                 }
             }
         }
+        for node in &mut self.nodes {
+            let parts = node.authority.parts(&self.customer, self.now);
+            self.outcome.parts.push(parts.confirmed);
+        }
         self.outcome
     }
 
@@ -251,7 +265,7 @@
         self.rng.random_bool(p.min(1.0))
     }
 
-    fn later(&mut self, most_ms: u64) -> Time {
+    pub(crate) fn later(&mut self, most_ms: u64) -> Time {
         self.now + Span::from_millis(self.rng.random_range(0..most_ms))
     }
 
@@ -277,6 +291,7 @@
             }
             Faults::Restart if at(ms(8_010)) => self.cut_old_from_store(ms(14_000)),
             Faults::Stall if at(ms(8_000)) => self.stalled_until = ms(11_000),
+            Faults::Cut if at(ms(2_500)) => self.cut_at = Some(self.nodes.len() * 2 / 3),
             _ => {}
         }
         let is_random = self.setup.faults == Faults::All && self.now > START;
@@ -354,13 +369,7 @@
         fresh.store_cut_until = node.store_cut_until;
         fresh.peers_cut_until = node.peers_cut_until;
         fresh.authority.set_live(self.store.at(revision), revision);
-        let granters = fresh
-            .authority
-            .granters(&self.customer)
-            .iter()
-            .cloned()
-            .collect();
-        fresh.holder.set_granters(granters);
+        fresh.set_granters(&self.customer);
         *node = fresh;
     }
 
@@ -396,11 +405,12 @@
                 _ => self.later(300).max(self.stalled_until),
             };
             if self.nodes[n].holder.known_rejection(now).is_some() {
-                self.outcome.rejected += 1;
+                self.reject(now);
             } else {
-                self.nodes[n].ready.push(send_at);
+                self.start(n, send_at);
             }
         }
+        self.query_silent(n);
         // Keeps the granter's bucket filling while nobody asks.
         self.grant(n, 0);
         let actions = self.nodes[n].holder.step(now);
@@ -435,13 +445,7 @@
         let live = self.store.at(revision);
         let node = &mut self.nodes[n];
         node.authority.set_live(live, revision);
-        let granters = node
-            .authority
-            .granters(&self.customer)
-            .iter()
-            .cloned()
-            .collect();
-        node.holder.set_granters(granters);
+        node.set_granters(&self.customer);
     }
 
     fn inform(&mut self, n: usize) {
@@ -462,20 +466,24 @@
         }
     }
 
-    fn reaches(&self, a: usize, b: usize) -> bool {
+    pub(crate) fn reaches(&self, a: usize, b: usize) -> bool {
         let is_cut = |n: usize| self.nodes[n].peers_cut_until > self.now;
-        a == b || !(is_cut(a) || is_cut(b))
+        let is_divided = self.cut_at.is_some_and(|at| (a < at) != (b < at));
+        a == b || !(is_cut(a) || is_cut(b) || is_divided)
     }
 
-    fn act(&mut self, n: usize, actions: Vec<Action<()>>) {
+    pub(crate) fn act(&mut self, n: usize, actions: Vec<Action<u32>>) {
         let mut queue = actions;
         while let Some(action) = queue.pop() {
             match action {
-                Action::Admit((), permit) => {
+                Action::Admit(id, permit) => {
                     assert!(permit.is_valid(self.now), "an expired permit was granted");
-                    self.outcome.sent.push(self.now);
+                    queue.extend(self.admit(n, id, permit));
+                }
+                Action::Reject(id, _) => {
+                    let operation = self.nodes[n].operations.swap_remove(&id);
+                    self.reject(operation.map_or(self.now, |o| o.arrived));
                 }
-                Action::Reject(..) => self.outcome.rejected += 1,
                 Action::Request(granter, count) => {
                     let to = self.nodes.iter().position(|node| node.id == granter);
                     let Some(to) = to else { continue };
@@ -494,11 +502,11 @@
 
     fn post_request(&mut self, from: usize, to: usize, count: u32) {
         let incarnation = self.nodes[from].incarnation;
-        let calm = matches!(self.setup.faults, Faults::None { .. });
+        let calm = matches!(self.setup.faults, Faults::None { .. } | Faults::Cut);
         let arrives = self.reaches(from, to) && (calm || self.rng.random_bool(0.97));
         if arrives {
             let slow = !calm && self.rng.random_bool(0.03);
-            let deliver_at = self.later(if slow { 700 } else { 30 });
+            let deliver_at = self.later(if slow { 700 } else { self.setup.latency_ms });
             self.mail.push(Envelope {
                 deliver_at,
                 from,
@@ -507,13 +515,19 @@
                 message: Message::Request(count),
             });
         } else {
-            self.mail.push(Envelope {
-                deliver_at: self.now + ANSWER_TIMEOUT,
-                from: to,
-                to: from,
-                incarnation,
-                message: Message::Answer(None),
-            });
+            let timers = [
+                (SILENT_AFTER, Message::Late),
+                (ANSWER_TIMEOUT, Message::Answer(None)),
+            ];
+            for (after, message) in timers {
+                self.mail.push(Envelope {
+                    deliver_at: self.now + after,
+                    from: to,
+                    to: from,
+                    incarnation,
+                    message,
+                });
+            }
         }
     }
 
@@ -549,7 +563,7 @@
             match envelope.message {
                 Message::Request(count) => {
                     let answer = self.grant(to, count);
-                    let deliver_at = self.later(30);
+                    let deliver_at = self.later(self.setup.latency_ms);
                     self.mail.push(Envelope {
                         deliver_at,
                         from: to,
@@ -558,28 +572,22 @@
                         message: Message::Answer(Some(answer)),
                     });
                 }
+                Message::Late => {
+                    if self.nodes[to].incarnation == envelope.incarnation {
+                        let granter = self.nodes[envelope.from].id.clone();
+                        self.nodes[to].note_answer(&granter, false, now);
+                    }
+                }
                 Message::Answer(answer) => {
                     if self.nodes[to].incarnation != envelope.incarnation {
                         continue;
                     }
                     let granter = self.nodes[envelope.from].id.clone();
+                    self.nodes[to].note_answer(&granter, answer.is_some(), now);
                     let actions = self.nodes[to].holder.answered(&granter, answer, now);
                     self.act(to, actions);
                 }
             }
         }
     }
-
-    /// Sends the operations that have got their connections.
-    fn send_ready(&mut self, n: usize) {
-        let now = self.now;
-        let stalled = self.stalled_until > now;
-        let due = self.nodes[n]
-            .ready
-            .extract_if(.., |at| *at <= now && !stalled);
-        for _ in due.collect::<Vec<_>>() {
-            let actions = self.nodes[n].holder.request((), now);
-            self.act(n, actions);
-        }
-    }
 }
