--- a/crates/front/src/quota.rs
+++ b/crates/front/src/quota.rs
@@ -1,6 +1,10 @@
 //! Admission of operations by the rate limits of customers: this proxy's permits, and the
 //! parts of limits that it grants to others.
 
+mod admission;
+mod requests;
+mod usage;
+
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,9 +15,13 @@
 use model::position::Revision;
 use model::unit::{Span, Time};
 use policy::quota::{
-    Action, Answer, Authority, Budget, Granter, Holder, Parts, Permit, QuotaRejection, Terms,
+    Action, Answer, Authority, Budget, Granter, Holder, Parts, Permit, QuotaRejection, Silence,
+    Terms,
 };
 
+pub use admission::Admission;
+pub use usage::Usage;
+
 use crate::clock;
 use crate::relay;
 
@@ -33,9 +41,6 @@
 /// Shortest time between two checks of a waiting operation.
 const MIN_STEP: Span = Span::from_millis(1);
 
-/// Number of customers in the metrics; each adds some series.
-const MAX_REPORTED: usize = 20;
-
 type Reply = flume::Sender<Result<Permit, QuotaRejection>>;
 
 /// The limits of all customers on this proxy.
@@ -51,30 +56,17 @@
     budgets: IndexMap<CustomerId, Budget>,
     holders: IndexMap<CustomerId, Holder<Reply>>,
     granters: IndexMap<CustomerId, Granter>,
+    silence: Silence,
     rejected: IndexMap<CustomerId, u64>,
 }
 
-/// Admission of one operation.
-///
-/// It takes a permit only when the operation is sent, so that none expires while the operation
-/// waits for its connection.
-pub struct Admission(Option<Limited>);
-
-/// Admission by a permit, for a customer with a limit.
-struct Limited {
-    quotas: Quotas,
-    customer: CustomerId,
-    stage: Stage,
-}
-
-#[derive(Clone, Debug)]
-enum Stage {
-    /// The operation needs a permit to be sent.
-    Waiting,
-    /// The operation was sent. It may be sent again with the same permit if it did not run.
-    Sent(Permit),
-    /// The operation was sent and did not run.
-    Reserved(Permit),
+/// Which of the waiting operations gets the next permit.
+#[derive(Clone, Copy, Debug)]
+enum Turn {
+    /// This one, which holds a connection.
+    First,
+    /// Those that wait already.
+    Last,
 }
 
 impl Quotas {
@@ -89,6 +81,7 @@
             budgets: IndexMap::new(),
             holders: IndexMap::new(),
             granters: IndexMap::new(),
+            silence: Silence::default(),
             rejected: IndexMap::new(),
         })))
     }
@@ -133,10 +126,12 @@
             authority,
             holders,
             addresses,
+            silence,
             ..
         } = &mut *state;
+        silence.retain(|id| addresses.contains_key(id));
         for (customer, holder) in holders {
-            holder.set_granters(nearest_first(authority, addresses, customer));
+            set_granters(holder, authority, addresses, silence, customer);
         }
     }
 
@@ -175,7 +170,7 @@
     pub fn admit(&self, customer: Option<&CustomerId>) -> Result<Admission, QuotaRejection> {
         let limited = |id: &&CustomerId| self.0.borrow().budgets.contains_key(*id);
         let Some(customer) = customer.filter(limited) else {
-            return Ok(Admission(None));
+            return Ok(Admission::unlimited());
         };
         let now = clock::now();
         let rejection = self.with_holder(customer, now, |holder| holder.known_rejection(now));
@@ -183,17 +178,16 @@
             self.count_rejection(customer);
             return Err(rejection);
         }
-        Ok(Admission(Some(Limited {
-            quotas: self.clone(),
-            customer: customer.clone(),
-            stage: Stage::Waiting,
-        })))
+        Ok(Admission::limited(self.clone(), customer.clone()))
     }
 
-    async fn permit(&self, customer: &CustomerId) -> Result<Permit, QuotaRejection> {
+    async fn permit(&self, customer: &CustomerId, turn: Turn) -> Result<Permit, QuotaRejection> {
         let now = clock::now();
         let (tx, rx) = flume::bounded(1);
-        let actions = self.with_holder(customer, now, |holder| holder.request(tx, now));
+        let actions = self.with_holder(customer, now, |holder| match turn {
+            Turn::Last => holder.request(tx, now),
+            Turn::First => holder.request_first(tx, now),
+        });
         self.act(customer, actions);
         loop {
             let now = clock::now();
@@ -213,6 +207,12 @@
         }
     }
 
+    fn give_back(&self, customer: &CustomerId, permit: Permit) {
+        let now = clock::now();
+        let actions = self.with_holder(customer, now, |holder| holder.give_back(permit, now));
+        self.act(customer, actions);
+    }
+
     fn count_rejection(&self, customer: &CustomerId) {
         let mut state = self.0.borrow_mut();
         *state.rejected.entry(customer.clone()).or_default() += 1;
@@ -229,11 +229,12 @@
             authority,
             addresses,
             holders,
+            silence,
             ..
         } = &mut *state;
         let holder = holders.entry(customer.clone()).or_insert_with(|| {
             let mut holder = Holder::new(now);
-            holder.set_granters(nearest_first(authority, addresses, customer));
+            set_granters(&mut holder, authority, addresses, silence, customer);
             holder
         });
         act(holder)
@@ -296,26 +297,17 @@
         }
     }
 
-    /// Requests permits from another proxy.
-    async fn ask(&self, customer: &CustomerId, granter: ProxyId, count: u32) {
-        let (relay, address) = {
-            let state = self.0.borrow();
-            let address = state.addresses.get(&granter).map(|(address, _)| *address);
-            (state.relay.clone(), address)
-        };
-        let answer = match address {
-            Some(address) => relay.permits(&granter, address, customer, count).await,
-            None => None,
-        };
-        let now = clock::now();
-        let answered = |holder: &mut Holder<Reply>| holder.answered(&granter, answer, now);
-        let actions = self.with_holder(customer, now, answered);
-        self.act(customer, actions);
+    /// Does what recurs, for as long as the process runs.
+    pub async fn run(self) {
+        futures_util::join!(
+            self.clone().inform(),
+            self.clone().query_silent(),
+            self.log_usage()
+        );
     }
 
-    /// Informs the proxies that this proxy displaces as granter, for as long as the process
-    /// runs.
-    pub async fn inform(self) {
+    /// Informs the proxies that this proxy displaces as granter.
+    async fn inform(self) {
         loop {
             clock::sleep_until(clock::now() + INFORM_INTERVAL).await;
             self.refresh_granters();
@@ -348,42 +340,6 @@
             state.authority.set_informed(customer, proxy, revision);
         }
     }
-
-    /// The use of limits by the [`MAX_REPORTED`] customers with the most rejections here.
-    pub fn usage(&self) -> Vec<Usage> {
-        let now = clock::now();
-        let state = self.0.borrow();
-        let usage = |(customer, holder): (&CustomerId, &Holder<Reply>)| {
-            let budget = state.budgets.get(customer)?;
-            let granter = state.granters.get(customer);
-            Some(Usage {
-                customer: customer.clone(),
-                part_per_s: budget.rate,
-                parts: granter.map_or(0, |granter| granter.parts().confirmed),
-                at_hand: holder.available(now),
-                rejected: state.rejected.get(customer).copied().unwrap_or_default(),
-            })
-        };
-        let mut usage: Vec<_> = state.holders.iter().filter_map(usage).collect();
-        usage.sort_by_key(|u| std::cmp::Reverse(u.rejected));
-        usage.truncate(MAX_REPORTED);
-        usage
-    }
-}
-
-/// Use of one customer's limit on this proxy.
-#[derive(Clone, Debug)]
-pub struct Usage {
-    /// The customer.
-    pub customer: CustomerId,
-    /// Operations a second of one part of its limit.
-    pub part_per_s: f64,
-    /// Confirmed parts that this proxy grants.
-    pub parts: u32,
-    /// Permits at hand.
-    pub at_hand: u32,
-    /// Operations that this proxy has rejected.
-    pub rejected: u64,
 }
 
 impl State {
@@ -408,70 +364,18 @@
     }
 }
 
-/// A customer's granters, the nearest one first.
-fn nearest_first(
+/// Sets a customer's granters, the nearest one first.
+fn set_granters(
+    holder: &mut Holder<Reply>,
     authority: &mut Authority,
     addresses: &IndexMap<ProxyId, (SocketAddr, Span)>,
+    silence: &Silence,
     customer: &CustomerId,
-) -> Vec<ProxyId> {
+) {
     let mut granters: Vec<_> = authority.granters(customer).iter().cloned().collect();
     granters.sort_by_key(|id| addresses.get(id).map(|(_, round_trip)| *round_trip));
-    granters
-}
-
-impl Admission {
-    /// Waits until the operation may be sent, which must happen at once.
-    pub async fn send(&mut self) -> Result<(), QuotaRejection> {
-        match &mut self.0 {
-            Some(limited) => limited.send().await,
-            None => Ok(()),
-        }
-    }
-
-    /// Whether the operation may be sent once more, without a wait.
-    pub fn try_send(&mut self) -> bool {
-        self.0.as_mut().is_none_or(Limited::try_send)
-    }
-
-    /// Records that the operation was sent and certainly did not run.
-    pub fn did_not_run(&mut self) {
-        if let Some(limited) = &mut self.0 {
-            limited.did_not_run();
-        }
-    }
-}
-
-impl Limited {
-    async fn send(&mut self) -> Result<(), QuotaRejection> {
-        if !self.try_send() {
-            let permit = self.quotas.permit(&self.customer).await;
-            let permit = permit.inspect_err(|_| self.quotas.count_rejection(&self.customer))?;
-            self.stage = Stage::Sent(permit);
-        }
-        Ok(())
-    }
-
-    fn try_send(&mut self) -> bool {
-        let now = clock::now();
-        let permit = match std::mem::replace(&mut self.stage, Stage::Waiting) {
-            Stage::Reserved(permit) if permit.is_valid(now) => Some(permit),
-            Stage::Reserved(_) | Stage::Sent(_) | Stage::Waiting => {
-                let take = |holder: &mut Holder<Reply>| holder.try_take(now);
-                self.quotas.with_holder(&self.customer, now, take)
-            }
-        };
-        let Some(permit) = permit else {
-            return false;
-        };
-        self.stage = Stage::Sent(permit);
-        self.quotas.step(&self.customer);
-        true
-    }
-
-    fn did_not_run(&mut self) {
-        self.stage = match std::mem::replace(&mut self.stage, Stage::Waiting) {
-            Stage::Sent(permit) => Stage::Reserved(permit),
-            stage => stage,
-        };
+    holder.set_granters(granters.clone());
+    for granter in &granters {
+        holder.set_silent(granter, silence.is_silent(granter));
     }
 }
