Order granters by the creation of their keys, not by their last write

Change: the store's items say when a key was created. A proxy that restarts before its key lapses has not appeared, as others see the key without interruption; proxies are ordered by creation. A process still uses its parts only with a view that includes its own write, so a proxy that has written its key after another one was created knows of that one and need not be asked; with that a restart of all needs no questions. A single restart asks those that were there before, which know, since their view is newer than the creation.

For this the announcement is written by a compare-and-swap: an unconditional write of an earlier process that is carried out late would look like a start, and would tie the key to a lease that nobody renews.

Ruled out: "a restarted proxy displaced nobody" alone. Its earlier process may never have been confirmed (test: a half restarts while the others, which never learned of it, are cut off).

Tests: the oracle of quota_fleet is unchanged; its store now keeps the creation of a key, as the platform's does. New cases: all restart within and beyond the lease, a half restarts while the others are cut off. Existing unit tests pass the pair (created, written) in place of one revision; their checks are the same.

--- a/crates/front/src/directory/state.rs
+++ b/crates/front/src/directory/state.rs
@@ -12,6 +12,7 @@
 use model::route::Routes;
 use model::unit::{Span, Time};
 use platform::{entry, routes};
+use policy::quota::Announcement;
 use policy::store_reader;
 use store::kv::{Listing, Record};
 use store::watch::{Batch, Change};
@@ -54,8 +55,7 @@
 struct KnownProxy {
     /// `None` if its announcement cannot be read.
     announced: Option<Announced>,
-    /// The revision of the announcement.
-    revision: Revision,
+    announcement: Announcement,
 }
 
 /// The contents of the store as far as they are known.
@@ -130,9 +130,17 @@
     }
 
     /// The live proxies, with the revisions of their announcements.
-    pub fn announcements(&self) -> IndexMap<ProxyId, Revision> {
+    pub fn announcements(&self) -> IndexMap<ProxyId, Announcement> {
         let proxies = self.proxies.iter();
-        proxies.map(|(id, p)| (id.clone(), p.revision)).collect()
+        proxies
+            .map(|(id, p)| (id.clone(), p.announcement))
+            .collect()
+    }
+
+    /// The revision of a proxy's announcement; 0 if it is not known to be live.
+    pub fn announcement_revision(&self, id: &ProxyId) -> Revision {
+        let proxy = self.proxies.get(id);
+        proxy.map_or(Revision(0), |p| p.announcement.written)
     }
 
     /// Where a proxy runs, and the address of its relay.
@@ -321,14 +329,18 @@
         if known.is_none_or(|known| known.announced != announced) {
             self.proxies_version += 1;
         }
-        let revision = record.revision;
-        self.proxies.insert(
-            id,
-            KnownProxy {
-                announced,
-                revision,
-            },
-        );
+        let announcement = Announcement {
+            // A store reader of an earlier version does not pass it on.
+            created: Some(record.created)
+                .filter(|at| *at > Revision(0))
+                .unwrap_or(record.revision),
+            written: record.revision,
+        };
+        let known = KnownProxy {
+            announced,
+            announcement,
+        };
+        self.proxies.insert(id, known);
     }
 
     /// Sets the configuration. One that is older than the configuration in force is ignored,
--- a/crates/front/src/quota.rs
+++ b/crates/front/src/quota.rs
@@ -11,7 +11,8 @@
 use model::position::Revision;
 use model::unit::{Span, Time};
 use policy::quota::{
-    Action, Answer, Authority, Budget, Granter, Holder, Parts, Permit, QuotaRejection, Terms,
+    Action, Announcement, Answer, Authority, Budget, Granter, Holder, Parts, Permit,
+    QuotaRejection, Terms,
 };
 
 use crate::clock;
@@ -122,7 +123,7 @@
     /// Sets the live proxies, complete up to a revision.
     pub fn set_live(
         &self,
-        live: IndexMap<ProxyId, Revision>,
+        live: IndexMap<ProxyId, Announcement>,
         addresses: IndexMap<ProxyId, (SocketAddr, Span)>,
         revision: Revision,
     ) {
@@ -145,7 +146,7 @@
         !self.0.borrow().budgets.is_empty()
     }
 
-    /// Sets the revision of this proxy's announcement; `None` when it is withdrawn.
+    /// Sets when this process wrote its announcement; `None` when it is withdrawn.
     pub fn set_announced(&self, at: Option<Revision>) {
         self.0.borrow_mut().authority.set_announced(at);
     }
@@ -155,7 +156,7 @@
         self.0.borrow_mut().authority.set_valid_until(until);
     }
 
-    /// Waits until this proxy knows of an announcement at a revision and could give up its part
+    /// Waits until this proxy knows of a key created at a revision and could give up its part
     /// of a customer's limit; `false` if that takes longer than [`KNOWS_TIMEOUT`].
     pub async fn knows(&self, customer: &CustomerId, revision: Revision) -> bool {
         let end = clock::now() + KNOWS_TIMEOUT;
--- a/crates/front/src/registration.rs
+++ b/crates/front/src/registration.rs
@@ -17,6 +17,7 @@
 use store::calls::Purpose;
 use store::client::Client;
 use store::error::Error;
+use store::kv::Outcome;
 use store::lease::LeaseId;
 
 use crate::clock;
@@ -35,6 +36,10 @@
 /// Interval between two checks for suspicions to write or delete.
 const CHECK_INTERVAL: Span = Span::from_millis(100);
 
+/// Tries to write the announcement. The first one may not know of the announcement of an
+/// earlier process, which the response shows; that one may lapse meanwhile.
+const ANNOUNCE_TRIES: u32 = 3;
+
 /// This proxy's registration and its coordinator role.
 pub struct Registration {
     /// The proxy's name.
@@ -86,7 +91,7 @@
             min_ttl,
         );
         compio::runtime::spawn(hold_role).detach();
-        let report = report::run(self.id.clone(), cx.clone(), directory);
+        let report = report::run(self.id.clone(), cx.clone(), directory.clone());
         compio::runtime::spawn(report).detach();
         let ttl = LEASE_TTL.max(min_ttl);
         let mut renew = clock::now();
@@ -99,7 +104,7 @@
                 log_renewal(&mut failing_since, now, renewed.err());
             }
             let registered = failing_since.is_none() && self.lease.get().is_some();
-            if registered && let Err(e) = self.write_keys(&cx, &client).await {
+            if registered && let Err(e) = self.write_keys(&cx, &directory, &client).await {
                 tracing::info!(cause = %e, "a key of this proxy was not written");
             }
             clock::sleep_until(clock::now() + CHECK_INTERVAL).await;
@@ -125,16 +130,20 @@
         Ok(())
     }
 
-    async fn write_keys(&self, cx: &Cx, client: &Client) -> Result<(), Error> {
+    async fn write_keys(
+        &self,
+        cx: &Cx,
+        directory: &Directory,
+        client: &Client,
+    ) -> Result<(), Error> {
         let Some(Lease { id: lease, .. }) = self.lease.get() else {
             return Ok(());
         };
         if !self.announced.get() {
-            let key = format!("{PROXIES}{}", self.id);
-            let value = serde_json::to_vec(&self.announced_as).map_err(Error::Decode)?;
-            let announced_at = kv::put(client, &key, &value, lease).await?;
-            cx.quotas.set_announced(Some(announced_at));
-            self.announced.set(true);
+            let replaced = directory.with(|s| s.announcement_revision(&self.id));
+            let announced_at = self.announce(client, lease, replaced).await?;
+            cx.quotas.set_announced(announced_at);
+            self.announced.set(announced_at.is_some());
         }
         let reports = cx.reports.undelivered(clock::now());
         let mut groups: Vec<_> = self.suspicions.borrow().keys().cloned().collect();
@@ -147,6 +156,30 @@
         Ok(())
     }
 
+    /// Writes this proxy's announcement, in place of the one that was written at `replaced`; 0:
+    /// there is none. Returns its revision, or `None` if the key changed meanwhile.
+    ///
+    /// A write without this condition that an earlier process sent could be carried out late:
+    /// it would tie the key to that process's lease, and look like a start of this proxy.
+    async fn announce(
+        &self,
+        client: &Client,
+        lease: LeaseId,
+        replaced: Revision,
+    ) -> Result<Option<Revision>, Error> {
+        let key = format!("{PROXIES}{}", self.id);
+        let value = serde_json::to_vec(&self.announced_as).map_err(Error::Decode)?;
+        let mut expected = replaced;
+        for _ in 0..ANNOUNCE_TRIES {
+            match kv::swap(client, &key, expected, &value, lease).await? {
+                Outcome::Applied(announced_at) => return Ok(Some(announced_at)),
+                Outcome::Conflict(held) => expected = held.map_or(Revision(0), |r| r.revision),
+                Outcome::Unknown => break,
+            }
+        }
+        Ok(None)
+    }
+
     async fn write_suspicion(
         &self,
         client: &Client,
--- a/crates/front/src/registration/coordinator_lease.rs
+++ b/crates/front/src/registration/coordinator_lease.rs
@@ -171,6 +171,7 @@
                     key: COORDINATOR.to_owned(),
                     value: nonce.to_vec(),
                     revision,
+                    created: Revision::default(),
                 });
             }
             Outcome::Conflict(held) => {
--- a/crates/front/tests/directory.rs
+++ b/crates/front/tests/directory.rs
@@ -22,6 +22,7 @@
         key: format!("servers/{id}"),
         value: value.to_string().into_bytes(),
         revision: Revision(born),
+        created: Revision(born),
     }
 }
 
@@ -111,6 +112,7 @@
             .to_string()
             .into_bytes(),
         revision: Revision(revision),
+        created: Revision(1),
     };
     let mut state = state(vec![config(7, 70)]);
     assert_eq!(state.take_routes().map(|r| r.version), Some(7));
--- a/crates/front/tests/feed.rs
+++ b/crates/front/tests/feed.rs
@@ -16,6 +16,7 @@
         key: "k".to_owned(),
         value: revision.to_string().into_bytes(),
         revision: Revision(revision),
+        created: Revision(1),
     }
 }
 
--- a/crates/front/tests/follow.rs
+++ b/crates/front/tests/follow.rs
@@ -21,6 +21,7 @@
         key: "op/config".to_owned(),
         value: vec![7; 10_000],
         revision: Revision(9),
+        created: Revision(9),
     };
     Update::Changes(Batch {
         changes: vec![Change::Put(record)],
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -22,7 +22,7 @@
 pub mod granter;
 pub mod holder;
 
-pub use authority::{Authority, Parts};
+pub use authority::{Announcement, Authority, Parts};
 pub use budget::{Budget, Terms};
 pub use granter::{Answer, Granter};
 pub use holder::{Action, Holder, Permit, QuotaRejection};
--- a/crates/policy/src/rank.rs
+++ b/crates/policy/src/rank.rs
@@ -10,12 +10,12 @@
 /// Sorts proxies by their rank for a key, the first one first; every proxy computes the same
 /// order from the same list.
 pub fn sort(key: &str, ids: &mut [&ProxyId]) {
-    ids.sort_by_cached_key(|id| Reverse(hash::of([key, id.as_str()])));
+    ids.sort_by_cached_key(|id| Reverse(score(key, id)));
 }
 
-/// The first of some proxies by their rank for a key.
-pub fn first<'a>(key: &str, ids: impl Iterator<Item = &'a ProxyId>) -> Option<&'a ProxyId> {
-    ids.max_by_key(|id| hash::of([key, id.as_str()]))
+/// A proxy's score for a key; the one with the highest score is the first by rank.
+pub fn score(key: &str, id: &ProxyId) -> u64 {
+    hash::of([key, id.as_str()])
 }
 
 /// Number of live proxies that rank before `me` for a group.
--- a/crates/policy/tests/quota.rs
+++ b/crates/policy/tests/quota.rs
@@ -1,11 +1,13 @@
 //! Rate limits of customers: permits of one part, and the requests of one proxy.
 
+use indexmap::IndexMap;
 use model::customer::RateLimit;
 use model::id::{CustomerId, ProxyId};
 use model::position::Revision;
 use model::unit::{Span, Time};
 use policy::quota::{
-    Action, Answer, Authority, Budget, Granter, Holder, PARTS, PERMIT_TTL, Parts, Terms,
+    Action, Announcement, Answer, Authority, Budget, Granter, Holder, PARTS, PERMIT_TTL, Parts,
+    Terms,
 };
 use test_case::test_case;
 
@@ -218,10 +220,20 @@
     assert!(asked <= 80, "{asked} requests");
 }
 
+/// An announcement of a proxy that has not restarted.
+fn announcement(at: u64) -> Announcement {
+    Announcement {
+        created: Revision(at),
+        written: Revision(at),
+    }
+}
+
 /// A view of proxies `0..n`, announced at the given revisions.
 fn authority(me: usize, announced: &[(usize, u64)], revision: u64) -> Authority {
     let mut authority = Authority::new(proxy(me));
-    let live = announced.iter().map(|(n, at)| (proxy(*n), Revision(*at)));
+    let live = announced
+        .iter()
+        .map(|(n, at)| (proxy(*n), announcement(*at)));
     authority.set_live(live.collect(), Revision(revision));
     let mine = announced.iter().find(|(n, _)| *n == me);
     authority.set_announced(mine.map(|(_, at)| Revision(*at)));
@@ -294,8 +306,8 @@
     assert_eq!(authority.parts(&customer(), at(5_000)), unconfirmed(held));
 }
 
-/// An announcement is written again by a call that was carried out late: proxies that appeared
-/// in between rank as announced before this one.
+/// An announcement lapses, and is written again by a call that was carried out late: proxies
+/// that appeared in between rank as announced before this one.
 #[test]
 fn an_announcement_that_is_carried_out_late_counts() {
     let me = some_granter();
@@ -310,8 +322,82 @@
     assert_eq!(inform(&mut authority, Revision(9)), 0);
     let later = announced
         .iter()
-        .map(|(n, at)| (proxy(*n), Revision(if *n == me { 12 } else { *at })));
+        .map(|(n, at)| (proxy(*n), announcement(if *n == me { 12 } else { *at })));
     authority.set_live(later.collect(), Revision(12));
     assert!(authority.parts(&customer(), at(0)).unconfirmed > 0);
     assert_eq!(inform(&mut authority, Revision(12)), 0);
 }
+
+/// Views of five proxies of which some have restarted: announced first at 1 to 5 and again from
+/// 11 on, in the order of `restarted`, and seen up to a revision.
+fn views(restarted: &[usize], revision: u64) -> Vec<Authority> {
+    let live = (0..5).map(|n| {
+        let created = Revision(n as u64 + 1);
+        let again = restarted.iter().position(|r| *r == n);
+        let again = again.map(|at| Revision(at as u64 + 11));
+        let written = again.filter(|at| *at <= Revision(revision));
+        let written = written.unwrap_or(created);
+        (proxy(n), Announcement { created, written })
+    });
+    let live: IndexMap<_, _> = live.collect();
+    let view = |n| {
+        let mut authority = Authority::new(proxy(n));
+        authority.set_live(live.clone(), Revision(revision));
+        let again = restarted.iter().position(|r| *r == n);
+        let announced_at = again.map_or(n as u64 + 1, |at| at as u64 + 11);
+        authority.set_announced(Some(Revision(announced_at)));
+        authority.set_valid_until(at(5_000));
+        authority
+    };
+    (0..5).map(view).collect()
+}
+
+/// All proxies restart before their keys lapse: each part is confirmed as soon as its holder
+/// knows of the announcements after the restart, without a question to any other proxy.
+#[test]
+fn a_restart_of_all_is_confirmed_without_questions() {
+    let mut views = views(&[3, 0, 4, 2, 1], 15);
+    let parts: Vec<_> = views
+        .iter_mut()
+        .map(|v| v.parts(&customer(), at(0)))
+        .collect();
+    assert_eq!(parts.iter().map(|p| p.confirmed).sum::<u32>(), PARTS as u32);
+    assert_eq!(parts.iter().map(|p| p.unconfirmed).sum::<u32>(), 0);
+    for view in &mut views {
+        let (uninformed, _) = view.to_inform(&[customer()]).unwrap();
+        assert_eq!(uninformed, []);
+    }
+}
+
+/// A process that does not know of its own announcement yet may have been displaced after an
+/// earlier process of it answered that it knows: it is not confirmed, and answers nothing.
+#[test]
+fn a_restarted_granter_waits_for_its_own_announcement() {
+    for (n, view) in views(&[3, 0, 4, 2, 1], 10).iter_mut().enumerate() {
+        assert_eq!(view.parts(&customer(), at(0)).confirmed, 0, "proxy {n}");
+        assert!(!view.knows(&customer(), Revision(1)));
+        assert!(view.to_inform(&[customer()]).is_none());
+    }
+}
+
+/// One granter restarts before its key lapses: it asks the proxies that were there before it,
+/// which may not know of it if its earlier process was never confirmed.
+#[test]
+fn a_single_restart_asks_those_that_were_there_before() {
+    let mut asked = 0;
+    for n in 0..5 {
+        let view = &mut views(&[n], 11)[n];
+        let (uninformed, revision) = view.to_inform(&[customer()]).unwrap();
+        assert_eq!(revision, Revision(n as u64 + 1));
+        asked += uninformed.len();
+        let expected = Parts {
+            unconfirmed: 0,
+            confirmed: view.parts(&customer(), at(0)).all(),
+        };
+        for (customer, id) in uninformed {
+            view.set_informed(customer, id, revision);
+        }
+        assert_eq!(view.parts(&customer(), at(0)), expected);
+    }
+    assert!(asked > 0);
+}
--- a/crates/policy/tests/quota_fleet/main.rs
+++ b/crates/policy/tests/quota_fleet/main.rs
@@ -90,9 +90,14 @@
     assert!(first_violation(&unguarded, 40).is_some());
 }
 
-/// Granters restart from a state of the store in which they were not displaced yet; instances
-/// stall, and all that waited is sent at once.
+/// Granters restart from a state of the store in which they were not displaced yet; all or a
+/// half of them restart, before and after their keys lapse; instances stall, and all that waited
+/// is sent at once.
 #[test_case(Faults::Restart; "restart from an earlier state")]
+#[test_case(Faults::RestartAll(400); "all restart within their leases")]
+#[test_case(Faults::RestartAll(9_000); "all restart, some beyond their leases")]
+#[test_case(Faults::RestartHalf(400); "a half restarts while the others are cut off")]
+#[test_case(Faults::RestartHalf(9_000); "a half restarts beyond its leases while the others are cut off")]
 #[test_case(Faults::Stall; "instances stall")]
 fn a_failure_stays_within_the_limit(faults: Faults) {
     let setup = Setup {
--- a/crates/policy/tests/quota_fleet/store.rs
+++ b/crates/policy/tests/quota_fleet/store.rs
@@ -4,6 +4,7 @@
 use model::id::ProxyId;
 use model::position::Revision;
 use model::unit::{Span, Time};
+use policy::quota::Announcement;
 
 /// Time without renewal after which an announcement is deleted.
 pub(crate) const LEASE: Span = Span::from_millis(6_000);
@@ -11,7 +12,7 @@
 /// How much earlier a proxy takes its lease for expired.
 pub(crate) const MARGIN: Span = Span::from_millis(300);
 
-type Live = IndexMap<ProxyId, Revision>;
+type Live = IndexMap<ProxyId, Announcement>;
 
 /// Announcements of live proxies.
 #[derive(Clone, Debug, Default)]
@@ -40,10 +41,16 @@
         self.history.push(self.live.clone());
     }
 
-    /// Writes a proxy's announcement; returns its revision.
+    /// Writes a proxy's announcement; returns its revision. A key that exists stays the same
+    /// one, under the new lease.
     pub(crate) fn announce(&mut self, id: &ProxyId, now: Time) -> Revision {
         let revision = self.revision().next();
-        self.live.insert(id.clone(), revision);
+        let known = self.live.get(id);
+        let announcement = Announcement {
+            created: known.map_or(revision, |known| known.created),
+            written: revision,
+        };
+        self.live.insert(id.clone(), announcement);
         self.leases.insert(id.clone(), now + LEASE);
         self.record();
         revision
--- a/crates/policy/tests/quota_fleet/world.rs
+++ b/crates/policy/tests/quota_fleet/world.rs
@@ -1,5 +1,7 @@
 //! Proxies that hold and grant permits, with their messages and failures.
 
+mod faults;
+
 use model::customer::RateLimit;
 use model::id::{CustomerId, ProxyId};
 use model::position::Revision;
@@ -31,6 +33,12 @@
     /// Two thirds of the fleet appear; then the others restart from an earlier state of the
     /// store, and lose it once they have announced themselves.
     Restart,
+    /// All proxies restart at once, so long after a part of them appeared that some of these are
+    /// confirmed; they are down for so many milliseconds at most.
+    RestartAll(u64),
+    /// A half of the fleet restarts while the others have lost the store, and a third of them
+    /// all other proxies.
+    RestartHalf(u64),
     /// Instances stall, and admitted operations wait for their connections.
     Stall,
     /// All of these and more, at random.
@@ -202,7 +210,12 @@
             let weight = match setup.faults {
                 Faults::None { active } if n >= active => 0.0,
                 Faults::None { .. } => 1.0,
-                Faults::Partition | Faults::Join | Faults::Restart | Faults::Stall => 1.0,
+                Faults::Partition
+                | Faults::Join
+                | Faults::Restart
+                | Faults::RestartAll(_)
+                | Faults::RestartHalf(_)
+                | Faults::Stall => 1.0,
                 Faults::All => rng.random_range(0.0..1.0_f64).powi(3),
             };
             Node::new(format!("p{n}").parse().unwrap(), now, weight)
@@ -255,124 +268,6 @@
         self.now + Span::from_millis(self.rng.random_range(0..most_ms))
     }
 
-    fn inject_faults(&mut self) {
-        let ms = |ms| Time::from_millis(ms);
-        let at = |time| self.now == time;
-        match self.setup.faults {
-            Faults::Partition if at(ms(5_000)) => self.cut_half_from_store(ms(60_000)),
-            Faults::Join | Faults::Restart if at(ms(5)) => {
-                let new = self.nodes.len() * 2 / 3;
-                for node in &mut self.nodes[..new] {
-                    node.down_until = ms(6_000);
-                }
-            }
-            Faults::Join if at(ms(5_500)) => self.cut_old_from_store(ms(11_000)),
-            Faults::Restart if at(ms(5_500)) => self.restart_from = self.store.revision(),
-            Faults::Restart if at(ms(8_000)) => {
-                for n in self.nodes.len() * 2 / 3..self.nodes.len() {
-                    self.restart(n, self.restart_from);
-                    self.nodes[n].down_until = self.now;
-                    self.nodes[n].renew_at = self.now;
-                }
-            }
-            Faults::Restart if at(ms(8_010)) => self.cut_old_from_store(ms(14_000)),
-            Faults::Stall if at(ms(8_000)) => self.stalled_until = ms(11_000),
-            _ => {}
-        }
-        let is_random = self.setup.faults == Faults::All && self.now > START;
-        if is_random && self.chance(self.faults_per_s) {
-            self.inject_random_fault();
-        }
-    }
-
-    /// Takes the store from the third of the fleet that was there first.
-    fn cut_old_from_store(&mut self, until: Time) {
-        let new = self.nodes.len() * 2 / 3;
-        for node in &mut self.nodes[new..] {
-            node.store_cut_until = until;
-        }
-    }
-
-    fn cut_half_from_store(&mut self, until: Time) {
-        for n in 0..self.nodes.len() {
-            if self.rng.random_bool(0.5) {
-                self.nodes[n].store_cut_until = until;
-            }
-        }
-    }
-
-    fn inject_random_fault(&mut self) {
-        let n = self.rng.random_range(0..self.nodes.len());
-        match self.rng.random_range(0..12) {
-            0 => self.restart_from_some(n),
-            1 => self.stalled_until = self.later(4_000),
-            2 => {
-                let share = self.rng.random_range(0.3..=1.0);
-                for n in 0..self.nodes.len() {
-                    if self.rng.random_bool(share) {
-                        self.restart_from_some(n);
-                    }
-                }
-            }
-            3 | 4 => self.nodes[n].paused_until = self.later(9_000),
-            5 | 6 => self.nodes[n].peers_cut_until = self.later(9_000),
-            7 => self.leave(n),
-            8 | 9 => {
-                // The store turns a part of the fleet away.
-                let until = self.later(14_000);
-                for n in 0..self.nodes.len() {
-                    if self.rng.random_bool(0.35) {
-                        self.nodes[n].store_cut_until = until;
-                    }
-                }
-            }
-            10 => {
-                let until = self.later(9_000);
-                for node in &mut self.nodes {
-                    node.store_cut_until = until;
-                }
-            }
-            _ => self.nodes[n].store_cut_until = self.later(14_000),
-        }
-    }
-
-    /// Restarts a process from a state of the store that may be some seconds old.
-    fn restart_from_some(&mut self, n: usize) {
-        let newest = self.store.revision().0;
-        let revision = self.rng.random_range(newest.saturating_sub(6)..=newest);
-        self.restart(n, Revision(revision));
-    }
-
-    fn restart(&mut self, n: usize, revision: Revision) {
-        let down = Span::from_millis(self.rng.random_range(50..2_500));
-        let now = self.now;
-        let node = &mut self.nodes[n];
-        let mut fresh = Node::new(node.id.clone(), now, node.weight);
-        fresh.incarnation = node.incarnation + 1;
-        fresh.down_until = now + down;
-        fresh.renew_at = now + down;
-        fresh.store_cut_until = node.store_cut_until;
-        fresh.peers_cut_until = node.peers_cut_until;
-        fresh.authority.set_live(self.store.at(revision), revision);
-        let granters = fresh
-            .authority
-            .granters(&self.customer)
-            .iter()
-            .cloned()
-            .collect();
-        fresh.holder.set_granters(granters);
-        *node = fresh;
-    }
-
-    /// Stops gracefully, and starts again a little later.
-    fn leave(&mut self, n: usize) {
-        let id = self.nodes[n].id.clone();
-        if self.nodes[n].store_cut_until <= self.now {
-            self.store.withdraw(&id);
-        }
-        self.restart_from_some(n);
-    }
-
     fn tick(&mut self, n: usize) {
         let reaches_store = self.nodes[n].store_cut_until <= self.now;
         if reaches_store {
--- a/crates/store/src/kv.rs
+++ b/crates/store/src/kv.rs
@@ -35,6 +35,10 @@
     pub value: Vec<u8>,
     /// The store's revision that wrote the value.
     pub revision: Revision,
+    /// The revision that created the key, which has existed without interruption since then;
+    /// 0 if it is not known.
+    #[serde(default)]
+    pub created: Revision,
 }
 
 /// Records read at one moment.
@@ -232,5 +236,6 @@
         key: String::from_utf8_lossy(&kv.key.0).into_owned(),
         value: kv.value.0,
         revision: Revision(kv.mod_revision.0),
+        created: Revision(kv.create_revision.0),
     }
 }
--- a/crates/store/src/wire.rs
+++ b/crates/store/src/wire.rs
@@ -66,6 +66,7 @@
     pub(crate) key: Blob,
     pub(crate) value: Blob,
     pub(crate) mod_revision: Int,
+    pub(crate) create_revision: Int,
 }
 
 #[derive(Clone, Debug, Default, Deserialize)]
--- a/crates/store/tests/mirror.rs
+++ b/crates/store/tests/mirror.rs
@@ -34,6 +34,7 @@
                 key,
                 value,
                 revision: Revision(self.revision),
+                created: Revision(1),
             }));
         }
         Batch {
@@ -47,6 +48,7 @@
             key: key.clone(),
             value: value.clone(),
             revision: Revision(*revision),
+            created: Revision(1),
         };
         Listing {
             records: self.keys.iter().map(record).collect(),
