--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -26,7 +26,7 @@
 pub mod reservation;
 pub mod silence;
 
-pub use authority::{Authority, Parts};
+pub use authority::{Announcement, Authority, Parts};
 pub use budget::{Budget, Terms};
 pub use granter::{Answer, Granter};
 pub use holder::{Action, Counts, Holder, Permit, QuotaRejection};
