State and announce the sizes of VMs

Cause: VMs have 0.12 or 0.5 cores and links of 10 or 200 Mbit/s, and whoever gets work for others (poolers, granters, store readers) is chosen by hash alone: no proxy knows what another can carry.

Zero, negative, infinite and absurd numbers are a typed error with the field. The size is announced with the proxy; announcements without one are read as before, and a proxy without the setting announces what it did.

Nothing uses the size yet. Ruled out: one number for both, since a link may bind where the processor does not.

--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 use model::id::{DataCentre, ProxyId, Region};
 use model::unit::Span;
+use model::vm::{VmSize, VmSizeError};
 use policy::quota::Terms;
 use serde::Deserialize;
 use serde_with::{DurationMilliSecondsWithFrac, DurationSecondsWithFrac, serde_as};
@@ -19,6 +20,21 @@
     /// A tolerance for quotas is negative or not a number.
     #[error("{0} must be a number from 0 on, and is {1}")]
     QuotaTolerance(&'static str, f64),
+    /// The size of the VM is impossible.
+    #[error("vm: {0}")]
+    Vm(#[from] VmSizeError),
+}
+
+/// What the VM of this process can carry.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct VmSettings {
+    /// Number of cores; also how many times as fast a single core is.
+    pub cores: f64,
+    /// Part of each core that the VM gets.
+    pub core_share: f64,
+    /// Bandwidth of its network link, in Mbit/s.
+    pub link_mbps: f64,
 }
 
 /// Settings of one process, JSON with comments.
@@ -61,6 +77,9 @@
     /// Accepted excess over a customer's limit in a window, in operations.
     #[serde(default)]
     pub quota_slack: f64,
+    /// The size of the VM; without it, this proxy carries as much as any other.
+    #[serde(default)]
+    pub vm: Option<VmSettings>,
     /// Whether the whole fleet starts for the first time.
     #[serde(default)]
     pub first_start: bool,
@@ -84,10 +103,17 @@
             ("quota_slack", self.quota_slack),
         ];
         let is_invalid = |(_, value): &(_, f64)| !(value.is_finite() && *value >= 0.0);
-        match tolerances.into_iter().find(is_invalid) {
-            Some((name, value)) => Err(ConfigError::QuotaTolerance(name, value)),
-            None => Ok(()),
+        if let Some((name, value)) = tolerances.into_iter().find(is_invalid) {
+            return Err(ConfigError::QuotaTolerance(name, value));
         }
+        self.vm_size()?;
+        Ok(())
+    }
+
+    /// The size of the VM, if the settings state it.
+    pub fn vm_size(&self) -> Result<Option<VmSize>, VmSizeError> {
+        let size = |vm: VmSettings| VmSize::new(vm.cores, vm.core_share, vm.link_mbps);
+        self.vm.map(size).transpose()
     }
 
     /// What is tolerated beyond the customers' limits.
--- a/crates/front/src/directory/keys.rs
+++ b/crates/front/src/directory/keys.rs
@@ -4,6 +4,7 @@
 
 use indexmap::IndexSet;
 use model::id::{DataCentre, GroupId, ProxyId};
+use model::vm::VmSize;
 use serde::{Deserialize, Serialize};
 use store::kv::{Listing, Record};
 
@@ -25,6 +26,9 @@
     pub data_centre: DataCentre,
     /// Address of its relay, which serves pooled connections and updates to other proxies.
     pub relay: SocketAddr,
+    /// What its VM can carry; `None` if its settings do not state it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub vm: Option<VmSize>,
 }
 
 /// The kind and group of an intent.
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -36,6 +36,9 @@
     /// The client for the platform cannot be created.
     #[error("cannot create the client for the platform")]
     Store(#[from] store::error::Error),
+    /// The size of the VM is impossible.
+    #[error("vm: {0}")]
+    Vm(#[from] model::vm::VmSizeError),
     /// The metrics cannot be set up.
     #[error(transparent)]
     Metrics(#[from] metrics::MetricsError),
@@ -65,6 +68,7 @@
     let announced = Announced {
         data_centre: cfg.data_centre.clone(),
         relay: cfg.relay_listen,
+        vm: cfg.vm_size()?,
     };
     let registration = Rc::new(Registration::new(cfg.proxy.clone(), announced));
     let lease_holder = registration.clone();
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod token;
 pub mod trace;
 pub mod unit;
+pub mod vm;
