Keep idle connections by their customers' demand

Cause: a pooler closed the connection opened last once it was idle, and the one idle longest to make room, whoever needs it next. Customers with a request now and then so displaced those whose next request comes sooner.

Change: of the connections that serve a customer, the one is closed that is needed least: recent requests of its customer, halved every 10 s, divided by the customer's idle connections there.

--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -7,6 +7,7 @@
 //! once. `C` is an open connection, `W` identifies a waiting caller.
 
 mod checkouts;
+mod demand;
 mod instance;
 mod request;
 mod serve;
@@ -19,6 +20,7 @@
 use model::unit::{Span, Time};
 
 use crate::proof::{Need, Proof, Proofs};
+use demand::Demand;
 pub use instance::Instance;
 pub use request::{Action, ConnRequest, Grant, Kind, OpenError, Reason, Rejection};
 
@@ -68,6 +70,8 @@
     lagging_since: Option<Time>,
     /// Greatest age that a read accepted recently, and when that read was requested.
     accepted_age: (Span, Time),
+    /// How often customers need connections.
+    demand: Demand,
     conn_info: ConnInfo<C>,
 }
 
@@ -111,6 +115,7 @@
             is_holder: true,
             lagging_since: None,
             accepted_age: Default::default(),
+            demand: Demand::default(),
             conn_info: ConnInfo::default(),
         }
     }
@@ -247,6 +252,9 @@
     /// Requests a connection.
     pub fn request(&mut self, request: ConnRequest, waiter: W, now: Time) -> Vec<Action<C, W>> {
         self.track_accepted_age(&request.kind, now);
+        if let Some(customer) = &request.customer {
+            self.demand.record(customer, now);
+        }
         if !request.may_wait && self.is_unreachable(&request, now) {
             let rejection = unreachable_rejection();
             return vec![Action::Reject(waiter, rejection)];
@@ -455,7 +463,7 @@
         for (instance, retained) in self.instances.values_mut().zip(retained) {
             actions.extend(
                 instance
-                    .trim(retained, self.conn_info, now)
+                    .trim(retained, self.conn_info, &self.demand, now)
                     .map(Action::Close),
             );
             let is_primary = self.primary.as_ref() == Some(instance.id());
--- a/crates/policy/src/pool/serve.rs
+++ b/crates/policy/src/pool/serve.rs
@@ -12,6 +12,11 @@
 /// after a power failure need them while the instance still holds their earlier connections.
 const SPARE_PER_SLOT: u32 = 8;
 
+/// The same where each connection serves one customer only. More of them are retained, since
+/// the next statement of a customer without one opens it again; a few holders that restart
+/// need fewer.
+const SPARE_PER_SLOT_BY_CUSTOMER: u32 = 5;
+
 impl<C, W> Pool<C, W> {
     /// This proxy's share of an instance's connections.
     fn share(&self) -> u32 {
@@ -29,7 +34,12 @@
         if !self.is_holder {
             return 0;
         }
-        let unreserved = self.connections.saturating_sub(slots * SPARE_PER_SLOT);
+        let spare_per_slot = if self.demand.is_empty() {
+            SPARE_PER_SLOT
+        } else {
+            SPARE_PER_SLOT_BY_CUSTOMER
+        };
+        let unreserved = self.connections.saturating_sub(slots * spare_per_slot);
         let retained_by_all = unreserved.clamp(self.connections / 3, self.connections * 2 / 3);
         (retained_by_all / self.proxies).max(1)
     }
@@ -134,7 +144,11 @@
             if !instance.may_replace(limits, now) {
                 return;
             }
-            actions.extend(instance.evict(info, limits).map(Action::Close));
+            actions.extend(
+                instance
+                    .evict(info, limits, &self.demand, now)
+                    .map(Action::Close),
+            );
         }
         instance.begin_open(customer.clone());
         actions.push(Action::Open(id.clone(), customer));
