--- a/crates/policy/tests/pool_customers.rs
+++ b/crates/policy/tests/pool_customers.rs
@@ -158,6 +158,61 @@
     assert!(matches!(&actions[..], [Action::Grant(2, grant)] if grant.conn.opened == at(0)));
 }
 
+/// Serves one request of a customer that has an idle connection.
+fn serve(pool: &mut TestPool, n: usize, now: u64) {
+    let actions = pool.request(request(customer(n), now), 0, at(now));
+    let Some(Action::Grant(_, grant)) = actions.into_iter().next() else {
+        panic!("customer {n} has no idle connection");
+    };
+    pool.release(&instance(), Some(grant.conn), None, at(now + 1));
+}
+
+fn closed_owners(actions: &[TestAction]) -> Vec<Option<CustomerId>> {
+    let owner = |a: &TestAction| match a {
+        Action::Close(conn) => Some(conn.owner.clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(owner).collect()
+}
+
+/// Many customers send a request now and then. If each took the place of the connection that
+/// is idle longest, it would often be that of a customer whose next request comes sooner.
+#[test]
+fn a_frequent_customer_keeps_its_connection() {
+    let mut pool = pool(3);
+    let conns = [0, 1, 2].map(|n| check_out(&mut pool, n, n as u64));
+    for conn in conns {
+        pool.release(&instance(), Some(conn), None, at(10));
+    }
+    for now in (20..100).step_by(10) {
+        serve(&mut pool, 1, now);
+    }
+    serve(&mut pool, 2, 110);
+    let actions = pool.request(request(customer(3), 120), 1, at(120));
+    assert_eq!(closed_owners(&actions), [customer(2)]);
+}
+
+/// After a burst, the spare connections are closed one by one: a second one of a customer
+/// before the only one of a customer with more than half of its requests.
+#[test]
+fn a_second_connection_is_needed_half_as_much() {
+    let mut pool = pool(6);
+    let conns = [(0, 0), (1, 1), (1, 2), (2, 3), (2, 4), (3, 5)];
+    let conns = conns.map(|(n, now)| check_out(&mut pool, n, now));
+    for conn in conns {
+        pool.release(&instance(), Some(conn), None, at(10));
+    }
+    for now in (20..50).step_by(10) {
+        serve(&mut pool, 1, now);
+        serve(&mut pool, 3, now);
+    }
+    // Of 6 connections to an instance with one slot, two are kept: the oldest, and one more.
+    let closed: Vec<_> = (0..6)
+        .flat_map(|n| closed_owners(&pool.tick(at(1_000 + n))))
+        .collect();
+    assert_eq!(closed, [2, 2, 1, 3].map(customer));
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Request(usize),
