Let one statement try a pooler that did not respond, on behalf of all

Cause: a pooler that does not respond was passed over for 400 ms, and then all statements that waited for it tried it together and lost 150 ms each; with all statements of a customer on one pooler, that is most of a group.

Change (policy::pooler_health, only where customers are divided among poolers): after the pause one statement tries it; each further failure in a row doubles the pause, up to 1.6 s. Statements that fail together count once. pomelo_pooler_choices_total counts which pooler served (own, partition, replacement); the log says which pooler is passed over, and for how long.

Ruled out: to pass over poolers that are slow. A proxy that is slow itself would find all of them slow, and then use its own pool.

--- a/crates/front/src/checkout.rs
+++ b/crates/front/src/checkout.rs
@@ -11,11 +11,13 @@
 use policy::customer_pooler::Partitions;
 use policy::fallback::{Fallback, FallbackChoice};
 use policy::pool::{ConnRequest, Reason, Rejection};
-use policy::pooler_retry::{Next, PoolerAttempts};
+use policy::pooler_health::PoolerHealth;
+use policy::pooler_retry::{GrantFailure, Next, PoolerAttempts};
 
 use crate::clock;
 use crate::cx::Cx;
 use crate::group::CheckedOut;
+use crate::metrics::PoolerChoice;
 use crate::relay;
 
 /// Retry hint while a group is not known yet; the store reports it within a second.
@@ -46,6 +48,8 @@
     groups: RefCell<IndexMap<GroupId, ConnSource>>,
     /// Customers with their limits, in operations a second.
     customers: RefCell<IndexMap<CustomerId, Option<f64>>>,
+    /// What statements learned about poolers among which customers are divided.
+    health: RefCell<PoolerHealth>,
 }
 
 /// Sources of connections to one group.
@@ -97,31 +101,49 @@
 
     /// Sets the other proxies, the best one first.
     pub fn set_peers(&self, group: &GroupId, peers: IndexMap<ProxyId, SocketAddr>) {
+        let mut health = self.health.borrow_mut();
+        health.retain(|pooler| peers.contains_key(pooler));
         self.with(group, |source| source.peers = peers);
     }
 
-    /// The poolers that a statement of a customer tries, in order.
-    fn poolers(&self, group: &GroupId, customer: Option<&CustomerId>) -> Vec<Pooler> {
+    /// The poolers that a statement of a customer tries, in order, and whether the group's
+    /// customers are divided among them.
+    fn poolers(&self, group: &GroupId, customer: Option<&CustomerId>) -> (Vec<Pooler>, bool) {
         self.with(group, |source| {
-            let Poolers {
-                proxies,
-                partitions: count,
-            } = &source.poolers;
-            if *count == 0 {
-                return proxies.clone();
+            let proxies = &source.poolers.proxies;
+            let count = source.poolers.partitions;
+            if count == 0 {
+                return (proxies.clone(), false);
             }
             let partitions = source.partitions.get_or_insert_with(|| {
                 let customers = self.customers.borrow();
                 let customers = customers.iter().map(|(id, limit)| (id.clone(), *limit));
-                Partitions::new(group, *count, customers)
+                Partitions::new(group, count, customers)
             });
-            let divided = partitions.poolers(customer).into_iter();
-            let divided = divided.filter_map(|at| proxies.get(at)).cloned();
-            let spares = proxies.iter().skip(*count).cloned();
-            divided.chain(spares).collect()
+            let own = partitions.poolers(customer).into_iter();
+            let own = own.filter_map(|at| proxies.get(at));
+            let spares = proxies.iter().skip(count);
+            (own.chain(spares).cloned().collect(), true)
         })
     }
 
+    /// Whether a statement may try a pooler now.
+    fn admits(&self, pooler: &ProxyId) -> bool {
+        self.health.borrow_mut().admits(pooler, clock::now())
+    }
+
+    /// Records whether a pooler responded to a statement.
+    fn learned(&self, group: &GroupId, pooler: &ProxyId, failure: Option<&relay::CheckoutFailure>) {
+        let mut health = self.health.borrow_mut();
+        let gone = [GrantFailure::Unresponsive, GrantFailure::Stopping];
+        let gone = gone.map(relay::CheckoutFailure::NotGranted);
+        if !failure.is_some_and(|failure| gone.contains(failure)) {
+            health.responded(pooler);
+        } else if let Some(pause) = health.failed(pooler, clock::now()) {
+            tracing::info!(carrier = %pooler, %group, pause_ms = pause.as_millis(), "a pooler is passed over");
+        }
+    }
+
     fn fallback_choice(&self, group: &GroupId) -> FallbackChoice {
         self.with(group, |source| {
             let peers: Vec<_> = source.peers.keys().cloned().collect();
@@ -164,39 +186,60 @@
         Err(unknown())
     }
 
-    /// Requests a connection from the poolers of this data centre, one after the other;
-    /// returns the next step if none of them serves the request.
+    /// Requests a connection from the group's poolers, one after the other; returns the next
+    /// step if none of them serves the request.
     async fn pooler_conn(
         &self,
         group: &GroupId,
         req: &ConnRequest,
     ) -> Result<Result<CheckedOut, Rejection>, Next> {
-        let poolers = self.conn_sources.poolers(group, req.customer.as_ref());
-        let mut poolers = poolers.into_iter().peekable();
+        let sources = &self.conn_sources;
+        let (poolers, divided) = sources.poolers(group, req.customer.as_ref());
+        let mut poolers = poolers.into_iter().enumerate().peekable();
         let mut attempts = PoolerAttempts::default();
-        while let Some(pooler) = poolers.next() {
+        while let Some((at, pooler)) = poolers.next() {
+            let choice = PoolerChoice::new(at, pooler.address.is_none());
             let Some(address) = pooler.address else {
                 // This proxy itself.
+                self.count_choice(divided, choice);
                 return Err(Next::OwnPool);
             };
-            match self
-                .relay
-                .checkout(&pooler.proxy, address, group, req)
-                .await
-            {
-                Ok(checkout) => return Ok(Ok(checkout)),
-                Err(relay::CheckoutFailure::Rejected(rejection)) => return Ok(Err(rejection)),
+            let checkout = if divided && !sources.admits(&pooler.proxy) {
+                Err(relay::CheckoutFailure::NotGranted(
+                    GrantFailure::Unresponsive,
+                ))
+            } else {
+                let checkout = self
+                    .relay
+                    .checkout(&pooler.proxy, address, group, req)
+                    .await;
+                if divided {
+                    sources.learned(group, &pooler.proxy, checkout.as_ref().err());
+                }
+                checkout
+            };
+            let result = match checkout {
+                Ok(checkout) => Ok(checkout),
+                Err(relay::CheckoutFailure::Rejected(rejection)) => Err(rejection),
                 Err(relay::CheckoutFailure::NotGranted(failure)) => {
                     match attempts.failed(failure, poolers.peek().is_some()) {
-                        Next::NextPooler => {}
+                        Next::NextPooler => continue,
                         next => return Err(next),
                     }
                 }
-            }
+            };
+            self.count_choice(divided, choice);
+            return Ok(result);
         }
         Err(Next::OwnPool)
     }
 
+    fn count_choice(&self, divided: bool, choice: PoolerChoice) {
+        if divided {
+            self.metrics.pooler_chosen(choice);
+        }
+    }
+
     /// Waits for a connection of this proxy, or uses another proxy if no instance that could
     /// serve the request is reachable from here.
     async fn own_conn(
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -50,6 +50,36 @@
     }
 }
 
+/// Which pooler served a statement, where a group's customers are divided among poolers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PoolerChoice {
+    /// This proxy itself.
+    Own,
+    /// The one of the customer's partition.
+    Partition,
+    /// Another one, since that one did not respond, or reaches no instance.
+    Replacement,
+}
+
+impl PoolerChoice {
+    /// The choice of the pooler at this position of those that a statement tries.
+    pub const fn new(position: usize, is_own: bool) -> Self {
+        match (position, is_own) {
+            (_, true) => Self::Own,
+            (0, false) => Self::Partition,
+            _ => Self::Replacement,
+        }
+    }
+
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Partition => "partition",
+            Self::Replacement => "replacement",
+        }
+    }
+}
+
 /// Metrics of one process.
 #[derive(Clone)]
 pub struct Metrics {
@@ -57,6 +87,7 @@
     statements: IntCounterVec,
     statement_seconds: Histogram,
     connections_opened: IntCounterVec,
+    pooler_choices: IntCounterVec,
     store_calls: IntGaugeVec,
     gauges: IntGaugeVec,
     customers: IntGaugeVec,
@@ -128,6 +159,12 @@
             "connections to instances",
             &["outcome"],
         )?;
+        let pooler_choices = counter(
+            &registry,
+            "pomelo_pooler_choices_total",
+            "connections requested where customers are divided among poolers",
+            &["pooler"],
+        )?;
         let store_calls = IntGaugeVec::new(
             Opts::new("pomelo_store_calls", "calls to the platform"),
             &["kind", "purpose"],
@@ -158,6 +195,7 @@
             statements,
             statement_seconds,
             connections_opened,
+            pooler_choices,
             store_calls,
             gauges,
             customers,
@@ -179,6 +217,12 @@
         self.connections_opened.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a request for a connection by the pooler that served or rejected it.
+    pub fn pooler_chosen(&self, choice: PoolerChoice) {
+        let labels = [choice.name()];
+        self.pooler_choices.with_label_values(&labels).inc();
+    }
+
     /// Counts a log line about a served statement that was dropped.
     pub fn line_dropped(&self) {
         self.lines_dropped.inc();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod poll;
 pub mod pool;
 pub mod pooler;
+pub mod pooler_health;
 pub mod pooler_retry;
 pub mod primary_monitor;
 pub mod promote;
