--- a/crates/front/src/checkout.rs
+++ b/crates/front/src/checkout.rs
@@ -5,15 +5,19 @@
 use std::net::SocketAddr;
 
 use indexmap::IndexMap;
-use model::id::{GroupId, ProxyId};
+use model::customer::{Customers, RateLimit};
+use model::id::{CustomerId, GroupId, ProxyId};
 use model::unit::Span;
+use policy::customer_pooler::Partitions;
 use policy::fallback::{Fallback, FallbackChoice};
 use policy::pool::{ConnRequest, Reason, Rejection};
-use policy::pooler_retry::{Next, PoolerAttempts};
+use policy::pooler_health::PoolerHealth;
+use policy::pooler_retry::{GrantFailure, Next, PoolerAttempts};
 
 use crate::clock;
 use crate::cx::Cx;
 use crate::group::CheckedOut;
+use crate::metrics::PoolerChoice;
 use crate::relay;
 
 /// Retry hint while a group is not known yet; the store reports it within a second.
@@ -28,15 +32,32 @@
     pub address: Option<SocketAddr>,
 }
 
+/// The proxies that pool a group's connections for this one.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Poolers {
+    /// In the order in which they are tried; empty if this proxy holds connections itself.
+    pub proxies: Vec<Pooler>,
+    /// Number of the first ones among which the group's customers are divided; 0 if all serve
+    /// all customers.
+    pub partitions: usize,
+}
+
 /// Sources of connections to each group besides this proxy's own pool.
 #[derive(Default)]
-pub struct ConnSources(RefCell<IndexMap<GroupId, ConnSource>>);
+pub struct ConnSources {
+    groups: RefCell<IndexMap<GroupId, ConnSource>>,
+    /// Customers with their limits, in operations a second.
+    customers: RefCell<IndexMap<CustomerId, Option<f64>>>,
+    /// What statements learned about poolers among which customers are divided.
+    health: RefCell<PoolerHealth>,
+}
 
 /// Sources of connections to one group.
 #[derive(Default)]
 struct ConnSource {
-    /// Poolers of this data centre; empty if this proxy holds connections itself.
-    poolers: Vec<Pooler>,
+    poolers: Poolers,
+    /// How the group's customers are divided, once a statement needs it.
+    partitions: Option<Partitions>,
     /// Relay addresses of all other proxies, the best one first.
     peers: IndexMap<ProxyId, SocketAddr>,
     fallback: Fallback,
@@ -44,22 +65,83 @@
 
 impl ConnSources {
     fn with<T>(&self, group: &GroupId, act: impl FnOnce(&mut ConnSource) -> T) -> T {
-        let mut sources = self.0.borrow_mut();
+        let mut sources = self.groups.borrow_mut();
         act(sources.entry(group.clone()).or_default())
     }
 
-    /// Sets the poolers of a group; empty if this proxy holds connections itself.
-    pub fn set_poolers(&self, group: &GroupId, poolers: Vec<Pooler>) {
-        self.with(group, |source| source.poolers = poolers);
+    /// Sets the poolers of a group.
+    pub fn set_poolers(&self, group: &GroupId, poolers: Poolers) {
+        self.with(group, |source| {
+            if source.poolers.partitions != poolers.partitions {
+                source.partitions = None;
+            }
+            source.poolers = poolers;
+        });
+    }
+
+    /// Sets the customers among whom connections are divided; `None` if a connection serves
+    /// any caller.
+    pub fn set_customers(&self, customers: Option<&Customers>) {
+        let limit = |(id, limit): (&CustomerId, Option<RateLimit>)| {
+            (id.clone(), limit.map(RateLimit::per_s))
+        };
+        let customers: IndexMap<_, _> = customers
+            .into_iter()
+            .flat_map(Customers::iter)
+            .map(limit)
+            .collect();
+        if *self.customers.borrow() == customers {
+            return;
+        }
+        *self.customers.borrow_mut() = customers;
+        for source in self.groups.borrow_mut().values_mut() {
+            source.partitions = None;
+        }
     }
 
     /// Sets the other proxies, the best one first.
     pub fn set_peers(&self, group: &GroupId, peers: IndexMap<ProxyId, SocketAddr>) {
+        let mut health = self.health.borrow_mut();
+        health.retain(|pooler| peers.contains_key(pooler));
         self.with(group, |source| source.peers = peers);
     }
 
-    fn poolers(&self, group: &GroupId) -> Vec<Pooler> {
-        self.with(group, |source| source.poolers.clone())
+    /// The poolers that a statement of a customer tries, in order, and whether the group's
+    /// customers are divided among them.
+    fn poolers(&self, group: &GroupId, customer: Option<&CustomerId>) -> (Vec<Pooler>, bool) {
+        self.with(group, |source| {
+            let proxies = &source.poolers.proxies;
+            let count = source.poolers.partitions;
+            if count == 0 {
+                return (proxies.clone(), false);
+            }
+            let partitions = source.partitions.get_or_insert_with(|| {
+                let customers = self.customers.borrow();
+                let customers = customers.iter().map(|(id, limit)| (id.clone(), *limit));
+                Partitions::new(group, count, customers)
+            });
+            let own = partitions.poolers(customer).into_iter();
+            let own = own.filter_map(|at| proxies.get(at));
+            let spares = proxies.iter().skip(count);
+            (own.chain(spares).cloned().collect(), true)
+        })
+    }
+
+    /// Whether a statement may try a pooler now.
+    fn admits(&self, pooler: &ProxyId) -> bool {
+        self.health.borrow_mut().admits(pooler, clock::now())
+    }
+
+    /// Records whether a pooler responded to a statement.
+    fn learned(&self, group: &GroupId, pooler: &ProxyId, failure: Option<&relay::CheckoutFailure>) {
+        let mut health = self.health.borrow_mut();
+        let gone = [GrantFailure::Unresponsive, GrantFailure::Stopping];
+        let gone = gone.map(relay::CheckoutFailure::NotGranted);
+        if !failure.is_some_and(|failure| gone.contains(failure)) {
+            health.responded(pooler);
+        } else if let Some(pause) = health.failed(pooler, clock::now()) {
+            tracing::info!(carrier = %pooler, %group, pause_ms = pause.as_millis(), "a pooler is passed over");
+        }
     }
 
     fn fallback_choice(&self, group: &GroupId) -> FallbackChoice {
@@ -104,38 +186,60 @@
         Err(unknown())
     }
 
-    /// Requests a connection from the poolers of this data centre, one after the other;
-    /// returns the next step if none of them serves the request.
+    /// Requests a connection from the group's poolers, one after the other; returns the next
+    /// step if none of them serves the request.
     async fn pooler_conn(
         &self,
         group: &GroupId,
         req: &ConnRequest,
     ) -> Result<Result<CheckedOut, Rejection>, Next> {
-        let mut poolers = self.conn_sources.poolers(group).into_iter().peekable();
+        let sources = &self.conn_sources;
+        let (poolers, divided) = sources.poolers(group, req.customer.as_ref());
+        let mut poolers = poolers.into_iter().enumerate().peekable();
         let mut attempts = PoolerAttempts::default();
-        while let Some(pooler) = poolers.next() {
+        while let Some((at, pooler)) = poolers.next() {
+            let choice = PoolerChoice::new(at, pooler.address.is_none());
             let Some(address) = pooler.address else {
                 // This proxy itself.
+                self.count_choice(divided, choice);
                 return Err(Next::OwnPool);
             };
-            match self
-                .relay
-                .checkout(&pooler.proxy, address, group, req)
-                .await
-            {
-                Ok(checkout) => return Ok(Ok(checkout)),
-                Err(relay::CheckoutFailure::Rejected(rejection)) => return Ok(Err(rejection)),
+            let checkout = if divided && !sources.admits(&pooler.proxy) {
+                Err(relay::CheckoutFailure::NotGranted(
+                    GrantFailure::Unresponsive,
+                ))
+            } else {
+                let checkout = self
+                    .relay
+                    .checkout(&pooler.proxy, address, group, req)
+                    .await;
+                if divided {
+                    sources.learned(group, &pooler.proxy, checkout.as_ref().err());
+                }
+                checkout
+            };
+            let result = match checkout {
+                Ok(checkout) => Ok(checkout),
+                Err(relay::CheckoutFailure::Rejected(rejection)) => Err(rejection),
                 Err(relay::CheckoutFailure::NotGranted(failure)) => {
                     match attempts.failed(failure, poolers.peek().is_some()) {
-                        Next::NextPooler => {}
+                        Next::NextPooler => continue,
                         next => return Err(next),
                     }
                 }
-            }
+            };
+            self.count_choice(divided, choice);
+            return Ok(result);
         }
         Err(Next::OwnPool)
     }
 
+    fn count_choice(&self, divided: bool, choice: PoolerChoice) {
+        if divided {
+            self.metrics.pooler_chosen(choice);
+        }
+    }
+
     /// Waits for a connection of this proxy, or uses another proxy if no instance that could
     /// serve the request is reachable from here.
     async fn own_conn(
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod admission;
 pub mod config_mirror;
 pub mod confirm;
+pub mod customer_pooler;
 pub mod decision;
 pub mod election;
 pub mod failure_detector;
@@ -21,6 +22,7 @@
 pub mod poll;
 pub mod pool;
 pub mod pooler;
+pub mod pooler_health;
 pub mod pooler_retry;
 pub mod primary_monitor;
 pub mod promote;
--- a/crates/policy/src/pool/instance.rs
+++ b/crates/policy/src/pool/instance.rs
@@ -1,5 +1,7 @@
 //! One instance in a pool: its connections, and how soon it is expected to respond.
 
+mod keep;
+
 use model::entry::Entry;
 use model::id::{CustomerId, InstanceId};
 use model::position::Point;
@@ -8,13 +10,8 @@
 use super::checkouts::Checkouts;
 use super::{ConnInfo, OpenError};
 
-/// Time after which an idle connection beyond the proxy's share is closed. Opening one costs
-/// the instance as much work as a statement, so it should outlast a pause between two
-/// statements; another proxy may be waiting for it.
-const IDLE_TIMEOUT: Span = Span::from_millis(400);
-
 /// Pause after the instance reported that it has no connection left. Other proxies close theirs
-/// after [`IDLE_TIMEOUT`]; retrying more often costs the instance work.
+/// after some 400 ms; retrying more often costs the instance work.
 const FULL_PAUSE: Span = Span::from_millis(500);
 
 /// Pause after a connection could not be opened.
@@ -234,24 +231,6 @@
         Some(conn)
     }
 
-    /// Whether [`Instance::evict`] would remove a connection.
-    fn has_evictable(&self, limits: Limits) -> bool {
-        self.idle.len() > usize::from(limits.max > 1)
-    }
-
-    /// Removes the connection that has been idle longest, to make room for another customer's.
-    /// The one opened first is kept where there may be several: on a replica it is needed to
-    /// prove writes, and a new one is not eligible for that at once.
-    pub(super) fn evict(&mut self, info: ConnInfo<C>, limits: Limits) -> Option<C> {
-        if !self.has_evictable(limits) {
-            return None;
-        }
-        let oldest = self.oldest(info);
-        let is_oldest = |conn: &C| Some((info.opened_at)(conn)) == oldest;
-        let spare = self.idle.iter().position(|(conn, _)| !is_oldest(conn));
-        Some(self.idle.remove(spare.unwrap_or(0)).0)
-    }
-
     pub(super) fn release(
         &mut self,
         conn: Option<C>,
@@ -392,30 +371,6 @@
             .is_none_or(|since| now.since(since) < LEAVING_WRITE_TIME)
     }
 
-    /// Removes and returns all idle connections.
-    pub(super) fn drain_idle(&mut self) -> Vec<C> {
-        self.idle.drain(..).map(|(conn, _)| conn).collect()
-    }
-
-    /// Removes and returns all idle connections but the one opened first.
-    pub(super) fn drain_spare(&mut self, info: ConnInfo<C>) -> Vec<C> {
-        self.idle.sort_by_key(|(conn, _)| (info.opened_at)(conn));
-        let spare = self.idle.len().min(1);
-        self.idle.drain(spare..).map(|(conn, _)| conn).collect()
-    }
-
-    /// Removes the connection opened last, and of equals the one idle longest, if the proxy
-    /// holds more than `retained` and the connection has been idle for [`IDLE_TIMEOUT`].
-    pub(super) fn trim(&mut self, retained: u32, info: ConnInfo<C>, now: Time) -> Option<C> {
-        if self.count() <= retained {
-            return None;
-        }
-        let idle = self.idle.iter().enumerate().rev();
-        let spare = idle.filter(|(_, (_, since))| now.since(*since) >= IDLE_TIMEOUT);
-        let (at, _) = spare.max_by_key(|(_, (conn, _))| (info.opened_at)(conn))?;
-        Some(self.idle.remove(at).0)
-    }
-
     fn record_latency(&mut self, took: Span, now: Time) {
         self.measured_at = now;
         self.window = (self.window + WINDOW_INCREASE / self.window).min(MAX_WINDOW);
