Read a customer's priority from the configuration

Cause: tenants[].priority was ignored, so nothing could weigh customers against each other when connections are scarce. It becomes a newtype, CustomerPriority: 0 is the highest, as for routes, 99 the lowest, 1 if it is missing.

--- a/crates/model/src/customer.rs
+++ b/crates/model/src/customer.rs
@@ -95,6 +95,53 @@
     }
 }
 
+/// Priority between customers under load; 0 is the highest. A customer's share is inversely
+/// proportional to its priority plus one.
+///
+/// Invariant: at most [`CustomerPriority::LOWEST`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "u64", into = "u64")]
+pub struct CustomerPriority(u8);
+
+/// The number is above [`CustomerPriority::LOWEST`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("a customer's priority is a whole number from 0 to {max}", max = CustomerPriority::LOWEST)]
+pub struct PriorityError;
+
+impl CustomerPriority {
+    /// The lowest priority.
+    pub const LOWEST: u8 = 99;
+
+    /// Relative cost of one operation: with a higher cost, fewer are served.
+    pub const fn cost(self) -> u64 {
+        self.0 as u64 + 1
+    }
+}
+
+impl Default for CustomerPriority {
+    /// The priority of customers for which none is configured.
+    fn default() -> Self {
+        Self(1)
+    }
+}
+
+impl TryFrom<u64> for CustomerPriority {
+    type Error = PriorityError;
+
+    fn try_from(number: u64) -> Result<Self, Self::Error> {
+        match u8::try_from(number) {
+            Ok(number) if number <= Self::LOWEST => Ok(Self(number)),
+            _ => Err(PriorityError),
+        }
+    }
+}
+
+impl From<CustomerPriority> for u64 {
+    fn from(priority: CustomerPriority) -> Self {
+        Self::from(priority.0)
+    }
+}
+
 /// A customer as configured.
 #[derive(Clone, Debug)]
 pub struct Customer {
@@ -104,6 +151,8 @@
     pub keys: Vec<ApiKey>,
     /// Its limit; `None` if it has none.
     pub limit: Option<RateLimit>,
+    /// Its priority under load.
+    pub priority: CustomerPriority,
 }
 
 /// Why a list of customers is invalid.
@@ -119,21 +168,29 @@
 
 /// All customers of a configuration.
 ///
-/// Invariant: every customer in `by_key` is in `limits`.
+/// Invariant: every customer in `by_key` is in `limits`, and so is every one in `priorities`.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Customers {
     by_key: IndexMap<ApiKey, CustomerId>,
     limits: IndexMap<CustomerId, Option<RateLimit>>,
+    priorities: IndexMap<CustomerId, CustomerPriority>,
 }
 
 impl Customers {
     /// Checks and indexes a list of customers.
     pub fn new(list: impl IntoIterator<Item = Customer>) -> Result<Self, CustomersError> {
         let mut customers = Self::default();
-        for Customer { id, keys, limit } in list {
+        for customer in list {
+            let Customer {
+                id,
+                keys,
+                limit,
+                priority,
+            } = customer;
             if customers.limits.insert(id.clone(), limit).is_some() {
                 return Err(CustomersError::DuplicateName(id));
             }
+            customers.priorities.insert(id.clone(), priority);
             for key in IndexSet::<ApiKey>::from_iter(keys) {
                 if let Some(other) = customers.by_key.insert(key, id.clone()) {
                     return Err(CustomersError::SharedKey(other, id));
@@ -153,6 +210,11 @@
         self.limits.get(id).copied().flatten()
     }
 
+    /// A customer's priority under load; the default one if it is unknown.
+    pub fn priority(&self, id: &CustomerId) -> CustomerPriority {
+        self.priorities.get(id).copied().unwrap_or_default()
+    }
+
     /// All customers with their limits.
     pub fn iter(&self) -> impl Iterator<Item = (&CustomerId, Option<RateLimit>)> {
         self.limits.iter().map(|(id, limit)| (id, *limit))
