Order, bound and refuse work in the pool, by customer and objective

Cause: a pool ordered what waited by priority and arrival and let it wait until its deadline; writes had no bound in flight.

Where the configuration lists customers: - pool::queue orders by class, by whether the objective can still be met, by fair shares between customers (weighted by their priority) and by arrival; after 16 grants in a row past a lower class its first request goes ahead once. - pool::forecast measures grants and arrivals; pool::refuse puts behind what will be late and rejects what cannot be served before its deadline, with the time after which the queue is served as the hint. The proxy that has the caller spreads the hint by up to half. - pool::window bounds all work in flight to an instance by the queue that responses show. - ConnRequest carries the objective and the customer's priority; on the relay's wire both have defaults, so proxies of both versions understand each other. Without customers every branch is the old one: the rank is (class, arrival), nothing is judged before its deadline, only reads are bounded (pool.rs, pool_age, pool_restart, pool_customers tests unchanged but for the two new fields).

Refusing by the average rate of arrivals alone: the end of a short burst was refused that could be served late.

--- a/crates/front/src/coordinator/queries.rs
+++ b/crates/front/src/coordinator/queries.rs
@@ -4,6 +4,7 @@
 
 use futures_util::future;
 use indexmap::{IndexMap, IndexSet};
+use model::customer::CustomerPriority;
 use model::entry::Entry;
 use model::id::InstanceId;
 use model::position::Revision;
@@ -214,8 +215,10 @@
     ConnRequest {
         kind: Kind::Control(entry.id.clone()),
         customer: None,
+        customer_priority: CustomerPriority::default(),
         own_write: None,
         arrived: now,
+        objective: Span::from(timeout),
         deadline: now + Span::from(timeout),
         priority: 0,
         avoid: None,
--- a/crates/front/src/directory.rs
+++ b/crates/front/src/directory.rs
@@ -368,6 +368,7 @@
                 connections: limits.connections,
                 holders: state.holders(group),
                 is_holder: state.is_holder(group) || is_coordinator,
+                by_customer: routes.customers.is_some(),
             };
             // Set before the entries: a group that does not know its share must not probe
             // its instances.
--- a/crates/front/src/group.rs
+++ b/crates/front/src/group.rs
@@ -40,6 +40,9 @@
 /// the coordinator. A shorter time would report a mere burst of writes as a lag.
 const LAG_REPORT_AFTER: Span = Span::from_millis(300);
 
+/// Interval between two log lines about waiting statements that were rejected.
+const REJECTIONS_LOGGED_EVERY: Span = Span::from_millis(1_000);
+
 /// Interval between two checks that each replica has an eligible connection.
 const PREPARE_INTERVAL: Span = Span::from_millis(500);
 
@@ -95,6 +98,8 @@
     pub holders: u32,
     /// Whether this proxy is one of them.
     pub is_holder: bool,
+    /// Whether callers belong to customers.
+    pub by_customer: bool,
 }
 
 /// A snapshot of the task's state.
@@ -108,6 +113,8 @@
     pub waiting: usize,
     /// Connections that are open or checked out.
     pub connections: u32,
+    /// What happened to statements that waited.
+    pub queue: pool::QueueStats,
 }
 
 /// What a group's tasks need.
@@ -138,6 +145,8 @@
     changes: Changes,
     /// When to check next for eligible connections.
     prepare_acks_at: Time,
+    /// Rejections of waiting statements that were logged, and when.
+    logged: (pool::QueueStats, Time),
     tx: flume::Sender<Message>,
 }
 
@@ -165,6 +174,7 @@
         reports,
         changes: changes.clone(),
         prepare_acks_at: Time::default(),
+        logged: Default::default(),
         tx: tx.clone(),
     };
     compio::runtime::spawn(task.run(rx)).detach();
@@ -205,6 +215,7 @@
                 tick = now + TICK;
                 self.probe_due(now);
                 self.publish_report(now);
+                self.log_rejections(now);
                 self.prepare_acks(now);
             }
         }
@@ -301,7 +312,9 @@
             connections,
             holders,
             is_holder,
+            by_customer,
         } = shares;
+        self.pool.set_by_customer(by_customer);
         self.pool.set_shares(connections, holders, is_holder);
         if self.is_holder != shares.is_holder {
             if self.shares_known {
@@ -338,6 +351,7 @@
             end: self.pool.newest_proof().map(|p| p.point),
             waiting: self.pool.waiting(),
             connections: self.pool.instances().map(pool::Instance::count).sum(),
+            queue: self.pool.queue_stats(),
         }
     }
 
@@ -381,6 +395,26 @@
         self.reports.set_own(&self.id, report);
     }
 
+    /// Logs how many waiting statements were rejected, at most once a second.
+    fn log_rejections(&mut self, now: Time) {
+        let (logged, at) = self.logged;
+        let stats = self.pool.queue_stats();
+        let rejected = |stats: pool::QueueStats| (stats.hopeless, stats.expired);
+        if rejected(stats) == rejected(logged) || now.since(at) < REJECTIONS_LOGGED_EVERY {
+            return;
+        }
+        tracing::info!(
+            group = %self.id,
+            hopeless = stats.hopeless - logged.hopeless,
+            at_deadline = stats.expired - logged.expired,
+            late = stats.late - logged.late,
+            advanced = stats.advanced - logged.advanced,
+            waiting = self.pool.waiting(),
+            "waiting statements were rejected"
+        );
+        self.logged = (stats, now);
+    }
+
     fn act(&mut self, actions: Vec<Action<Conn, Reply>>) {
         let mut queue = actions;
         while let Some(action) = queue.pop() {
--- a/crates/front/src/group/replica_ack.rs
+++ b/crates/front/src/group/replica_ack.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use model::customer::CustomerPriority;
 use model::id::{GroupId, InstanceId};
 use model::unit::{Span, Time};
 use policy::pool::{ConnRequest, Kind};
@@ -155,8 +156,10 @@
         let request = ConnRequest {
             kind: Kind::Control(id.clone()),
             customer: None,
+            customer_priority: CustomerPriority::default(),
             own_write: None,
             arrived: now,
+            objective: Span::from(RESPONSE_TIMEOUT),
             deadline: now + Span::from(RESPONSE_TIMEOUT),
             priority: 0,
             avoid: None,
--- a/crates/front/src/pages.rs
+++ b/crates/front/src/pages.rs
@@ -10,6 +10,7 @@
 use axum::routing;
 use compio::net::TcpListener;
 use http::StatusCode;
+use policy::pool::QueueStats;
 use store::client::Client;
 
 use crate::cx::Cx;
@@ -80,6 +81,7 @@
 /// Renders the metrics with the present values of the state gauges.
 async fn render(cx: &Cx, store: &Client) -> String {
     let (mut waiting, mut connections) = (0, 0);
+    let mut queue = QueueStats::default();
     let reports = cx.reports.own();
     let suspected = reports.values().filter(|c| c.suspicion.is_some()).count();
     let lagging = reports.values().filter(|c| c.lags).count();
@@ -87,12 +89,17 @@
         let view = group.view().await;
         waiting += view.waiting as u64;
         connections += u64::from(view.connections);
+        queue += view.queue;
     }
     let gauges = [
         ("sessions", cx.sessions() as u64),
         ("configuration_version", cx.routes().version),
         ("statements_waiting", waiting),
         ("connections", connections),
+        ("refused_hopeless", queue.hopeless),
+        ("refused_at_deadline", queue.expired),
+        ("put_behind_late", queue.late),
+        ("advanced_passed_over", queue.advanced),
         ("doubted_primaries", suspected as u64),
         ("lagging_groups", lagging as u64),
     ];
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
+use model::customer::CustomerPriority;
 use model::id::{CustomerId, GroupId, InstanceId, ProxyId};
 use model::position::{Point, Revision};
 use model::route::Guarantee;
@@ -54,6 +55,9 @@
         /// The customer on whose behalf the statement runs.
         #[serde(default)]
         customer: Option<CustomerId>,
+        /// The customer's priority.
+        #[serde(default)]
+        customer_priority: CustomerPriority,
         own: Option<Point>,
         /// Time since the statement arrived. The pooler subtracts it from the time at which it
         /// reads the message, so the arrival that it assumes is later than the true one: reads
@@ -61,6 +65,10 @@
         waited: Span,
         /// Time until the request is rejected.
         left: Span,
+        /// Time from the arrival within which the caller expects the operation to complete; the
+        /// request is rejected at the same time if it is missing.
+        #[serde(default)]
+        objective: Option<Span>,
         priority: u8,
         avoid: Option<InstanceId>,
         /// Whether the request may wait for an unreachable instance.
@@ -185,9 +193,11 @@
         group: group.clone(),
         kind,
         customer: request.customer.clone(),
+        customer_priority: request.customer_priority,
         own: request.own_write,
         waited: now.since(request.arrived),
         left: request.deadline.since(now),
+        objective: Some(request.objective),
         priority: request.priority,
         avoid: request.avoid.clone(),
         patient: request.may_wait,
@@ -199,9 +209,11 @@
         group,
         kind,
         customer,
+        customer_priority,
         own,
         waited,
         left,
+        objective,
         priority,
         avoid,
         patient,
@@ -218,8 +230,10 @@
     let request = ConnRequest {
         kind,
         customer,
+        customer_priority,
         own_write: own,
         arrived: Time::from_micros(arrived),
+        objective: objective.unwrap_or(waited + left),
         deadline: now + left,
         priority,
         avoid,
--- a/crates/front/src/session.rs
+++ b/crates/front/src/session.rs
@@ -12,7 +12,7 @@
 use compio::net::TcpStream;
 use futures_util::FutureExt as _;
 use indexmap::IndexMap;
-use model::customer::ApiKey;
+use model::customer::{ApiKey, CustomerPriority};
 use model::id::{CustomerId, Database, InstanceId};
 use model::position::Point;
 use model::route::{Route, UnknownKey};
@@ -117,6 +117,7 @@
     route: Route,
     /// `None` if callers need no key there.
     customer: Option<CustomerId>,
+    customer_priority: CustomerPriority,
 }
 
 /// A session.
@@ -397,7 +398,8 @@
         admission: &mut Admission,
         is_additional: bool,
     ) -> Result<CheckedOut, Failure> {
-        let checkout = self.cx.checkout(&target.route.group, request).await?;
+        let checkout = self.cx.checkout(&target.route.group, request).await;
+        let checkout = checkout.map_err(|rejection| self.spread(rejection))?;
         let sent = match is_additional {
             false => admission.send().await,
             true if admission.try_send() => Ok(()),
@@ -414,6 +416,14 @@
         }
     }
 
+    /// With customers, the rejection with a retry hint that differs between callers.
+    fn spread(&self, rejection: Rejection) -> Rejection {
+        match self.cx.routes().customers {
+            Some(_) => rejection.spread(rand::random()),
+            None => rejection,
+        }
+    }
+
     /// Until when a successful write waits for a replica's acknowledgement; `None` if writes
     /// to this group need none.
     fn ack_deadline(&self, route: &Route, deadline: Time) -> Option<Time> {
@@ -436,8 +446,11 @@
         let route = routes.routes.get(&self.database);
         let route = route.ok_or(Failure::NoDatabase)?;
         let customer = routes.customer(route, self.key.as_ref())?;
+        let customers = routes.customers.as_ref().zip(customer.as_ref());
+        let priority = customers.map(|(customers, id)| customers.priority(id));
         Ok(Target {
             route: route.clone(),
+            customer_priority: priority.unwrap_or_default(),
             customer,
         })
     }
--- a/crates/front/src/session/attempt.rs
+++ b/crates/front/src/session/attempt.rs
@@ -293,12 +293,18 @@
     target: &Target,
     own_write: Option<Point>,
 ) -> ConnRequest {
-    let Target { route, customer } = target;
+    let Target {
+        route,
+        customer,
+        customer_priority,
+    } = target;
     ConnRequest {
         kind,
         customer: customer.clone(),
+        customer_priority: *customer_priority,
         own_write,
         arrived: job.arrived,
+        objective: route.objective,
         deadline: job.arrived + route.time_limit,
         priority: route.priority,
         avoid: None,
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -7,9 +7,13 @@
 //! once. `C` is an open connection, `W` identifies a waiting caller.
 
 mod checkouts;
+mod forecast;
 mod instance;
+mod queue;
+mod refuse;
 mod request;
 mod serve;
+mod window;
 
 use indexmap::IndexMap;
 use model::entry::Entry;
@@ -19,15 +23,12 @@
 use model::unit::{Span, Time};
 
 use crate::proof::{Need, Proof, Proofs};
+use forecast::Forecast;
 pub use instance::Instance;
+use queue::Queue;
+pub use refuse::QueueStats;
 pub use request::{Action, ConnRequest, Grant, Kind, OpenError, Reason, Rejection};
 
-/// Minimum retry hint, so that rejected callers do not retry in a tight loop.
-const MIN_RETRY: Span = Span::from_millis(50);
-
-/// Retry hint while no primary is known: a change of primary takes about this long.
-const FAILOVER_RETRY: Span = Span::from_millis(1_000);
-
 /// Time within which a change of primary is usually over: 0.7 s to suspect the primary, 0.2 s
 /// to query the instances, up to 1 s until the next one leads.
 const CHANGE_DURATION: Span = Span::from_millis(2_500);
@@ -39,21 +40,13 @@
 /// primary that has just failed is usually unreachable from all of them.
 const FALLBACK_AFTER: Span = Span::from_millis(300);
 
-/// Maximum number of statements waiting for one group. Under a burst of several times the
-/// capacity, an unlimited queue would make every statement wait and reject it late. With 3
-/// instances of 3 slots each and 20 ms per statement, this many statements wait for about a
-/// second.
-const MAX_WAITING: usize = 400;
-
-struct Pending<W> {
-    request: ConnRequest,
-    waiter: W,
-}
-
 /// Connections of one proxy to one group.
 pub struct Pool<C, W> {
     instances: IndexMap<InstanceId, Instance<C>>,
-    waiting: Vec<Pending<W>>,
+    queue: Queue<W>,
+    /// Forecasts by lane of the queue.
+    forecasts: [Forecast; 2],
+    stats: QueueStats,
     primary: Option<InstanceId>,
     /// Time from which no primary has been known.
     lost_since: Option<Time>,
@@ -102,7 +95,9 @@
     pub fn new() -> Self {
         Self {
             instances: IndexMap::new(),
-            waiting: Vec::new(),
+            queue: Queue::new(),
+            forecasts: Default::default(),
+            stats: QueueStats::default(),
             primary: None,
             lost_since: None,
             proofs: Proofs::default(),
@@ -142,6 +137,12 @@
         self.is_holder = is_holder;
     }
 
+    /// Sets whether callers belong to customers. Requests are then ordered by customer and
+    /// objective as well, hopeless ones are rejected early, and all work in flight is bounded.
+    pub fn set_by_customer(&mut self, by_customer: bool) {
+        self.queue.set_fair(by_customer);
+    }
+
     /// Replaces the announced instances; `round_trip` is the usual round trip to each.
     pub fn set_entries(
         &mut self,
@@ -223,7 +224,7 @@
 
     /// Number of statements that wait.
     pub fn waiting(&self) -> usize {
-        self.waiting.len()
+        self.queue.len()
     }
 
     /// Records that an instance proved that it leads; returns whether the primary has changed.
@@ -248,18 +249,20 @@
     pub fn request(&mut self, request: ConnRequest, waiter: W, now: Time) -> Vec<Action<C, W>> {
         self.track_accepted_age(&request.kind, now);
         if !request.may_wait && self.is_unreachable(&request, now) {
-            let rejection = unreachable_rejection();
+            let rejection = refuse::unreachable();
             return vec![Action::Reject(waiter, rejection)];
         }
-        if self.waiting.len() >= MAX_WAITING || self.is_futile(&request, now) {
-            let rejection = self.rejection(&request);
+        if self.is_full() || self.is_futile(&request, now) {
+            let rejection = self.rejection(&request, now);
             return vec![Action::Reject(waiter, rejection)];
         }
-        let at = self
-            .waiting
-            .partition_point(|w| w.request.rank() <= request.rank());
-        self.waiting.insert(at, Pending { request, waiter });
-        self.serve_waiting(now)
+        if let Some(lane) = queue::Lane::of(&request.kind) {
+            self.forecasts[lane.index()].arrived(request.priority, now);
+        }
+        self.queue.insert(request, waiter, now);
+        let mut actions = self.serve_waiting(now);
+        actions.extend(self.reject_hopeless(now));
+        actions
     }
 
     /// Rejects all requests that wait for unreachable instances, once another proxy was found
@@ -267,10 +270,10 @@
     pub fn reject_unreachable(&mut self, now: Time) -> Vec<Action<C, W>> {
         let mut actions = Vec::new();
         let mut at = 0;
-        while at < self.waiting.len() {
-            if self.is_unreachable(&self.waiting[at].request, now) {
-                let pending = self.waiting.remove(at);
-                actions.push(Action::Reject(pending.waiter, unreachable_rejection()));
+        while at < self.queue.len() {
+            if self.is_unreachable(&self.queue[at].request, now) {
+                let pending = self.queue.reject(at);
+                actions.push(Action::Reject(pending.waiter, refuse::unreachable()));
             } else {
                 at += 1;
             }
@@ -438,13 +441,7 @@
     /// Rejects requests past their deadline, closes unneeded connections, and serves waiting
     /// requests.
     pub fn tick(&mut self, now: Time) -> Vec<Action<C, W>> {
-        let mut actions = Vec::new();
-        let expired = self.waiting.extract_if(.., |w| w.request.deadline <= now);
-        let expired: Vec<_> = expired.collect();
-        for w in expired {
-            let rejection = self.rejection(&w.request);
-            actions.push(Action::Reject(w.waiter, rejection));
-        }
+        let mut actions = self.reject_expired(now);
         self.track_primary_loss(now);
         self.track_lag(now);
         let retained: Vec<_> = self
@@ -466,28 +463,13 @@
             }
         }
         actions.extend(self.serve_waiting(now));
+        actions.extend(self.reject_hopeless(now));
         actions
     }
 
     /// When [`Pool::tick`] must be called next for the waiting requests.
     pub fn next_tick(&self) -> Option<Time> {
-        self.waiting.iter().map(|w| w.request.deadline).min()
-    }
-
-    fn rejection(&self, request: &ConnRequest) -> Rejection {
-        let reason = match (&request.kind, &self.primary) {
-            (Kind::Write | Kind::Read(Guarantee::Newest), None) => Reason::NoPrimary,
-            _ if self.instances.is_empty() => Reason::NoInstance,
-            _ => Reason::Busy,
-        };
-        let retry_after = match reason {
-            Reason::NoPrimary | Reason::NoInstance | Reason::Unreachable => FAILOVER_RETRY,
-            Reason::Busy => MIN_RETRY.times(1 + self.waiting.len() as u64 / 4),
-        };
-        Rejection {
-            reason,
-            retry_after,
-        }
+        self.queue.iter().map(|w| w.request.deadline).min()
     }
 }
 
@@ -496,10 +478,3 @@
         Self::new()
     }
 }
-
-fn unreachable_rejection() -> Rejection {
-    Rejection {
-        reason: Reason::Unreachable,
-        retry_after: MIN_RETRY,
-    }
-}
--- a/crates/policy/src/pool/instance.rs
+++ b/crates/policy/src/pool/instance.rs
@@ -6,6 +6,7 @@
 use model::unit::{Span, Time};
 
 use super::checkouts::Checkouts;
+use super::window::Window;
 use super::{ConnInfo, OpenError};
 
 /// Time after which an idle connection beyond the proxy's share is closed. Opening one costs
@@ -106,6 +107,8 @@
     measured_at: Time,
     /// Reads that may be in flight.
     window: f64,
+    /// Bound of all work in flight.
+    work: Window,
     /// A point that its log lacked, and when.
     lacked: Option<(Point, Time)>,
     /// Furthest end of its log that a response showed.
@@ -129,6 +132,7 @@
             latency: None,
             measured_at: Time::default(),
             window: INITIAL_WINDOW,
+            work: Window::default(),
             lacked: None,
             log_end: Point::default(),
             ceiling: None,
@@ -344,6 +348,12 @@
         !self.entry.leaving && self.reads_paused_until <= now && has_capacity
     }
 
+    /// Whether one more statement may be in flight, as one of `proxies` that share it.
+    pub(super) fn has_room(&self, proxies: u32) -> bool {
+        self.work
+            .has_room(self.checked_out(), self.entry.slots, proxies)
+    }
+
     /// Records that its log lacked a point that a read required.
     pub(super) fn record_lack(&mut self, point: Point, now: Time) {
         self.lacked = Some((point, now));
@@ -381,6 +391,7 @@
     /// flight after a refusal, and raising them slowly with each response, keeps the queue
     /// short and the slots full.
     pub(super) fn record_overload(&mut self, now: Time) {
+        self.work.decrease(self.checked_out(), now);
         self.window = (f64::from(self.checked_out()) * WINDOW_DECREASE).max(1.0);
         self.pause_reads(now + OVERLOAD_PAUSE);
     }
@@ -418,6 +429,8 @@
 
     fn record_latency(&mut self, took: Span, now: Time) {
         self.measured_at = now;
+        // The statement itself has just ended.
+        self.work.record_latency(took, self.checked_out() + 1, now);
         self.window = (self.window + WINDOW_INCREASE / self.window).min(MAX_WINDOW);
         let old = self.latency.unwrap_or(took).as_micros();
         let new = (old * (SMOOTHING - 1) + took.as_micros()) / SMOOTHING;
--- a/crates/policy/src/pool/request.rs
+++ b/crates/policy/src/pool/request.rs
@@ -1,5 +1,6 @@
 //! Requests to a pool and the actions it returns.
 
+use model::customer::CustomerPriority;
 use model::id::{CustomerId, InstanceId};
 use model::position::Point;
 use model::route::Guarantee;
@@ -24,10 +25,14 @@
     /// The customer on whose behalf it runs; the connection must have been opened for the same
     /// one. `None` for a caller without a customer.
     pub customer: Option<CustomerId>,
+    /// That customer's priority; ignored without a customer.
+    pub customer_priority: CustomerPriority,
     /// The session's newest own write.
     pub own_write: Option<Point>,
     /// When the statement, or its transaction, arrived.
     pub arrived: Time,
+    /// Time from `arrived` within which the caller expects the whole operation to complete.
+    pub objective: Span,
     /// When the request is rejected at the latest.
     pub deadline: Time,
     /// Priority under load; 0 is served first.
@@ -45,11 +50,6 @@
     pub(super) fn may_use(&self, owner: Option<&CustomerId>) -> bool {
         matches!(self.kind, Kind::Control(_)) || self.customer.as_ref() == owner
     }
-
-    pub(super) fn rank(&self) -> (bool, u8, Time) {
-        let control = matches!(self.kind, Kind::Control(_));
-        (!control, self.priority, self.arrived)
-    }
 }
 
 /// A connection, checked out until it is released.
@@ -97,6 +97,20 @@
     pub retry_after: Span,
 }
 
+impl Rejection {
+    /// The rejection with a retry hint that is up to half longer, by `fraction` from 0 to 1.
+    ///
+    /// Callers that are rejected together would otherwise return together.
+    #[must_use]
+    pub fn spread(self, fraction: f64) -> Self {
+        let extra = self.retry_after.as_micros() as f64 / 2.0 * fraction.clamp(0.0, 1.0);
+        Self {
+            retry_after: self.retry_after + Span::from_micros(extra as u64),
+            ..self
+        }
+    }
+}
+
 /// What the owner of the pool must do.
 #[derive(Debug)]
 pub enum Action<C, W> {
--- a/crates/policy/src/pool/serve.rs
+++ b/crates/policy/src/pool/serve.rs
@@ -84,11 +84,12 @@
     }
 
     pub(super) fn serve_waiting(&mut self, now: Time) -> Vec<Action<C, W>> {
+        self.queue.advance_passed_over();
         let mut actions = Vec::new();
         let mut at = 0;
         let mut waiters = Waiters::new();
-        while at < self.waiting.len() {
-            let request = &self.waiting[at].request;
+        while at < self.queue.len() {
+            let request = &self.queue[at].request;
             let need = self.need(request).unwrap_or(Need::Primary);
             match self.choose_instance(request, need, now) {
                 Some(id) => {
@@ -101,7 +102,8 @@
                         at += 1;
                         continue;
                     };
-                    let pending = self.waiting.remove(at);
+                    let pending = self.queue.take(at);
+                    self.record_granted(pending.lane, now);
                     let grant = grant(id, conn, &pending.request.kind, need);
                     actions.push(Action::Grant(pending.waiter, grant));
                 }
@@ -153,7 +155,8 @@
             let id = self.primary.as_ref()?;
             let instance = self.instances.get(id)?;
             let can = self.has_idle(instance, request) || self.will_have_connection(instance, now);
-            return (can && instance.serves_writes(now)).then(|| id.clone());
+            let serves = instance.serves_writes(now) && self.has_room(instance);
+            return (can && serves).then(|| id.clone());
         }
         let limits = self.limits();
         let usable = self.instances.values().filter(|i| {
@@ -163,6 +166,7 @@
             };
             holds
                 && i.serves_reads(now)
+                && self.has_room(i)
                 && request.avoid.as_ref() != Some(i.id())
                 && (self.has_idle(i, request)
                     || i.may_open(limits, now)
@@ -177,6 +181,12 @@
             .map(|i| i.id().clone())
     }
 
+    /// Whether the instance may be given one more statement. Without customers only reads are
+    /// bounded.
+    fn has_room(&self, instance: &Instance<C>) -> bool {
+        !self.queue.is_fair() || instance.has_room(self.proxies)
+    }
+
     /// Whether a connection is idle that the request may use.
     fn has_idle(&self, instance: &Instance<C>, request: &ConnRequest) -> bool {
         instance.has_idle(self.conn_info, |owner| request.may_use(owner))
--- a/crates/policy/tests/pool.rs
+++ b/crates/policy/tests/pool.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use model::customer::CustomerPriority;
 use model::entry::Entry;
 use model::id::InstanceId;
 use model::position::Point;
@@ -40,8 +41,10 @@
     ConnRequest {
         kind,
         customer: None,
+        customer_priority: CustomerPriority::default(),
         own_write: None,
         arrived: at(now),
+        objective: Span::from_millis(60_000),
         deadline: at(now + 800),
         priority: 1,
         avoid: None,
--- a/crates/policy/tests/pool_age.rs
+++ b/crates/policy/tests/pool_age.rs
@@ -1,5 +1,6 @@
 //! Which connections a pool uses and keeps, where the age of connections matters.
 
+use model::customer::CustomerPriority;
 use model::entry::Entry;
 use model::id::InstanceId;
 use model::position::Point;
@@ -55,8 +56,10 @@
     ConnRequest {
         kind: Kind::Control(id()),
         customer: None,
+        customer_priority: CustomerPriority::default(),
         own_write: None,
         arrived: at(20),
+        objective: Span::from_millis(60_000),
         deadline: at(100),
         priority: 0,
         avoid: None,
--- a/crates/policy/tests/pool_customers.rs
+++ b/crates/policy/tests/pool_customers.rs
@@ -1,5 +1,6 @@
 //! Connections that serve one customer each.
 
+use model::customer::CustomerPriority;
 use model::entry::Entry;
 use model::id::{CustomerId, InstanceId};
 use model::position::Point;
@@ -60,8 +61,10 @@
     ConnRequest {
         kind: Kind::Write,
         customer,
+        customer_priority: CustomerPriority::default(),
         own_write: None,
         arrived: at(now),
+        objective: Span::from_millis(60_000),
         deadline: at(now + 800),
         priority: 1,
         avoid: None,
--- a/crates/policy/tests/pool_restart.rs
+++ b/crates/policy/tests/pool_restart.rs
@@ -1,6 +1,7 @@
 //! How soon each proxy has its share of the connections after a fleet restarts at once, while
 //! an instance still holds the earlier connections.
 
+use model::customer::CustomerPriority;
 use model::entry::Entry;
 use model::id::InstanceId;
 use model::position::Point;
@@ -51,8 +52,10 @@
     ConnRequest {
         kind: Kind::Write,
         customer: None,
+        customer_priority: CustomerPriority::default(),
         own_write: None,
         arrived: at(0),
+        objective: Span::from_millis(60_000),
         deadline: at(60_000),
         priority: 1,
         avoid: None,
