Count renewals, stale reads and suspicions among the store calls apart

The platform charges a tenth for a lease renewal and for a read that may be out of date, and the counters mixed them with calls at the full price: the dearest part could not be read off. Kinds `renewal` and `stale_read` and the purpose `suspicion` are new labels of `pomelo_store_calls`; `lease` and `place` no longer include them.

--- a/crates/front/src/registration.rs
+++ b/crates/front/src/registration.rs
@@ -139,9 +139,10 @@
         let reports = cx.reports.undelivered(clock::now());
         let mut groups: Vec<_> = self.suspicions.borrow().keys().cloned().collect();
         groups.extend(reports.keys().cloned());
+        let client = client.counted_for(Purpose::Suspicions);
         for group in groups {
             let suspicion = reports.get(&group).and_then(|c| c.suspicion.clone());
-            self.write_suspicion(client, &group, suspicion, lease)
+            self.write_suspicion(&client, &group, suspicion, lease)
                 .await?;
         }
         Ok(())
--- a/crates/store/src/calls.rs
+++ b/crates/store/src/calls.rs
@@ -8,23 +8,29 @@
 pub enum Kind {
     /// A range read.
     Read,
+    /// A range read that may be out of date; the platform charges a tenth of a call.
+    StaleRead,
     /// A put or a transaction.
     Write,
     /// A watch, counted when it is opened.
     Watch,
-    /// A lease grant, renewal or revocation.
+    /// A lease grant or revocation.
     Lease,
+    /// A lease renewal; the platform charges a tenth of a call.
+    Renewal,
     /// A read of the VM list.
     VmList,
 }
 
 impl Kind {
     /// Every kind, in the order of [`Calls::snapshot`].
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 7] = [
         Self::Read,
+        Self::StaleRead,
         Self::Write,
         Self::Watch,
         Self::Lease,
+        Self::Renewal,
         Self::VmList,
     ];
 
@@ -32,9 +38,11 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::Read => "read",
+            Self::StaleRead => "stale_read",
             Self::Write => "write",
             Self::Watch => "watch",
             Self::Lease => "lease",
+            Self::Renewal => "renewal",
             Self::VmList => "vm_list",
         }
     }
@@ -46,8 +54,10 @@
     /// Reading and watching stored records; the default.
     #[default]
     Follow,
-    /// Keeping this process registered: its lease, its announcement, its suspicions.
+    /// Keeping this process registered: its lease and its announcement.
     Registration,
+    /// Suspicions that could not be delivered to the coordinator.
+    Suspicions,
     /// Acquiring and renewing the coordinator role.
     CoordinatorRole,
     /// Recording intents to change a primary.
@@ -58,9 +68,10 @@
 
 impl Purpose {
     /// Every purpose, in the order of [`Calls::by_purpose`].
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Follow,
         Self::Registration,
+        Self::Suspicions,
         Self::CoordinatorRole,
         Self::Intents,
         Self::Changes,
@@ -71,6 +82,7 @@
         match self {
             Self::Follow => "follow",
             Self::Registration => "place",
+            Self::Suspicions => "suspicion",
             Self::CoordinatorRole => "duty",
             Self::Intents => "note",
             Self::Changes => "changes",
--- a/crates/store/src/lease.rs
+++ b/crates/store/src/lease.rs
@@ -31,7 +31,7 @@
             id: wire::Int(lease.0),
         };
         let path = "/v3/lease/keepalive";
-        let res: wire::KeepAliveMessage = self.post(Kind::Lease, path, &req).await?;
+        let res: wire::KeepAliveMessage = self.post(Kind::Renewal, path, &req).await?;
         let ttl = res.result.ttl.0;
         Ok((ttl > 0).then(|| Duration::from_secs(ttl)))
     }
