Follow a neighbour while the store rejects this proxy, and gather questions about changes

Rejected readers retried every 0.4 s, their followers did the same beside them, and a backup that took over served nobody before its first watch of 3 s had ended. In calm traffic each data centre asked about changes of primary up to five times a second, since proxies refresh once a second each and the reader gathered for 200 ms only.

Change: policy::direct_access decides when the store is called again; StoreReaders::next whether to follow, call or wait. Data centres of up to four proxies are unchanged. Questions that nobody waits for are gathered for 600 ms where a reader asks for several.

Not done: one reader of a region for these questions.

tests/follow.rs: follow() now says why there is no update; the test takes .ok() of it and asserts the same.

--- a/crates/front/src/directory.rs
+++ b/crates/front/src/directory.rs
@@ -4,9 +4,9 @@
 mod intents;
 mod keys;
 mod state;
+mod upstream;
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,8 +14,9 @@
 use model::position::Revision;
 use model::unit::{Span, Time};
 use platform::{kv, routes};
+use policy::direct_access::DirectAccess;
 use policy::pooler::{Capacity, Proxy};
-use policy::store_reader::{StoreReaders, Upstream};
+use policy::store_reader::StoreReaders;
 use policy::store_watch::WatchPacing;
 use store::client::Client;
 use store::error::Error;
@@ -28,7 +29,7 @@
 use crate::cx::Cx;
 use crate::feed::StoreAccess;
 use crate::group::Shares;
-use crate::pending_changes::{self, Changes};
+use crate::pending_changes::Changes;
 pub use intents::IntentKind;
 pub use keys::{Announced, COORDINATOR, PROXIES, SUSPICIONS, pending_changes};
 use state::Placement;
@@ -37,16 +38,6 @@
 /// Interval between two checks for deletions that are due.
 const SWEEP_INTERVAL: Span = Span::from_millis(250);
 
-/// On the first start of a fleet, time until its proxies have announced themselves.
-///
-/// Hundreds of proxies start at once and know of no other. Without this, each would read
-/// everything from the store directly, half of them over the link between the regions.
-const ANNOUNCE_WAIT: Duration = Duration::from_millis(500);
-
-/// Timeout for the first update from a store reader that is starting as well and knows nothing
-/// yet; it reads the store in some hundred milliseconds.
-const FIRST_UPDATE_TIMEOUT: Span = Span::from_millis(1_000);
-
 /// Tries to write an intent whose known revision is outdated; each failed one returns the
 /// current revision.
 const INTENT_TRIES: u32 = 3;
@@ -82,6 +73,8 @@
     changed: flume::Sender<()>,
     me: Proxy,
     pacing: Rc<RefCell<WatchPacing>>,
+    /// Whether the store responds to this proxy.
+    direct: Rc<RefCell<DirectAccess>>,
     /// The store readers that this proxy gets updates from.
     update_readers: Rc<RefCell<StoreReaders>>,
     /// While the first update after an outage is applied: the time up to which all updates
@@ -107,6 +100,7 @@
     ) -> Self {
         Self {
             me,
+            direct: Rc::default(),
             update_readers: Rc::default(),
             complete_until: Rc::default(),
             change_readers: Rc::default(),
@@ -219,100 +213,12 @@
                         lost_at = Some(clock::now());
                         tracing::warn!(cause = %e, "the store is unreachable");
                     }
-                    let pause = self.pacing.borrow_mut().failed(&mut rand::rng());
-                    compio::time::sleep(pause.as_duration()).await;
+                    self.store_failed(&e).await;
                 }
             }
         }
     }
 
-    /// The next update, from a store reader or from the store itself.
-    async fn next_update(
-        &self,
-        client: &Client,
-        known: &mut Known,
-        first_start: bool,
-    ) -> Result<Update, Error> {
-        if *known == Known::Nothing {
-            self.list_proxies(client, first_start).await?;
-            *known = Known::OtherProxies;
-        }
-        if let Some(update) = self.update_from_reader(*known).await {
-            self.cx.feed.set_access(StoreAccess::Follows);
-            *known = Known::All;
-            return Ok(update);
-        }
-        let update = if *known == Known::All {
-            let after = self.state.borrow().revision();
-            let wait = self.pacing.borrow().wait();
-            Update::Changes(kv::watch(client, "", after, wait.as_duration()).await?)
-        } else {
-            Update::Listing(kv::list(client, "").await?)
-        };
-        *known = Known::All;
-        self.cx.feed.set_access(StoreAccess::Reads);
-        Ok(update)
-    }
-
-    /// Lists the other proxies. A list that is some seconds old suffices, except on the first
-    /// start of a fleet, when it would be empty.
-    async fn list_proxies(&self, client: &Client, first_start: bool) -> Result<(), Error> {
-        let proxies = if first_start {
-            compio::time::sleep(ANNOUNCE_WAIT).await;
-            kv::list(client, PROXIES).await?
-        } else {
-            kv::list_stale(client, PROXIES).await?
-        };
-        self.state.borrow_mut().add_proxies(proxies);
-        Ok(())
-    }
-
-    /// The store reader to query; `None` if this proxy must read the store directly.
-    fn reader(&self, readers: &RefCell<StoreReaders>) -> Option<(ProxyId, SocketAddr)> {
-        if (self.is_coordinator)(self) {
-            return None;
-        }
-        let local = self.with(|s| s.proxies_of(&self.me.data_centre));
-        let ids: Vec<_> = local.keys().cloned().collect();
-        let upstream = readers.borrow().upstream(&self.me.id, &ids, clock::now());
-        match upstream {
-            Upstream::StoreReader(reader) => local.get(&reader).map(|address| (reader, *address)),
-            Upstream::Store => None,
-        }
-    }
-
-    /// An update from a store reader; `None` if this proxy must read the store directly.
-    async fn update_from_reader(&self, known: Known) -> Option<Update> {
-        let (reader, address) = self.reader(&self.update_readers)?;
-        let (after, wait) = match known {
-            Known::All => (self.with(State::revision), self.pacing.borrow().wait()),
-            Known::Nothing | Known::OtherProxies => (Revision(0), FIRST_UPDATE_TIMEOUT),
-        };
-        let update = self.cx.relay.follow(&reader, address, after, wait).await;
-        // A reader that is behind this proxy's revision would revert its state.
-        let update = update.filter(|update| update.revision() >= after);
-        if update.is_none() {
-            tracing::info!(%reader, "a store reader sent no usable update; reading the store directly");
-            let mut update_readers = self.update_readers.borrow_mut();
-            update_readers.mark_failed(&reader, clock::now());
-        }
-        update
-    }
-
-    /// Queries the store readers which groups have a change of primary under way; `None` if
-    /// this proxy must query the store directly.
-    pub async fn query_changes(&self, within: Span) -> Option<pending_changes::ChangingGroups> {
-        while let Some((reader, address)) = self.reader(&self.change_readers) {
-            let changing = self.cx.relay.changes(&reader, address, within).await;
-            if let Some(changing) = changing {
-                return Some(Rc::new(changing));
-            }
-            let mut change_readers = self.change_readers.borrow_mut();
-            change_readers.mark_failed(&reader, clock::now());
-        }
-        None
-    }
-
     /// Applies an update, and waits so that the next changes arrive as one batch.
     async fn apply(&self, mut update: Update) {
         if matches!(&update, Update::Changes(batch) if batch.changes.is_empty()) {
@@ -326,7 +232,11 @@
         }
         self.distribute();
         let readers = self.with(State::readers);
-        let urgent = (self.is_coordinator)(self) || self.cx.feed.access() == StoreAccess::Follows;
+        let follows = matches!(
+            self.cx.feed.access(),
+            StoreAccess::Follows | StoreAccess::Diverted
+        );
+        let urgent = (self.is_coordinator)(self) || follows;
         let pause = self.pacing.borrow().batch_delay(readers, urgent);
         compio::time::sleep(pause.as_duration()).await;
     }
--- a/crates/front/src/feed.rs
+++ b/crates/front/src/feed.rs
@@ -34,6 +34,8 @@
     /// From a store reader. Others must not follow this proxy in turn, since each step adds
     /// latency.
     Follows,
+    /// From another proxy, because the store does not respond to this one: it cannot take over.
+    Diverted,
     /// The store does not respond.
     Lost,
 }
@@ -105,6 +107,11 @@
         }
     }
 
+    /// Whether the store responded to this proxy when it was called last, if it was called.
+    pub fn reaches_store(&self) -> bool {
+        !matches!(self.access.get(), StoreAccess::Lost | StoreAccess::Diverted)
+    }
+
     /// Number of requests that wait for a change.
     pub fn waiting(&self) -> usize {
         self.waiters.borrow().len()
@@ -126,7 +133,7 @@
             let now = clock::now();
             let timed_out = now >= deadline;
             match self.access.get() {
-                StoreAccess::Lost => return None,
+                StoreAccess::Lost | StoreAccess::Diverted => return None,
                 StoreAccess::Follows if now >= started + TAKEOVER_TIME => return None,
                 StoreAccess::Follows => {
                     self.wait_for_change(started + TAKEOVER_TIME).await;
--- a/crates/front/src/pending_changes.rs
+++ b/crates/front/src/pending_changes.rs
@@ -27,6 +27,10 @@
 /// How long a query that no write waits for may be delayed, to be batched with others.
 const BATCH_DELAY: Span = Span::from_millis(200);
 
+/// The same for a query through a store reader. Each proxy of its data centre sends one a second,
+/// and with the shorter delay the reader would call the store several times a second.
+const SHARED_BATCH_DELAY: Span = Span::from_millis(600);
+
 /// Interval between two such queries of one proxy.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -190,7 +194,8 @@
         F: Future<Output = Option<ChangingGroups>>,
     {
         while let Some(waiters) = self.urgent.next().await {
-            let changing = self.fetch(Span::from_millis(0), &store_reader).await;
+            let at_once = Span::from_millis(0);
+            let changing = self.fetch(at_once, at_once, &store_reader).await;
             for tx in waiters {
                 if let Some(changing) = &changing {
                     let _ = tx.send(changing.clone());
@@ -204,15 +209,17 @@
         F: Future<Output = Option<ChangingGroups>>,
     {
         while self.refresh.next().await.is_some() {
-            self.fetch(BATCH_DELAY, &store_reader).await;
+            self.fetch(BATCH_DELAY, SHARED_BATCH_DELAY, &store_reader)
+                .await;
             compio::time::sleep(REFRESH_INTERVAL).await;
         }
     }
 
-    /// Queries the store reader, or else the store.
+    /// Queries the store reader, which may delay the query by `shared_within`, or else the store.
     async fn fetch<F>(
         &self,
         within: Span,
+        shared_within: Span,
         store_reader: impl Fn(Span) -> F,
     ) -> Option<ChangingGroups>
     where
@@ -220,7 +227,7 @@
     {
         // The store is queried later than this, so the store reader's reply is valid as of now.
         let queried_at = clock::now();
-        if let Some(changing) = store_reader(within).await {
+        if let Some(changing) = store_reader(shared_within).await {
             self.record_reply(queried_at, &changing);
             return Some(changing);
         }
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -27,7 +27,7 @@
 use crate::group::Feedback;
 use crate::health::Reports;
 
-pub use client::{CheckoutFailure, Client, ReturnPath};
+pub use client::{CheckoutFailure, Client, FollowFailure, ReturnPath};
 pub use pooler::serve;
 
 /// First byte of a message between proxies.
--- a/crates/front/src/relay/client.rs
+++ b/crates/front/src/relay/client.rs
@@ -1,11 +1,14 @@
-//! The client proxy's side: requests connections from poolers, and queries store readers.
+//! The client proxy's side: requests connections from poolers, and sends other proxies reports
+//! and queries.
+
+mod follow;
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use compio::net::TcpStream;
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use model::id::{CustomerId, GroupId, ProxyId};
 use model::position::Revision;
 use model::unit::{Span, Time};
@@ -13,16 +16,15 @@
 use policy::pooler_retry;
 use policy::quota::Answer;
 use policy::replica_ack::Write;
-use store::client::TIME_LIMIT;
-use store::mirror::Update;
 
 use super::{FromPooler, RECEIPT_TIMEOUT, Returned, ToPooler, decode, encode, to_wire};
 use crate::clock;
 use crate::conn::{Conn, ConnError};
-use crate::feed::PackError;
 use crate::group::{CheckedOut, Feedback};
 use crate::health::Reports;
 
+pub use follow::FollowFailure;
+
 /// Most idle connections that are kept open to one proxy.
 const MAX_IDLE: usize = 8;
 
@@ -33,25 +35,6 @@
 /// Time that a pooler's final response may take beyond the request's deadline.
 const GRACE: Span = Span::from_millis(100);
 
-/// Longest wait until a store reader confirms a query, and between two parts of its update.
-///
-/// A store reader may have to fetch, pack and send a configuration of a megabyte to its whole
-/// data centre over a link of a few Mbit/s. With a shorter timeout, or one for the whole
-/// response, all followers would time out at once and fetch the megabyte themselves, which
-/// fills the link between the regions for longer than their next attempts last.
-const PART_TIMEOUT: Span = Span::from_millis(1_000);
-
-/// Why a store reader sent no update.
-#[derive(Debug, thiserror::Error)]
-enum FollowError {
-    /// It did not respond.
-    #[error(transparent)]
-    Conn(#[from] ConnError),
-    /// Its update cannot be unpacked.
-    #[error(transparent)]
-    Pack(#[from] PackError),
-}
-
 /// Why a pooler granted no connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CheckoutFailure {
@@ -218,96 +201,6 @@
         Ok(response)
     }
 
-    /// Queries a store reader for the updates after a revision.
-    pub async fn follow(
-        &self,
-        reader: &ProxyId,
-        address: SocketAddr,
-        after: Revision,
-        wait: Span,
-    ) -> Option<Update> {
-        let request = ToPooler::Follow { after, wait };
-        let idle = self.take_idle(reader);
-        let reused = idle.is_some();
-        let mut result = self.try_follow(idle, reader, address, &request, wait).await;
-        if reused && result.is_err() {
-            // The reader may have restarted since the connection was last used.
-            result = self.try_follow(None, reader, address, &request, wait).await;
-        }
-        result.unwrap_or_else(|e| {
-            tracing::info!(%reader, cause = %e, "a store reader sent no update");
-            None
-        })
-    }
-
-    /// Queries a store reader for the groups with a change of primary in progress; it may delay
-    /// its query to the store by up to `within`.
-    pub async fn changes(
-        &self,
-        reader: &ProxyId,
-        address: SocketAddr,
-        within: Span,
-    ) -> Option<IndexSet<GroupId>> {
-        let idle = self.take_idle(reader);
-        let reused = idle.is_some();
-        let mut result = self.try_changes(idle, reader, address, within).await;
-        if reused && result.is_err() {
-            // The reader may have restarted since the connection was last used.
-            result = self.try_changes(None, reader, address, within).await;
-        }
-        result.unwrap_or_else(|e| {
-            tracing::info!(%reader, cause = %e, "a store reader did not report the changes of primary in progress");
-            None
-        })
-    }
-
-    async fn try_changes(
-        &self,
-        conn: Option<Conn>,
-        reader: &ProxyId,
-        address: SocketAddr,
-        within: Span,
-    ) -> Result<Option<IndexSet<GroupId>>, ConnError> {
-        let mut conn = match conn {
-            Some(conn) => conn,
-            None => connect(address).await?,
-        };
-        conn.send(encode(&ToPooler::Changes { within })).await?;
-        let result = match read(&mut conn, Span::from(RECEIPT_TIMEOUT)).await? {
-            FromPooler::Heard => read(&mut conn, within + Span::from(TIME_LIMIT) + GRACE).await?,
-            other => other,
-        };
-        self.keep(reader, conn);
-        match result {
-            FromPooler::Changing(groups) => Ok(Some(groups)),
-            _ => Ok(None),
-        }
-    }
-
-    async fn try_follow(
-        &self,
-        conn: Option<Conn>,
-        reader: &ProxyId,
-        address: SocketAddr,
-        request: &ToPooler,
-        wait: Span,
-    ) -> Result<Option<Update>, FollowError> {
-        let mut conn = match conn {
-            Some(conn) => conn,
-            None => connect(address).await?,
-        };
-        conn.send(encode(request)).await?;
-        let result = match read(&mut conn, PART_TIMEOUT).await? {
-            FromPooler::Heard => read_long(&mut conn, wait + PART_TIMEOUT, PART_TIMEOUT).await?,
-            other => other,
-        };
-        self.keep(reader, conn);
-        match result {
-            FromPooler::News(packed) => Ok(Some(packed.unpack()?)),
-            _ => Ok(None),
-        }
-    }
-
     async fn try_report(
         &self,
         conn: Option<Conn>,
@@ -489,15 +382,6 @@
     }
 }
 
-async fn read_long(
-    conn: &mut Conn,
-    first_timeout: Span,
-    next_timeout: Span,
-) -> Result<FromPooler, ConnError> {
-    let line = conn.long_line(first_timeout, next_timeout).await?;
-    decode(line).ok_or(ConnError::Timeout)
-}
-
 async fn read(conn: &mut Conn, limit: Span) -> Result<FromPooler, ConnError> {
     let line = conn.line(limit.as_duration()).await?;
     decode(line).ok_or(ConnError::Timeout)
--- a/crates/front/src/relay/pooler.rs
+++ b/crates/front/src/relay/pooler.rs
@@ -90,6 +90,7 @@
             let update = cx.feed.after(after, wait).await;
             update.map_or(FromPooler::Elsewhere, FromPooler::News)
         }
+        ToPooler::Changes { .. } if !cx.feed.reaches_store() => FromPooler::Elsewhere,
         ToPooler::Changes { within } => {
             writer.send(encode(&FromPooler::Heard)).await?;
             match cx.changes.query_store(within).recv_async().await {
--- a/crates/front/tests/follow.rs
+++ b/crates/front/tests/follow.rs
@@ -63,7 +63,10 @@
         let client = Client::default();
         let reader = "p1".parse().unwrap();
         let wait = Span::from_millis(100);
-        client.follow(&reader, address, Revision(5), wait).await
+        client
+            .follow(&reader, address, Revision(5), wait)
+            .await
+            .ok()
     })
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod config_mirror;
 pub mod confirm;
 pub mod decision;
+pub mod direct_access;
 pub mod election;
 pub mod failure_detector;
 pub mod fallback;
--- a/crates/policy/src/store_reader.rs
+++ b/crates/policy/src/store_reader.rs
@@ -7,12 +7,14 @@
 //! suspected. So one proxy of each data centre reads the store and the others follow it: the
 //! bytes between regions and the calls to the store grow with the number of data centres.
 //! Proxies that know the same live proxies choose the same reader. While they differ, or if
-//! neither the reader nor its backup has updates, a proxy reads the store itself.
+//! neither the reader nor its backup has updates, a proxy reads the store itself. One that the
+//! store does not respond to follows any other that has updates.
 
 use indexmap::IndexMap;
 use model::id::ProxyId;
 use model::unit::{Span, Time};
 
+use crate::direct_access::DirectAccess;
 use crate::rank;
 
 /// Key under which proxies are ranked as store readers.
@@ -22,6 +24,10 @@
 /// the reader cannot read the store.
 const MAX_READERS: usize = 2;
 
+/// Proxies of one data centre that others may follow once the readers have lost the store: one of
+/// them that still reads it serves the others.
+const MAX_ALTERNATIVES: usize = 4;
+
 /// Number of proxies in a data centre up to which each reads the store itself: so few do not
 /// fill the link, and updates arrive one hop sooner.
 const MAX_DIRECT: usize = 4;
@@ -30,6 +36,13 @@
 /// reader that lost the store reaches it again within about this time.
 const SKIP_FOR: Span = Span::from_millis(1_500);
 
+/// Time for which a reader is skipped that responded without updates, because the store does
+/// not respond to it. Asking it again costs a message within the data centre.
+const SKIP_WITHOUT_UPDATES_FOR: Span = Span::from_millis(400);
+
+/// Pause between two rounds of asking the readers while none of them has updates.
+const POLL_INTERVAL: Span = Span::from_millis(200);
+
 /// Where a proxy reads.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Upstream {
@@ -39,37 +52,120 @@
     StoreReader(ProxyId),
 }
 
+/// What a proxy does next to get updates.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Follows this proxy of its data centre.
+    Follow(ProxyId),
+    /// Calls the store.
+    Call,
+    /// Waits, since neither has updates now.
+    WaitUntil(Time),
+}
+
 /// The store readers of one data centre, as one of its proxies sees them.
 #[derive(Clone, Debug, Default)]
 pub struct StoreReaders {
-    skipped: IndexMap<ProxyId, Time>,
+    skipped: IndexMap<ProxyId, Skipped>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Skipped {
+    until: Time,
+    /// Whether it responded, though without updates.
+    responds: bool,
 }
 
 impl StoreReaders {
     /// Where `me` reads next; `local` are the live proxies of its data centre.
     pub fn upstream(&self, me: &ProxyId, local: &[ProxyId], now: Time) -> Upstream {
-        if local.len() <= MAX_DIRECT {
-            return Upstream::Store;
+        let before = ranked(local, MAX_READERS).take_while(|id| *id != me);
+        self.choose(before, now)
+    }
+
+    /// Where `me` reads next while the store does not respond to it: others that rank behind it
+    /// may still read the store.
+    pub fn alternative(&self, me: &ProxyId, local: &[ProxyId], now: Time) -> Upstream {
+        let others = ranked(local, MAX_ALTERNATIVES).filter(|id| *id != me);
+        self.choose(others, now)
+    }
+
+    /// What `me` does next to get updates; `direct` says whether the store responds to it.
+    pub fn next(&self, me: &ProxyId, local: &[ProxyId], direct: &DirectAccess, now: Time) -> Next {
+        let upstream = match (direct.is_lost(), direct.may_call(now)) {
+            (true, true) => Upstream::Store,
+            (true, false) => self.alternative(me, local, now),
+            (false, _) => match self.upstream(me, local, now) {
+                Upstream::Store if self.others_respond(me, local) => {
+                    let before = ranked(local, MAX_ALTERNATIVES).take_while(|id| *id != me);
+                    self.choose(before, now)
+                }
+                upstream => upstream,
+            },
+        };
+        match upstream {
+            Upstream::StoreReader(reader) => Next::Follow(reader),
+            Upstream::Store if direct.may_call(now) => Next::Call,
+            Upstream::Store => Next::WaitUntil(direct.next_call().min(now + POLL_INTERVAL)),
         }
-        let mut ranked: Vec<_> = local.iter().collect();
-        rank::sort(RANK_KEY, &mut ranked);
-        let mut candidates = ranked
-            .into_iter()
-            .take(MAX_READERS)
-            .take_while(|id| *id != me);
-        let available = |id: &&ProxyId| self.skipped.get(*id).is_none_or(|until| *until <= now);
+    }
+
+    fn choose<'a>(&self, mut candidates: impl Iterator<Item = &'a ProxyId>, now: Time) -> Upstream {
+        let available = |id: &&ProxyId| self.skipped.get(*id).is_none_or(|s| s.until <= now);
         let reader = candidates.find(available);
         reader.map_or(Upstream::Store, |id| Upstream::StoreReader(id.clone()))
     }
 
-    /// Records that a reader sent nothing: it is unresponsive, or has lost the store.
+    /// Records that a reader is unresponsive.
     pub fn mark_failed(&mut self, reader: &ProxyId, now: Time) {
-        self.skipped.retain(|_, until| *until > now);
-        self.skipped.insert(reader.clone(), now + SKIP_FOR);
+        let until = now + SKIP_FOR;
+        let responds = false;
+        self.skip(reader, Skipped { until, responds }, now);
     }
+
+    /// Records that a reader responded, but has no updates: the store does not respond to it.
+    pub fn mark_without_updates(&mut self, reader: &ProxyId, now: Time) {
+        let until = now + SKIP_WITHOUT_UPDATES_FOR;
+        let responds = true;
+        self.skip(reader, Skipped { until, responds }, now);
+    }
+
+    /// Whether a reader other than `me` has responded lately without updates.
+    pub fn others_respond(&self, me: &ProxyId, local: &[ProxyId]) -> bool {
+        let responds = |id: &ProxyId| self.skipped.get(id).is_some_and(|s| s.responds);
+        ranked(local, MAX_READERS).any(|id| id != me && responds(id))
+    }
+
+    fn skip(&mut self, reader: &ProxyId, skipped: Skipped, now: Time) {
+        self.skipped.retain(|_, s| s.until > now);
+        self.skipped.insert(reader.clone(), skipped);
+    }
+}
+
+/// The first proxies of a data centre by rank; none where each reads the store itself.
+fn ranked(local: &[ProxyId], count: usize) -> impl Iterator<Item = &ProxyId> {
+    let mut ranked: Vec<_> = local.iter().collect();
+    rank::sort(RANK_KEY, &mut ranked);
+    let count = if has_followers(local.len()) { count } else { 0 };
+    ranked.into_iter().take(count)
+}
+
+/// Whether `me` is the reader of its data centre or its backup, where others follow a reader.
+pub fn is_reader(me: &ProxyId, local: &[ProxyId]) -> bool {
+    ranked(local, MAX_READERS).any(|id| id == me)
+}
+
+/// Whether others follow `me` once the proxies that rank before it have lost the store.
+pub fn may_take_over(me: &ProxyId, local: &[ProxyId]) -> bool {
+    ranked(local, MAX_ALTERNATIVES).any(|id| id == me)
+}
+
+/// Whether proxies follow a reader in a data centre with `local` live ones.
+pub const fn has_followers(local: usize) -> bool {
+    local > MAX_DIRECT
 }
 
 /// How many proxies read the store in a data centre with `local` live ones.
 pub fn readers(local: usize) -> usize {
-    if local <= MAX_DIRECT { local } else { 1 }
+    if has_followers(local) { 1 } else { local }
 }
