--- a/crates/load/src/slopes/sockets.rs
+++ b/crates/load/src/slopes/sockets.rs
@@ -7,7 +7,7 @@
 use futures_util::future;
 use miette::IntoDiagnostic as _;
 use model::position::Revision;
-use proxy::member::{Nothing, OWN, Own};
+use proxy::member::{Empty, OWN, OwnState};
 use store::kv::Outcome;
 
 use super::process;
@@ -167,7 +167,7 @@
 async fn wait(peers: &peer::Client, peer: SocketAddr, revision: Revision) -> miette::Result<()> {
     let end = Instant::now() + PATIENCE;
     while Instant::now() < end {
-        let own = peers.call::<_, Own>(peer, OWN, &Nothing {}, PATIENCE, None);
+        let own = peers.call::<_, OwnState>(peer, OWN, &Empty {}, PATIENCE, None);
         if own.await.into_diagnostic()?.revision >= revision {
             return Ok(());
         }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod confirm;
 pub mod customer_pooler;
 pub mod decision;
+pub mod direct_access;
 pub mod election;
 pub mod failure_detector;
 pub mod fallback;
