Begin with whole permits at each granter, also for customers with small limits

Cause: new granters began with 0.2 of the reserve over 12 parts, and those without confirmation accumulated no more than that: 0.35 permits a part for a customer with 1.5 operations a second, 0.38 for one with 5. As granters issue whole permits, such a customer got nothing for 1 to 3 s after a restart of all, though the tolerated excess is several times its use; and a granter without confirmation never issued it anything.

Change: of the reserve 0.1 (before: 0.4) is for what unconfirmed granters issue over time, at least 0.4 (before: 0.2) for what granters begin with, raised to one whole permit where another is left for each granter's capacity; the rest extends bursts. The sum and the proof in Budget::new are unchanged.

Ruled out: fewer parts for small limits; proxies with different configurations would differ in their number.

Tests: all_parts_together_stay_within_the_limit has the same cases and checks (its body is shared with new cases for small limits); a new one requires whole permits at unconfirmed granters and a whole one of capacity.

--- a/crates/policy/src/quota/budget.rs
+++ b/crates/policy/src/quota/budget.rs
@@ -5,15 +5,12 @@
 
 use super::{PARTS, PERMIT_TTL};
 
-/// Part of the reserve with which granters begin, after a start or a change of granter.
-const INITIAL: f64 = 0.2;
+/// Least part of the reserve with which granters begin, after a start or a change of granter.
+/// After a restart of all, customers live on it until the granters are confirmed.
+const INITIAL: f64 = 0.4;
 
-/// Part of the reserve that extends the granters' bursts. Without it, customers with small
-/// bursts would never have a whole permit at one granter.
-const BURST: f64 = 0.4;
-
-/// Part of the reserve for granters whose authority is not confirmed.
-const UNCONFIRMED: f64 = 0.4;
+/// Part of the reserve for what granters without confirmed authority issue over time.
+const UNCONFIRMED: f64 = 0.1;
 
 /// Number of parts that may be granted in one window, if each is taken over by another proxy.
 const MAX_PARTS: f64 = 2.0 * PARTS as f64;
@@ -66,6 +63,10 @@
     /// time granters issue at most their rates, what had accumulated before, what new granters
     /// begin with, and what unconfirmed granters issue. The sum of these is the allowed
     /// number. The regular rates and bursts get most of it, and the reserve the rest.
+    ///
+    /// Granters issue whole permits only. Where the reserve suffices, each begins with a whole
+    /// one and may accumulate a whole one: otherwise customers with small limits would get
+    /// nothing for seconds after a restart of all, however little they use.
     pub fn new(limit: RateLimit, terms: Terms) -> Self {
         let window = seconds(terms.window);
         let limited = limit.per_s() * window + limit.burst();
@@ -76,11 +77,17 @@
         let regular = allowed - reserve;
         let burst = (limit.burst() / 2.0).min(regular / 2.0);
         let parts = PARTS as f64;
+        let unconfirmed = reserve * UNCONFIRMED;
+        let divided = reserve - unconfirmed;
+        let mut initial = reserve * INITIAL / MAX_PARTS;
+        if divided >= MAX_PARTS + parts {
+            initial = initial.max(1.0);
+        }
         Self {
             rate: (regular - burst) / granted_in / parts,
-            unconfirmed_rate: reserve * UNCONFIRMED / granted_in / MAX_PARTS,
-            capacity: (burst + reserve * BURST) / parts,
-            initial: reserve * INITIAL / MAX_PARTS,
+            unconfirmed_rate: unconfirmed / granted_in / MAX_PARTS,
+            capacity: (burst + divided - initial * MAX_PARTS) / parts,
+            initial,
         }
     }
 }
--- a/crates/policy/tests/quota.rs
+++ b/crates/policy/tests/quota.rs
@@ -62,6 +62,10 @@
 #[test_case(10_000.0, 0.0, TERMS)]
 #[test_case(50.0, 500.0, Terms { overage: 0.0, slack: 0.0, ..TERMS }; "without tolerance")]
 fn all_parts_together_stay_within_the_limit(per_s: f64, burst: f64, terms: Terms) {
+    all_parts_stay_within(per_s, burst, terms);
+}
+
+fn all_parts_stay_within(per_s: f64, burst: f64, terms: Terms) {
     let budget = Budget::new(limit(per_s, burst), terms);
     let window = terms.window.as_micros() as f64 / 1e6;
     let granted_in = window + PERMIT_TTL.as_micros() as f64 / 1e6;
@@ -76,6 +80,30 @@
     assert!(parts * budget.rate >= 0.7 * per_s);
 }
 
+/// All proxies restart: a customer that asks for less than its rate is served in the first
+/// second, also before any granter is confirmed, where the accepted excess leaves room for it.
+#[test_case(0.5)]
+#[test_case(2.0)]
+#[test_case(5.0)]
+fn granters_begin_with_enough_for_a_small_customer(per_s: f64) {
+    let budget = Budget::new(limit(per_s, per_s), TERMS);
+    let mut granters: Vec<_> = (0..PARTS)
+        .map(|_| Granter::new(budget, unconfirmed(1), at(0)))
+        .collect();
+    let granted = granters.iter_mut().map(|g| g.grant(9, at(0)).granted);
+    let granted: u32 = granted.sum();
+    assert!(f64::from(granted) >= per_s, "{granted}");
+    assert!(budget.capacity >= 1.0, "{}", budget.capacity);
+}
+
+/// Customers with small limits, and terms without tolerance: the bound holds for both.
+#[test_case(0.1, 0.0, TERMS; "hardly any")]
+#[test_case(1.5, 1.5, TERMS; "less than a permit for each part")]
+#[test_case(4.0, 4.0, Terms { overage: 0.0, slack: 0.0, ..TERMS }; "a small customer without tolerance")]
+fn small_limits_stay_within_the_terms(per_s: f64, burst: f64, terms: Terms) {
+    all_parts_stay_within(per_s, burst, terms);
+}
+
 fn granted_in_a_second(parts: Parts) -> f64 {
     let budget = Budget::new(limit(90.0, 90.0), TERMS);
     let mut granter = Granter::new(budget, parts, at(0));
