--- a/crates/front/src/directory.rs
+++ b/crates/front/src/directory.rs
@@ -265,6 +265,7 @@
         }
         self.distribute_proxies(&state);
         let routes = self.cx.routes();
+        state.update_proxies(routes.groups.len(), clock::now());
         for (group, limits) in &routes.groups {
             let handle = self.cx.ensure_group(group);
             let capacity = Capacity {
--- a/crates/front/src/directory/state.rs
+++ b/crates/front/src/directory/state.rs
@@ -12,6 +12,7 @@
 use model::route::Routes;
 use model::unit::{Span, Time};
 use platform::{entry, routes};
+use policy::recompute::Recompute;
 use policy::store_reader;
 use store::kv::{Listing, Record};
 use store::watch::{Batch, Change};
@@ -73,8 +74,11 @@
     newly_announced: IndexSet<InstanceId>,
     placements: IndexMap<GroupId, CachedPlacement>,
     proxies: IndexMap<ProxyId, KnownProxy>,
-    /// Increased whenever a proxy appears, vanishes, or announces something else.
+    /// Increased by [`State::update_proxies`] after a proxy has appeared, vanished, or announced
+    /// something else.
     proxies_version: u64,
+    /// When `proxies_version` is increased.
+    recompute: Recompute,
     coordinator: Option<Record>,
     suspicions: IndexMap<(GroupId, ProxyId), InstanceId>,
     intents: Intents,
@@ -188,7 +192,9 @@
         let known = self.proxies.len();
         self.proxies
             .retain(|id, _| exists(&format!("{PROXIES}{id}")));
-        self.proxies_version += u64::from(known != self.proxies.len());
+        if known != self.proxies.len() {
+            self.recompute.outdate();
+        }
         self.suspicions
             .retain(|(group, proxy), _| exists(&format!("{SUSPICIONS}{group}/{proxy}")));
         self.intents.retain(exists, listing.revision);
@@ -319,7 +325,7 @@
         let announced = announced.ok();
         let known = self.proxies.get(&id);
         if known.is_none_or(|known| known.announced != announced) {
-            self.proxies_version += 1;
+            self.recompute.outdate();
         }
         let revision = record.revision;
         self.proxies.insert(
@@ -450,7 +456,7 @@
         } else if let Some(proxy) = key.strip_prefix(PROXIES) {
             if let Ok(proxy) = proxy.parse::<ProxyId>() {
                 self.proxies.shift_remove(&proxy);
-                self.proxies_version += 1;
+                self.recompute.outdate();
             }
         } else if let Some(at) = keys::suspicion(key) {
             self.suspicions.shift_remove(&at);
@@ -478,9 +484,9 @@
     }
 
     /// Removes instances whose entries have been missing for long; returns whether a group
-    /// changed.
+    /// changed, or placements have yet to follow the live proxies.
     pub fn sweep(&mut self, now: Time) -> bool {
-        let mut changed = false;
+        let mut changed = self.recompute.is_outdated();
         for known in self.instances.values_mut() {
             let due = |since| now.since(since) >= REMOVE_AFTER;
             if !known.removal_reported && known.missing_since.is_some_and(due) {
@@ -497,6 +503,14 @@
         changed
     }
 
+    /// Lets the placements of `groups` groups follow the live proxies, unless they did so a
+    /// moment ago.
+    pub fn update_proxies(&mut self, groups: usize, now: Time) {
+        if self.recompute.is_due(self.proxies.len(), groups, now) {
+            self.proxies_version += 1;
+        }
+    }
+
     /// The configuration, if it changed since the last call.
     pub fn take_routes(&mut self) -> Option<Routes> {
         std::mem::take(&mut self.routes_changed).then(|| self.routes.clone())
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod quota;
 pub mod rank;
 pub mod read;
+pub mod recompute;
 pub mod replica_ack;
 pub mod retry;
 pub mod route;
