Ask the backup before the store when a fleet starts

Change: a proxy that knows nothing yet asks the backup as well; a refused connection costs no time, an unresponsive VM 150 ms. A proxy that has the state still goes to the store after an unresponsive reader, to learn of changes in time. Ruled out: waiting for the reader, which would lengthen a return.

--- a/crates/front/src/directory/upstream.rs
+++ b/crates/front/src/directory/upstream.rs
@@ -124,8 +124,10 @@
                 Err(e) => {
                     tracing::info!(%reader, cause = %e, "a store reader sent no usable update");
                     mark(&self.update_readers, &reader, &e);
-                    // An unresponsive reader has cost so much time that the store is read next.
-                    if !was_lost && !matches!(e, FollowFailure::NotReading) {
+                    // An unresponsive reader has cost so much time that the store is read next. When
+                    // the whole fleet starts, readers that are not there yet cost none.
+                    let costs_time = !matches!(e, FollowFailure::NotReading);
+                    if !was_lost && known == Known::All && costs_time {
                         return None;
                     }
                 }
