--- a/crates/policy/src/pooler.rs
+++ b/crates/policy/src/pooler.rs
@@ -26,7 +26,7 @@
 /// Number of proxies up to which each may hold its own connections. In a larger fleet the proxies
 /// would open a connection to every instance each when they start, which grows with the square of
 /// the fleet: 300 proxies before 300 instances had opened 90,000.
-const MAX_DIRECT_PROXIES: u32 = 80;
+const MAX_DIRECT_PROXIES: u32 = 96;
 
 /// Most poolers of one group in one data centre. More of them add connections and probes of the
 /// instances, while a few serve the group's statements.
--- a/crates/policy/src/recompute.rs
+++ b/crates/policy/src/recompute.rs
@@ -16,7 +16,7 @@
 const MAX_INTERVAL: Span = Span::from_millis(1_000);
 
 /// Number of pairs up to which each change is acted upon at once.
-const MAX_PAIRS_AT_ONCE: u64 = 2_500;
+const MAX_PAIRS_AT_ONCE: u64 = 4_000;
 
 /// Pacing of the computations of one proxy.
 #[derive(Clone, Debug, Default)]
--- a/crates/policy/tests/fleet_cost.rs
+++ b/crates/policy/tests/fleet_cost.rs
@@ -115,6 +115,7 @@
 /// each announcement took most of the processor share of each.
 #[test_case(9, 3, 300; "nine proxies follow each announcement")]
 #[test_case(87, 8, 300; "87 proxies follow each announcement")]
+#[test_case(195, 20, 300; "195 proxies follow each announcement")]
 #[test_case(300, 100, 4; "300 proxies")]
 #[test_case(1_000, 333, 4; "1000 proxies")]
 fn placements_are_computed_a_few_times_a_second(proxies: usize, groups: usize, at_most: usize) {
@@ -144,6 +145,19 @@
     }
 }
 
+/// 91 proxies share 274 connections of each instance: each keeps its own, as a request to a pooler
+/// would add a hop that nothing calls for.
+#[test]
+fn up_to_a_hundred_proxies_hold_their_own_connections() {
+    let live = fleet(91);
+    let capacity = Capacity {
+        connections: 274,
+        by_customer: false,
+    };
+    let plan = pooler::plan(&"db-0".parse().unwrap(), capacity, &live[0], &live);
+    assert!(plan.is_holder && plan.poolers.is_empty());
+}
+
 /// Readers of the store, which the operators pay for, grow with the data centres only.
 #[test]
 fn one_proxy_of_a_data_centre_reads_the_store() {
