Test that a rejected reader turns its followers away at once

The reader follows another proxy meanwhile (StoreAccess::Diverted); a follower that waited for it would have no updates for its whole wait.

--- a/crates/front/tests/feed.rs
+++ b/crates/front/tests/feed.rs
@@ -79,3 +79,21 @@
         assert!(received.is_none());
     });
 }
+
+/// Guards against followers that wait for a reader which cannot take over: the store rejects it, so
+/// it gets its updates from another proxy, as they should.
+#[test]
+fn a_rejected_reader_turns_its_followers_away_at_once() {
+    block_on(async {
+        let feed = Feed::default();
+        feed.set_access(StoreAccess::Reads);
+        feed.take(&listing(7));
+        assert!(feed.reaches_store());
+        let request = feed.after(Revision(7), Span::from_millis(60_000));
+        let rejected = async { feed.set_access(StoreAccess::Diverted) };
+        let (received, ()) = futures_util::future::join(request, rejected).await;
+        assert!(received.is_none() && !feed.reaches_store());
+        let received = feed.after(Revision(0), Span::from_millis(60_000)).await;
+        assert!(received.is_none());
+    });
+}
