--- a/crates/front/src/checkout.rs
+++ b/crates/front/src/checkout.rs
@@ -1,5 +1,5 @@
-//! Checkout of a connection for a statement: from this proxy's own pool, from a pooler of
-//! its data centre, or from any other proxy that reaches the group (the fallback).
+//! Checkout of a connection for a statement: from this proxy's own pool, from a pooler of its
+//! data centre or region, or from any other proxy that reaches the group (the fallback).
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -34,7 +34,7 @@
 const MARK: u8 = b'!';
 
 /// Longest wait until the pooler confirms that it has received a request. It is in the same
-/// data centre and confirms within a millisecond; one that doesn't is skipped.
+/// data centre or region and confirms within some milliseconds; one that doesn't is skipped.
 const RECEIPT_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Kind of a relayed request; a coordinator's queries are not relayed.
--- a/crates/policy/src/pooler.rs
+++ b/crates/policy/src/pooler.rs
@@ -5,7 +5,8 @@
 //! statements, and instances would spend their slots on handshakes; a quarter of all
 //! statements were rejected. Where there are too few connections for all proxies, a few
 //! poolers in each data centre execute the group's statements for the others, over
-//! long-lived connections that many proxies share.
+//! long-lived connections that many proxies share. Where a connection serves one customer only,
+//! [`crate::customer_pooler`] decides instead.
 
 use indexmap::{IndexMap, IndexSet};
 use model::hash;
