--- a/crates/policy/src/pooler.rs
+++ b/crates/policy/src/pooler.rs
@@ -6,7 +6,8 @@
 //! statements were rejected. Where there are too few connections for all proxies, or too many
 //! proxies, a few
 //! poolers in each data centre execute the group's statements for the others, over
-//! long-lived connections that many proxies share.
+//! long-lived connections that many proxies share. Where a connection serves one customer only,
+//! [`crate::customer_pooler`] decides instead.
 
 use indexmap::{IndexMap, IndexSet};
 use model::hash;
