Lengthen the interval between tests of a replica only while its log does not grow

Cause: with the usual lag of 60 ms, sessions that read what they have just written are refused now and then by replicas that are well. Each refused test doubled the interval, so that such a replica could stay unused for 400 ms and its reads went to the primary.

--- a/crates/policy/src/pool/instance.rs
+++ b/crates/policy/src/pool/instance.rs
@@ -348,7 +348,7 @@
 
     /// Records that its log lacked a point that a read required.
     pub(super) fn record_lack(&mut self, point: Point, now: Time) {
-        self.lag = Some(Lag::refused(self.lag, point, now));
+        self.lag = Some(Lag::refused(self.lag, point, self.log_end, now));
     }
 
     /// Records the end of its log, as a response showed it.
--- a/crates/policy/src/pool/lag.rs
+++ b/crates/policy/src/pool/lag.rs
@@ -24,6 +24,8 @@
 pub(super) struct Lag {
     lacked: Point,
     refused_at: Time,
+    /// Furthest end of its log that was known at the refusal.
+    log_end: Point,
     /// Whether a single read tests the replica at present.
     is_tested: bool,
     /// When the next read may test it, and the interval between two such reads.
@@ -32,9 +34,10 @@
 }
 
 impl Lag {
-    /// What is known after a refused read, and what was known before it.
-    pub(super) fn refused(earlier: Option<Self>, point: Point, now: Time) -> Self {
-        let interval = match earlier {
+    /// What is known after a refused read, and what was known before it. The interval grows only
+    /// while the log does not: a replica with a usual lag often lacks the newest writes.
+    pub(super) fn refused(earlier: Option<Self>, point: Point, log_end: Point, now: Time) -> Self {
+        let interval = match earlier.filter(|earlier| log_end <= earlier.log_end) {
             Some(earlier) if earlier.is_tested => earlier.interval.times(2).min(MAX_RETRY),
             Some(earlier) => earlier.interval,
             None => RETRY,
@@ -42,6 +45,7 @@
         Self {
             lacked: point,
             refused_at: now,
+            log_end,
             is_tested: false,
             test_at: now + interval,
             interval,
