--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -10,6 +10,7 @@
 mod demand;
 mod forecast;
 mod instance;
+mod lag;
 mod queue;
 mod refuse;
 mod request;
--- a/crates/policy/src/pool/refuse.rs
+++ b/crates/policy/src/pool/refuse.rs
@@ -157,7 +157,9 @@
         let is_hopeless = if waited.times(EARLY) > request.objective {
             shortest.exceeds(left.times(CERTAIN))
         } else {
-            let is_judged = waited.times(JUDGED_AFTER) >= request.objective;
+            // While all replicas lag, the rate is that of the primary; one may catch up.
+            let is_lasting = lane == Lane::Primary || self.lagging_since.is_none();
+            let is_judged = is_lasting && waited.times(JUDGED_AFTER) >= request.objective;
             shortest.exceeds(left) || (is_judged && likely.exceeds(left))
         };
         if is_hopeless {
