--- a/crates/policy/src/pool/refuse.rs
+++ b/crates/policy/src/pool/refuse.rs
@@ -157,9 +157,9 @@
         let is_hopeless = if waited.times(EARLY) > request.objective {
             shortest.exceeds(left.times(CERTAIN))
         } else {
-            // While all replicas lag, the rate is that of the primary; one may catch up.
-            let is_lasting = lane == Lane::Primary || self.lagging_since.is_none();
-            let is_judged = is_lasting && waited.times(JUDGED_AFTER) >= request.objective;
+            // Reads that the primary has no room for may find a replica that has caught up.
+            let is_judged =
+                lane == Lane::Primary && waited.times(JUDGED_AFTER) >= request.objective;
             shortest.exceeds(left) || (is_judged && likely.exceeds(left))
         };
         if is_hopeless {
