--- a/crates/policy/src/pool/refuse.rs
+++ b/crates/policy/src/pool/refuse.rs
@@ -157,9 +157,7 @@
         let is_hopeless = if waited.times(EARLY) > request.objective {
             shortest.exceeds(left.times(CERTAIN))
         } else {
-            // Reads that the primary has no room for may find a replica that has caught up.
-            let is_judged =
-                lane == Lane::Primary && waited.times(JUDGED_AFTER) >= request.objective;
+            let is_judged = waited.times(JUDGED_AFTER) >= request.objective;
             shortest.exceeds(left) || (is_judged && likely.exceeds(left))
         };
         if is_hopeless {
