--- a/crates/policy/tests/fleet_cost.rs
+++ b/crates/policy/tests/fleet_cost.rs
@@ -4,7 +4,7 @@
 use indexmap::IndexMap;
 use model::id::{GroupId, ProxyId};
 use model::unit::{Span, Time};
-use policy::pooler::{self, Capacity, Proxy};
+use policy::pooler::{self, Proxy};
 use policy::recompute::Recompute;
 use policy::store_reader::{StoreReaders, Upstream};
 use test_case::test_case;
@@ -31,13 +31,9 @@
 }
 
 /// A third as many groups as proxies, whose instances accept two connections for each proxy.
-fn groups(size: usize) -> (Vec<GroupId>, Capacity) {
+fn groups(size: usize) -> (Vec<GroupId>, u32) {
     let ids = (0..size / 3).map(|n| format!("db-{n}").parse().unwrap());
-    let capacity = Capacity {
-        connections: u32::try_from(size * 22 / 9).unwrap(),
-        by_customer: false,
-    };
-    (ids.collect(), capacity)
+    (ids.collect(), u32::try_from(size * 22 / 9).unwrap())
 }
 
 /// The load of the middle proxy and of the busiest one.
@@ -80,9 +76,9 @@
 fn connections_to_instances_do_not_grow_with_the_fleet() {
     assert_bounded("connections to instances", |size| {
         let live = fleet(size);
-        let (groups, capacity) = groups(size);
+        let (groups, connections) = groups(size);
         let held = |me: &Proxy| {
-            let holds = |g: &&GroupId| pooler::plan(g, capacity, me, &live).is_holder;
+            let holds = |g: &&GroupId| pooler::plan(g, connections, me, &live).is_holder;
             groups.iter().filter(holds).count() * INSTANCES_PER_GROUP
         };
         let step = size.div_ceil(SAMPLE);
@@ -95,12 +91,12 @@
 fn requests_for_connections_spread_over_the_proxies() {
     for size in [100, 300] {
         let live = fleet(size);
-        let (groups, capacity) = groups(size);
+        let (groups, connections) = groups(size);
         let mut requests: IndexMap<ProxyId, usize> =
             live.iter().map(|p| (p.id.clone(), 0)).collect();
         for me in &live {
             for group in &groups {
-                let plan = pooler::plan(group, capacity, me, &live);
+                let plan = pooler::plan(group, connections, me, &live);
                 let first = plan.poolers.first().unwrap();
                 *requests.get_mut(first).unwrap() += 1;
             }
@@ -150,11 +146,7 @@
 #[test]
 fn up_to_a_hundred_proxies_hold_their_own_connections() {
     let live = fleet(91);
-    let capacity = Capacity {
-        connections: 274,
-        by_customer: false,
-    };
-    let plan = pooler::plan(&"db-0".parse().unwrap(), capacity, &live[0], &live);
+    let plan = pooler::plan(&"db-0".parse().unwrap(), 274, &live[0], &live);
     assert!(plan.is_holder && plan.poolers.is_empty());
 }
 
