--- a/crates/policy/src/pooler.rs
+++ b/crates/policy/src/pooler.rs
@@ -3,8 +3,7 @@
 //! Under load, 65 proxies use instances that accept 41 connections each. With less than
 //! one connection for each proxy, connections would be opened and closed around single
 //! statements, and instances would spend their slots on handshakes; a quarter of all
-//! statements were rejected. Where there are too few connections for all proxies, or too many
-//! proxies, a few
+//! statements were rejected. Where there are too few connections for all proxies, a few
 //! poolers in each data centre execute the group's statements for the others, over
 //! long-lived connections that many proxies share.
 
@@ -23,15 +22,6 @@
 /// statement of a proxy with several customers would close one connection and open another.
 const DIRECT_CONNECTIONS_BY_CUSTOMER: u32 = 4;
 
-/// Number of proxies up to which each may hold its own connections. In a larger fleet the proxies
-/// would open a connection to every instance each when they start, which grows with the square of
-/// the fleet: 300 proxies before 300 instances had opened 90,000.
-const MAX_DIRECT_PROXIES: u32 = 96;
-
-/// Most poolers of one group in one data centre. More of them add connections and probes of the
-/// instances, while a few serve the group's statements.
-const MAX_POOLERS: u32 = 8;
-
 /// Connections that each pooler should have: an instance has a few slots, and idle
 /// transactions hold about as many connections again.
 const POOLER_CONNECTIONS: u32 = 4;
@@ -98,8 +88,7 @@
     }
     let size = |ids: &IndexSet<_>| u32::try_from(ids.len()).unwrap_or(u32::MAX);
     let proxies = centres.values().map(size).sum();
-    let is_small = proxies <= MAX_DIRECT_PROXIES;
-    if is_small && connections / proxies >= capacity.direct_connections() {
+    if connections / proxies >= capacity.direct_connections() {
         return Plan {
             holders: proxies,
             is_holder: true,
@@ -114,7 +103,7 @@
         centres.into_values().collect()
     };
     let area_count = u32::try_from(areas.len()).unwrap_or(u32::MAX);
-    let per_area = (connections / (area_count * POOLER_CONNECTIONS)).clamp(1, MAX_POOLERS);
+    let per_area = (connections / (area_count * POOLER_CONNECTIONS)).max(1);
     let holders = areas.iter().map(|ids| per_area.min(size(ids))).sum();
     let local = areas.into_iter().find(|ids| ids.contains(&me.id));
     let local = local.unwrap_or_default();
