--- a/crates/front/src/relay/client.rs
+++ b/crates/front/src/relay/client.rs
@@ -157,7 +157,10 @@
             Ok(FromPooler::Permits(answer)) => Some(answer),
             Ok(_) => None,
             Err(e) => {
-                tracing::info!(%granter, %customer, cause = %e, "a request for permits was not answered");
+                // A query whether a silent granter answers again asks for none.
+                if count > 0 {
+                    tracing::info!(%granter, %customer, cause = %e, "a request for permits was not answered");
+                }
                 None
             }
         }
