--- a/crates/policy/src/quota/reservation.rs
+++ b/crates/policy/src/quota/reservation.rs
@@ -12,10 +12,9 @@
 
 use super::holder::Permit;
 
-/// Longest time for which a permit is kept for an operation that waits for its connection: a
-/// round trip between regions and the opening of a connection. What is left of the permit's
-/// validity suffices for another operation.
-const MAX_HOLD: Span = Span::from_millis(100);
+/// Longest time for which a permit is kept for an operation that waits for its connection. What
+/// is left of its validity suffices for another operation.
+const MAX_HOLD: Span = Span::from_millis(200);
 
 /// The permit of one operation.
 #[derive(Clone, Copy, Debug, Default)]
