Reserve the ports of a test process against other ones

Cause: each test process of front took ports from one range, beginning at a place by its id, and released each again before its proxy listened on it. Of two processes at the same time (several worktrees, or one run beside another) callers then connected to each other's proxies. Seen: an_unanswered_order_is_followed_by_none_for_another_instance failed once with the log a=1, a=2, a=2, a=2, a=3 while others ran front's tests; four copies of the test program path at once failed in 3 of 4, with foreign writes in the logs (item1=one, a=0, a=1, ...) and "address already in use".

Now a process keeps a listener on the first port of each block that it takes, so no two processes share a block. Four copies at once: 4 of 4 pass (34 tests each). No check of any test changes.

--- a/crates/front/tests/env/mod.rs
+++ b/crates/front/tests/env/mod.rs
@@ -6,7 +6,8 @@
 
 use std::io::{BufRead as _, BufReader, Read as _, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -23,25 +24,46 @@
 static IDS: AtomicU64 = AtomicU64::new(1);
 
 /// Ports below the kernel's range for outgoing connections.
-const PORTS: std::ops::Range<u32> = 10_240..32_000;
+const PORTS: std::ops::Range<u16> = 10_240..32_000;
 
-static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+/// Ports that a process reserves at a time.
+const BLOCK: u16 = 320;
+
+/// Ports that this process has reserved, and a listener on the first port of each block, which
+/// keeps other processes from reserving the same one.
+static RESERVED: Mutex<(Vec<TcpListener>, std::ops::Range<u16>)> = Mutex::new((Vec::new(), 0..0));
 
 /// Returns an address with an unused port. A port that the kernel picks could be taken by an
-/// outgoing connection of another test before the proxy listens on it. The kernel never picks
-/// one of `PORTS`, and each process starts at another port.
+/// outgoing connection of another test before the proxy listens on it; the kernel never picks
+/// one of `PORTS`. No other process uses it either: callers of tests that run at the same time
+/// would connect to each other's proxies.
 fn unused_address() -> SocketAddr {
-    let first = std::process::id().wrapping_mul(97);
+    let mut reserved = RESERVED.lock().unwrap();
+    let (guards, ports) = &mut *reserved;
     loop {
-        let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-        let port = PORTS.start + first.wrapping_add(next) % (PORTS.end - PORTS.start);
-        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
-        if TcpListener::bind(address).is_ok() {
-            return address;
+        let Some(port) = ports.next() else {
+            let (guard, block) = reserve_block();
+            guards.push(guard);
+            *ports = block;
+            continue;
+        };
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().unwrap();
         }
     }
 }
 
+fn reserve_block() -> (TcpListener, std::ops::Range<u16>) {
+    let blocks = u32::from((PORTS.end - PORTS.start) / BLOCK);
+    let first = std::process::id() % blocks;
+    let block = |n: u32| {
+        let start = PORTS.start + ((first + n) % blocks) as u16 * BLOCK;
+        let guard = TcpListener::bind(("127.0.0.1", start)).ok()?;
+        Some((guard, start + 1..start + BLOCK))
+    };
+    (0..blocks).find_map(block).unwrap()
+}
+
 /// A configuration with one group and 23 connections for each instance.
 pub(crate) fn configuration(version: u64, databases: &[(&str, &str)]) -> serde_json::Value {
     with_connections(version, databases, 23)
