Say that the largest part of a pooler is a divisor, and name the idle time-out

Two comments that stopped a reader: MAX_PART reads as a count of parts and is a divisor, and the pause after a refusal named a number that stands as a constant in keep.

--- a/crates/policy/src/customer_pooler.rs
+++ b/crates/policy/src/customer_pooler.rs
@@ -31,8 +31,8 @@
 /// frequent customers.
 const POOLER_CONNECTIONS: u32 = 13;
 
-/// Most parts of a region's partitions that one VM may pool, however large it is: losing it
-/// must leave most customers with their poolers.
+/// Largest part of a region's partitions that one VM may pool, as a divisor, however large the
+/// VM is: losing it must leave most customers with their poolers.
 const MAX_PART: usize = 4;
 
 /// Bandwidth that a pooler needs for each thousandth of a core, in kbit/s: a pooled statement
--- a/crates/policy/src/pool/instance.rs
+++ b/crates/policy/src/pool/instance.rs
@@ -13,7 +13,7 @@
 use super::{ConnInfo, OpenError};
 
 /// Pause after the instance reported that it has no connection left. Other proxies close theirs
-/// after some 400 ms; retrying more often costs the instance work.
+/// after `keep::IDLE_TIMEOUT`; retrying more often costs the instance work.
 const FULL_PAUSE: Span = Span::from_millis(500);
 
 /// Pause after a connection could not be opened.
