Keep an order for the present primary pending until it has taken effect

Cause: before a change of primary demotes a primary for which an order has no response, it orders that primary again, so that the platform refuses the earlier orders, and took the acceptance for the end of all of them. But an accepted order takes effect some hundred ms later even if its instance leads when it is accepted. The instance was demoted meanwhile, led again, and the platform resumed the replicas that the order for the next primary relied on being paused. One of them acknowledged a commit that the next primary lacked.

The model took such an order for one that changes nothing.

Change: the intent stays pending for EFFECT_TIMEOUT after the acceptance. A change waits for that before it demotes the primary or orders another instance; the primary serves meanwhile.

Tests: the searches find nothing in the six settings, and all earlier searches hold at their depth with the corrected model and fail with their guards off. The stand-in now carries out an order for the leader as the platform does. policy, front and standin: all tests pass.

--- a/crates/front/src/coordinator/order.rs
+++ b/crates/front/src/coordinator/order.rs
@@ -123,29 +123,35 @@
         .with(|s| s.order_unreadable(group, clock::now()))
 }
 
-/// Makes the platform reject earlier orders without a response, which are all for the primary:
-/// whether they are carried out before this one or not, it leads and continues to lead. Returns
-/// whether none is pending any more.
+/// Makes the platform reject earlier orders without a response, which are all for the primary.
 ///
-/// An order that is carried out after the primary was demoted makes it lead again, and resumes
-/// replicas that have to stay paused for the next order.
+/// An order takes effect even if its instance leads when the platform accepts it: once demoted,
+/// the instance leads again, and the replicas resume that have to stay paused for the next order.
+/// So the orders stay pending, and the primary must not be replaced, until the returned time.
+/// `None` if the platform did not accept the order.
 pub(super) async fn void_earlier(
     this: &Coordinator,
     queries: &InstanceQueries,
     primary: &InstanceId,
-) -> bool {
+) -> Option<Time> {
     let basis = OrderBasis::new(queries);
-    match pending(this, &basis.group) {
-        Some(ordered) if ordered == *primary => {}
-        Some(_) => return false,
-        None => return true,
+    let group = &basis.group;
+    if pending(this, group).as_ref() != Some(primary) {
+        return None;
     }
-    let sent = send(this, Purpose::VoidEarlier, &basis, primary).await;
-    let Some(sent) = sent.filter(|sent| sent.response == Some(OrderResponse::Accepted)) else {
-        return false;
-    };
-    delete_intent(this, &basis.group, IntentKind::Lead, sent.intent).await;
-    true
+    let now = clock::now();
+    let settles_at = this.directory.with(|s| s.order_settles_at(group, now));
+    if settles_at.is_some() {
+        return settles_at;
+    }
+    let sent = send(this, Purpose::VoidEarlier, &basis, primary).await?;
+    if sent.response != Some(OrderResponse::Accepted) {
+        return None;
+    }
+    let settles_at = sent.at + order::EFFECT_TIMEOUT;
+    this.directory
+        .order_accepted(group, sent.intent, settles_at);
+    Some(settles_at)
 }
 
 /// Deletes the intent of an order for an instance that has been replaced at its address: that
--- a/crates/front/src/coordinator/takeover.rs
+++ b/crates/front/src/coordinator/takeover.rs
@@ -207,8 +207,10 @@
 
     /// Voids pending orders for the primary itself; it must not be demoted before that.
     async fn void_earlier(&mut self, this: &Coordinator, instances: &[InstanceView]) {
-        if !order::void_earlier(this, &self.queries, &self.old_primary).await {
-            self.wait(this, WaitCause::OrderPending, instances).await;
+        let settles_at = order::void_earlier(this, &self.queries, &self.old_primary).await;
+        self.wait(this, WaitCause::OrderPending, instances).await;
+        if let Some(settles_at) = settles_at {
+            clock::sleep_until(settles_at).await;
         }
     }
 
--- a/crates/front/src/directory.rs
+++ b/crates/front/src/directory.rs
@@ -170,6 +170,14 @@
         Err(IntentError::Superseded)
     }
 
+    /// Stores when an accepted promotion order has taken effect at the latest: from then on, its
+    /// intent counts as expired.
+    pub fn order_accepted(&self, group: &GroupId, intent: Revision, settles_at: Time) {
+        self.state
+            .borrow_mut()
+            .order_accepted(group, intent, settles_at);
+    }
+
     /// Deletes an intent, unless a newer one has replaced it.
     pub async fn delete_intent(
         &self,
--- a/crates/front/src/directory/intents.rs
+++ b/crates/front/src/directory/intents.rs
@@ -66,9 +66,20 @@
     pub(super) learned_at: Time,
     /// Its value in the store.
     pub(super) value: Vec<u8>,
+    /// When its call has taken effect at the latest, once the call was accepted.
+    pub(super) settles_at: Option<Time>,
 }
 
 impl Intent {
+    /// Whether its call may still take effect. Without a response this is counted from when this
+    /// proxy received the intent.
+    fn is_pending(&self, kind: IntentKind, now: Time) -> bool {
+        match self.settles_at {
+            Some(settles_at) => now < settles_at,
+            None => now.since(self.learned_at) < kind.pending_for(),
+        }
+    }
+
     /// The instance that it names, if its value can be read.
     pub(super) fn instance(&self) -> Option<InstanceId> {
         std::str::from_utf8(&self.value).ok()?.parse().ok()
@@ -132,16 +143,29 @@
         intent.map_or(Revision(0), |intent| intent.revision)
     }
 
-    /// A group's intent while its call may still take effect, counted from when this proxy
-    /// received it.
+    /// Stores when the accepted call of an intent has taken effect at the latest.
+    pub(super) fn settle(
+        &mut self,
+        kind: IntentKind,
+        group: &GroupId,
+        revision: Revision,
+        settles_at: Time,
+    ) {
+        let intent = self.by_kind_mut(kind).get_mut(group);
+        if let Some(intent) = intent.filter(|intent| intent.revision == revision) {
+            intent.settles_at = Some(settles_at);
+        }
+    }
+
+    /// A group's intent while its call may still take effect.
     pub(super) fn pending(&self, kind: IntentKind, group: &GroupId, now: Time) -> Option<&Intent> {
         let intent = self.by_kind(kind).get(group)?;
-        (now.since(intent.learned_at) < kind.pending_for()).then_some(intent)
+        intent.is_pending(kind, now).then_some(intent)
     }
 
     /// The revision of a group's intent whose call can no longer take effect.
     pub(super) fn expired(&self, kind: IntentKind, group: &GroupId, now: Time) -> Option<Revision> {
         let intent = self.by_kind(kind).get(group)?;
-        (now.since(intent.learned_at) >= kind.pending_for()).then_some(intent.revision)
+        (!intent.is_pending(kind, now)).then_some(intent.revision)
     }
 }
--- a/crates/front/src/directory/state.rs
+++ b/crates/front/src/directory/state.rs
@@ -272,6 +272,7 @@
             revision,
             learned_at: now,
             value,
+            settles_at: None,
         };
         if kind == IntentKind::Lead && intent.instance().is_none() {
             tracing::warn!(%group, %revision, "the intent of a promotion order names no instance; no primary is changed until it lapses");
@@ -316,6 +317,19 @@
         self.replaced.contains(&instance).then_some(intent.revision)
     }
 
+    /// Stores when an accepted promotion order has taken effect at the latest.
+    pub fn order_accepted(&mut self, group: &GroupId, intent: Revision, settles_at: Time) {
+        self.intents
+            .settle(IntentKind::Lead, group, intent, settles_at);
+    }
+
+    /// When the accepted promotion order that is pending has taken effect at the latest.
+    pub fn order_settles_at(&self, group: &GroupId, now: Time) -> Option<Time> {
+        self.intents
+            .pending(IntentKind::Lead, group, now)?
+            .settles_at
+    }
+
     /// Whether a promotion order may still take effect whose intent cannot be read: no instance
     /// can be promoted then.
     pub fn order_unreadable(&self, group: &GroupId, now: Time) -> bool {
--- a/crates/front/tests/path.rs
+++ b/crates/front/tests/path.rs
@@ -308,6 +308,26 @@
     assert_eq!(managed.log(), ["a=1", "a=2"]);
 }
 
+/// Guards against a lost acknowledged write. The order that voids an earlier one is accepted and
+/// takes effect a second later: if the primary was demoted meanwhile, it leads again beside the
+/// order for another instance, and replicas receive that were paused for that order.
+#[test]
+fn an_order_for_the_primary_takes_effect_before_it_is_replaced() {
+    let managed = platform_of(4);
+    let mut session = caller(proxy(&managed, "p1"), "filing");
+    session.query_until_done("WRITE a 1");
+    managed.set_promote_time(Duration::from_millis(1_200));
+    managed.put("pomelo/order/ledger", b"i-0");
+    // The primary is demoted where a replica does not respond.
+    managed.set_fault(3, Fault::Dark);
+    managed.lapse(3);
+    managed.leave(0);
+    wait(|| (managed.primary() != 0).then_some(()));
+    assert_eq!(managed.overlapping_orders(), 0, "{:?}", managed.orders());
+    session.query_until_done("WRITE a 2");
+    assert_eq!(managed.log(), ["a=1", "a=2"]);
+}
+
 /// Guards against an instance that starts while an order has no response yet, and receives from
 /// the old primary until the response arrives or the order times out.
 #[test]
--- a/crates/policy/tests/handover/cfg.rs
+++ b/crates/policy/tests/handover/cfg.rs
@@ -27,6 +27,9 @@
     EarlierOrder,
     /// Orders for the primary itself are voided before it is replaced.
     VoidEarlier,
+    /// The intent of an accepted order for the primary itself is kept until that order has
+    /// taken effect.
+    VoidingEffect,
     /// Replicas are resumed only by the holder of the coordinator role.
     Role,
     /// The store copy of a new holder of the role is as new as its claim.
@@ -79,6 +82,8 @@
     pub(crate) leaving: bool,
     /// An instance that is down and no longer announced before the run.
     pub(crate) unannounced: Option<Id>,
+    /// An order for the primary has no response yet; its intent is recorded.
+    pub(crate) pending_order: bool,
     /// Replicas that an earlier change left paused.
     pub(crate) paused: Set,
     /// Instances that do not crash.
--- a/crates/policy/tests/handover/coordinator.rs
+++ b/crates/policy/tests/handover/coordinator.rs
@@ -11,6 +11,8 @@
     let this = &world.coordinators[at];
     let mut events = steps(world, at, cfg);
     events.extend(this.ending_change.map(|_| Event::End));
+    let settled = |token: &u8| !world.orders.iter().any(|o| o.token == *token);
+    events.extend(this.voiding.filter(settled).map(|_| Event::Settled));
     events
 }
 
@@ -130,6 +132,10 @@
             end_change(world, at);
             task
         }
+        (Event::Settled, task) => {
+            order::settle_voiding(world, at);
+            task
+        }
         (Event::RecordChange, Task::Change(change)) => {
             world.recorded_changes += 1;
             world.intents.change = Some(world.recorded_changes);
--- a/crates/policy/tests/handover/counterexamples.rs
+++ b/crates/policy/tests/handover/counterexamples.rs
@@ -196,3 +196,28 @@
     };
     search::holds("an intent deleted after the survey", &cfg);
 }
+
+/// An order for the present primary is accepted, and takes effect after the next change has
+/// demoted that primary: it leads again and replicas receive, beside the order for another.
+#[test_case::test_case(Budget::one(), false, 30; "the primary is suspected")]
+#[test_case::test_case(Budget { partitions: 1, ..Budget::one() }, true, 28; "the primary is being decommissioned")]
+#[test_case::test_case(Budget { repairs: 1, ..Budget::one() }, false, 30; "the order is voided before the change")]
+#[test_case::test_case(Budget { refusals: 1, crashes: 1, restarts: 1, ..Budget::one() }, false, 24; "a replica restarts")]
+#[test_case::test_case(Budget { starts: 1, ..Budget::one() }, false, 24; "an instance starts")]
+#[test_case::test_case(Budget { changes: 2, repeats: 2, lost_roles: 1, ..Budget::one() }, false, 22; "two coordinators")]
+fn an_order_for_the_primary_takes_effect_after_its_demotion(
+    budget: Budget,
+    leaving: bool,
+    depth: usize,
+) {
+    let budget = Budget {
+        repeats: budget.repeats.max(1),
+        ..budget
+    };
+    let cfg = Cfg {
+        leaving,
+        pending_order: true,
+        ..cfg(depth, budget)
+    };
+    search::requires("an order for the primary", &[Guard::VoidingEffect], &cfg);
+}
--- a/crates/policy/tests/handover/order.rs
+++ b/crates/policy/tests/handover/order.rs
@@ -81,6 +81,10 @@
     if !responded || given.accepted != Some(true) {
         return on_failure(given.purpose);
     }
+    if cfg.off != Some(Guard::VoidingEffect) {
+        world.coordinators[at].voiding = Some(given.token);
+        return on_failure(given.purpose);
+    }
     delete_promotion_intent(world, at, given.token);
     match given.purpose {
         Purpose::VoidThenAct(change, Some(decision)) => Task::Decided(change, decision),
@@ -88,6 +92,13 @@
     }
 }
 
+/// Deletes the intent of the order for the present primary, which has taken effect.
+pub(crate) fn settle_voiding(world: &mut World, at: usize) {
+    if let Some(token) = world.coordinators[at].voiding.take() {
+        delete_promotion_intent(world, at, token);
+    }
+}
+
 /// Deletes the intent of an order that can no longer take effect.
 pub(crate) fn settle(
     world: &mut World,
--- a/crates/policy/tests/handover/survey.rs
+++ b/crates/policy/tests/handover/survey.rs
@@ -79,7 +79,8 @@
         .map(id);
     survey.may_resume = resume_pending;
     let step = decide(&survey);
-    if void.is_some() && world.left.repeats == 0 {
+    let waits = |promotion: Promotion| this.voiding == Some(promotion.token);
+    if void.is_some_and(waits) || void.is_some() && world.left.repeats == 0 {
         return None;
     }
     let left = |next| match this.intents.promotion {
@@ -124,7 +125,7 @@
     let ordered = ordered.filter(|_| cfg.off != Some(Guard::StayPaused));
     let task = match void {
         _ if leader.is_none() || ordered.is_some() => Task::Idle,
-        Some(promotion) if world.left.repeats > 0 => {
+        Some(promotion) if world.left.repeats > 0 && this.voiding != Some(promotion.token) => {
             Task::Void(Purpose::VoidThenResume(paused), promotion.instance)
         }
         _ if paused == 0 => Task::Idle,
--- a/crates/policy/tests/handover/task.rs
+++ b/crates/policy/tests/handover/task.rs
@@ -128,6 +128,8 @@
     pub(crate) known_end: Point,
     /// The recorded change that it ends, as known before its last survey.
     pub(crate) ending_change: Option<u8>,
+    /// The token of its accepted order for the present primary, until that has taken effect.
+    pub(crate) voiding: Option<u8>,
 }
 
 impl Default for Coordinator {
@@ -137,6 +139,7 @@
             intents: Intents::default(),
             known_end: Point::new(1, 0),
             ending_change: None,
+            voiding: None,
         }
     }
 }
@@ -172,4 +175,6 @@
     IntentExpires,
     /// No change is in progress any more.
     End,
+    /// The order for the present primary has taken effect.
+    Settled,
 }
--- a/crates/policy/tests/handover/transition.rs
+++ b/crates/policy/tests/handover/transition.rs
@@ -169,14 +169,13 @@
         // Orders that would be refused now.
         self.orders.retain(|o| o.accepted || o.token > order.token);
         coordinator::record_response(self, order.token, true);
-        if order.instance != self.primary || !self.instances[order.instance].leads {
-            let accepted = Order {
-                accepted: true,
-                ..order
-            };
-            self.orders.push(accepted);
-            self.orders.sort_unstable();
-        }
+        // An order for the present primary takes effect if that instance is demoted meanwhile.
+        let accepted = Order {
+            accepted: true,
+            ..order
+        };
+        self.orders.push(accepted);
+        self.orders.sort_unstable();
     }
 
     fn refuse(&mut self, order: Order) {
--- a/crates/policy/tests/handover/world.rs
+++ b/crates/policy/tests/handover/world.rs
@@ -6,7 +6,7 @@
 
 use crate::cfg::{Budget, Cfg, Guard};
 use crate::coordinator;
-use crate::task::{self, Coordinator, Intents};
+use crate::task::{self, Coordinator, Intents, Promotion};
 
 /// Index of an instance.
 pub(crate) type Id = usize;
@@ -205,23 +205,39 @@
         }
         let running = instances.iter().enumerate().filter(|(_, i)| i.runs);
         let eligible = running.map(|(id, _)| bit(id)).sum();
+        let pending = cfg.pending_order.then_some(Promotion {
+            instance: 0,
+            incarnation: 0,
+            token: 1,
+        });
+        let order = pending.map(|promotion| Order {
+            token: promotion.token,
+            instance: promotion.instance,
+            accepted: false,
+        });
+        let intents = Intents {
+            promotion: pending,
+            ..Intents::default()
+        };
+        let mut coordinators: [Coordinator; COORDINATORS] = Default::default();
+        coordinators[0].intents = intents;
         Self {
             instances,
             partitioned: 0,
             leaving: Set::from(cfg.leaving),
             full: 0,
-            orders: Vec::new(),
+            orders: order.into_iter().collect(),
             commands: Vec::new(),
             platform_token: 0,
-            token: 0,
+            token: u8::from(cfg.pending_order),
             recorded_changes: 0,
             primary: 0,
             eligible,
             replicated: 0,
             acknowledged: 0,
-            intents: Intents::default(),
+            intents,
             holder: 0,
-            coordinators: Default::default(),
+            coordinators,
             left: cfg.budget,
         }
     }
--- a/crates/standin/src/managed.rs
+++ b/crates/standin/src/managed.rs
@@ -80,6 +80,10 @@
     /// Orders that are held: instance and token, in the order of their arrival.
     held_orders: Vec<(String, u64)>,
     orders: Vec<(String, u64)>,
+    /// The instance of each accepted order that has not taken effect yet.
+    orders_in_progress: Vec<usize>,
+    /// Accepted orders for another instance than one of an earlier order in progress.
+    overlapping_orders: usize,
     /// Word of a statement that the next instance to get it carries out late, without an
     /// answer.
     late_statement: Option<(String, Duration)>,
@@ -284,6 +288,12 @@
         self.lock().orders.clone()
     }
 
+    /// Accepted orders for another instance than that of an earlier order, which had not taken
+    /// effect yet.
+    pub fn overlapping_orders(&self) -> usize {
+        self.lock().overlapping_orders
+    }
+
     /// Statements that instances ran, by id.
     pub fn runs(&self, id: &str) -> usize {
         self.lock().group.runs(id)
@@ -333,7 +343,8 @@
         None
     }
 
-    /// Carries an order out a moment later; `false` if it is refused.
+    /// Carries an order out a moment later; `false` if it is refused. An instance that leads
+    /// when its order is accepted leads again if it is demoted before the order takes effect.
     fn order(&self, id: &str, token: u64) -> bool {
         let mut world = self.lock();
         let Some(at) = world.group.find(id) else {
@@ -344,15 +355,17 @@
             return false;
         }
         world.orders.push((id.to_owned(), token));
-        if world.group.primary() == at {
-            return true;
-        }
+        world.overlapping_orders += usize::from(world.orders_in_progress.iter().any(|i| *i != at));
+        world.orders_in_progress.push(at);
         let takes = world.promote_takes.unwrap_or(PROMOTE);
         drop(world);
         let this = self.clone();
         thread::spawn(move || {
             thread::sleep(takes);
-            let all = this.lock().group.promote(at);
+            let mut world = this.lock();
+            world.orders_in_progress.remove(0);
+            let all = world.group.promote(at);
+            drop(world);
             for at in 0..all {
                 this.announce(at);
             }
--- a/crates/standin/src/managed/instance.rs
+++ b/crates/standin/src/managed/instance.rs
@@ -153,23 +153,25 @@
         self.runs.get(id).copied().unwrap_or_default()
     }
 
-    /// Makes an instance lead with what it has received; the rest of the log is gone.
+    /// Makes an instance lead with what it has received; the rest of the log is gone. Returns
+    /// how many instances learn of it: none if it leads already.
     pub(super) fn promote(&mut self, at: usize) -> usize {
-        if at != self.leader {
-            self.leader = at;
-            self.demoted = false;
-            self.term += 1;
-            let kept = self.instances[at].received;
-            self.log.truncate(kept);
-            self.begun.iter_mut().for_each(|at| *at = kept.min(*at));
-            self.begun.push(kept);
-            for instance in &mut self.instances {
-                instance.paused = 0;
-                instance.received = instance.received.min(kept);
-                instance.applied = instance.applied.min(kept);
-            }
-            self.instances[at].applied = kept;
+        if self.leads(at) {
+            return 0;
+        }
+        self.leader = at;
+        self.demoted = false;
+        self.term += 1;
+        let kept = self.instances[at].received;
+        self.log.truncate(kept);
+        self.begun.iter_mut().for_each(|at| *at = kept.min(*at));
+        self.begun.push(kept);
+        for instance in &mut self.instances {
+            instance.paused = 0;
+            instance.received = instance.received.min(kept);
+            instance.applied = instance.applied.min(kept);
         }
+        self.instances[at].applied = kept;
         self.replicate();
         self.instances.len()
     }
