Keep a log of each proxy of front's tests

The entry a_failed_primary_is_replaced could not be traced: proxies that run on threads of the test process logged nowhere. Each now writes a file below the target folder, and a failed test prints its path. No check changes.

--- a/crates/front/tests/env/mod.rs
+++ b/crates/front/tests/env/mod.rs
@@ -4,8 +4,10 @@
 
 pub(crate) mod process;
 
+use std::fs::File;
 use std::io::{BufRead as _, BufReader, Read as _, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
@@ -140,9 +142,23 @@
     let (settings, listen) = settings(managed, name);
     let config: Config = serde_json::from_value(settings).unwrap();
     let metrics = config.metrics_listen;
+    let log = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!(
+        "{}-{name}-{}.log",
+        std::process::id(),
+        listen.port()
+    ));
+    // A failed test shows where the log of its proxy is.
+    println!("{name} logs to {}", log.display());
+    let log = Mutex::new(File::create(log).unwrap());
+    let subscriber = tracing_subscriber::fmt()
+        .with_ansi(false)
+        .with_writer(log)
+        .finish();
     thread::spawn(move || {
-        let runtime = compio::runtime::Runtime::new().unwrap();
-        runtime.block_on(front::run::run(config)).unwrap();
+        tracing::subscriber::with_default(subscriber, || {
+            let runtime = compio::runtime::Runtime::new().unwrap();
+            runtime.block_on(front::run::run(config)).unwrap();
+        });
     });
     (listen, metrics)
 }
