Do not count a pause of the process as a failure of the primary

Cause: timeouts run on while the process does not. After a pause they have passed before a response can be read, or before a primary on the same host can send one. One such probe counts as a failure on an open and on a new connection, and the pause itself as the 200 ms for which the primary has to fail.

Change: the primary monitor notices that it has not run for 200 ms (it runs every 50 ms). The gap does not count as time of failing. A probe that it cut short counts as a failure only once the running time of such probes amounts to a timeout with no proof between them, so that a process that is paused again and again still finds a failed primary. Writes that stall do not count for 400 ms after a pause.

Tests: six new cases of primary_monitor, without a network.

--- a/crates/front/src/group.rs
+++ b/crates/front/src/group.rs
@@ -204,6 +204,7 @@
                 }
             };
             let now = clock::now();
+            self.monitor.record_run(now);
             if let Some(message) = message {
                 self.handle_message(message, now);
             }
--- a/crates/front/src/group/probe.rs
+++ b/crates/front/src/group/probe.rs
@@ -10,7 +10,7 @@
 use model::statement::Code;
 use model::unit::{Span, Time};
 use policy::pool::{Action, OpenError};
-use policy::primary_monitor::ProbeFailure;
+use policy::primary_monitor::{PROBE_TIMEOUT, ProbeFailure};
 use policy::proof::Proof;
 
 use super::{Group, Message, Reply};
@@ -18,10 +18,6 @@
 use crate::conn::{Conn, ConnError, Setup, SetupOutcome};
 use crate::metrics::Metrics;
 
-/// Timeout of a query. Its statements need no slot, so a busy instance responds within a
-/// round trip, which is 40 ms between regions.
-const QUERY_TIMEOUT: Duration = Duration::from_millis(350);
-
 /// Time after which a query on an open connection is also tried on a new one: the longest
 /// round trip, with one or two late timers.
 const NEW_CONN_AFTER: Duration = Duration::from_millis(120);
@@ -43,6 +39,10 @@
     result: Result<Proof, ProbeFailure>,
     /// Whether the primary monitor started the probe.
     by_monitor: bool,
+    /// When the probe started.
+    started: Time,
+    /// Sum of the pauses of this process until then.
+    paused_before: Span,
 }
 
 impl Report {
@@ -54,6 +54,8 @@
             from_pool: false,
             result: Ok(proof),
             by_monitor: false,
+            started: proof.since,
+            paused_before: Span::default(),
         }
     }
 }
@@ -84,6 +86,7 @@
         };
         let (address, group, tx) = (instance.entry().address, self.id.clone(), self.tx.clone());
         let metrics = self.metrics.clone();
+        let (started, paused_before) = (clock::now(), self.monitor.paused());
         compio::runtime::spawn(async move {
             let from_pool = conn.is_some();
             let query = Query {
@@ -99,20 +102,32 @@
                 from_pool,
                 result,
                 by_monitor: true,
+                started,
+                paused_before,
             };
             let _ = tx.send(Message::Probed(report));
         })
         .detach();
     }
 
+    /// Whether a timeout says nothing about the instance, because this process was paused.
+    fn was_interrupted(&mut self, report: &Report, now: Time) -> bool {
+        let paused = self.monitor.paused().saturating_sub(report.paused_before);
+        let running = now.since(report.started).saturating_sub(paused);
+        paused > Span::default() && !self.monitor.record_interrupted(&report.instance, running)
+    }
+
     pub(super) fn probe_ended(&mut self, report: Report, now: Time) -> Vec<Action<Conn, Reply>> {
-        let id = report.instance;
+        let id = report.instance.clone();
         if report.by_monitor {
             self.monitor.probe_ended(&id);
         }
         match report.result {
             Ok(proof) => self.record_proof(&id, proof),
             Err(ProbeFailure::Full) => {}
+            Err(ProbeFailure::Silent) if self.was_interrupted(&report, now) => {
+                tracing::info!(group = %self.id, instance = %id, "a probe timed out while this process was paused");
+            }
             Err(failure) => {
                 self.monitor.record_failure(&id, failure, now);
                 self.clear_primary(&id, describe(failure));
@@ -162,7 +177,7 @@
             return self.on_new_conn().await;
         };
         let known = {
-            let old = check_leadership(&mut open, QUERY_TIMEOUT).fuse();
+            let old = check_leadership(&mut open, PROBE_TIMEOUT.as_duration()).fuse();
             let new = async {
                 compio::time::sleep(NEW_CONN_AFTER).await;
                 self.on_new_conn().await
@@ -188,7 +203,7 @@
         self.metrics.connection_attempted(opened.is_ok());
         match opened {
             Ok(mut open) => {
-                let found = check_leadership(&mut open, QUERY_TIMEOUT).await;
+                let found = check_leadership(&mut open, PROBE_TIMEOUT.as_duration()).await;
                 let is_usable = !matches!(found, Err(ProbeFailure::Silent | ProbeFailure::Down));
                 if is_usable {
                     return (found, Some(open));
--- a/crates/front/src/session/attempt.rs
+++ b/crates/front/src/session/attempt.rs
@@ -7,6 +7,7 @@
 use model::statement::{Access, Code, TxState};
 use model::unit::{Span, Time};
 use policy::pool::{ConnRequest, Kind};
+use policy::primary_monitor::WRITE_STALL;
 use rand::Rng as _;
 
 use super::{Failure, Job, Outcome, Session, Target};
@@ -24,11 +25,6 @@
 /// queues are a few hundred milliseconds long.
 const BUSY_BACKOFF: (Span, Span) = (Span::from_millis(16), Span::from_millis(128));
 
-/// Time without a response after which a write is reported to the group's primary monitor.
-/// Writes take some tens of milliseconds, and a replica in another region acknowledges
-/// within 50 ms.
-const STALL_AFTER: Duration = Duration::from_millis(400);
-
 /// Shortest timeout for the acknowledgement of a write: enough for a query to one replica
 /// and, if that one does not hold the write, to one in another region, through a pooler.
 const MIN_ACK_WAIT: Span = Span::from_millis(300);
@@ -88,7 +84,7 @@
         let run = conn.run(buf, limit.as_duration()).fuse();
         futures_util::pin_mut!(run);
         if stalls {
-            let slow = compio::time::sleep(STALL_AFTER).fuse();
+            let slow = compio::time::sleep(WRITE_STALL.as_duration()).fuse();
             futures_util::pin_mut!(slow);
             futures_util::select_biased! {
                 result = run => result,
--- a/crates/model/src/unit.rs
+++ b/crates/model/src/unit.rs
@@ -116,6 +116,12 @@
         time::Duration::from_micros(self.0)
     }
 
+    /// The duration without `other`, or zero if `other` is longer.
+    #[must_use]
+    pub const fn saturating_sub(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+
     /// `n` times the duration, saturating.
     #[must_use]
     pub const fn times(self, n: u64) -> Self {
--- a/crates/policy/src/primary_monitor.rs
+++ b/crates/policy/src/primary_monitor.rs
@@ -32,6 +32,10 @@
 /// takes 0.8 s at most.
 const FAILURE_WINDOW: Span = Span::from_millis(1_500);
 
+/// Time without a response after which a write counts as stalled. Writes take some tens of
+/// milliseconds, and a replica in another region acknowledges within 50 ms.
+pub const WRITE_STALL: Span = Span::from_millis(400);
+
 /// Stalled writes from which a primary is suspected although it responds to probes: it cannot
 /// reach its replicas. A single one may be due to a slow statement.
 const MIN_STALLS: u32 = 2;
@@ -43,6 +47,14 @@
 /// back what they had beyond its log and acknowledge nothing meanwhile.
 const STALL_GRACE: Span = Span::from_millis(2_000);
 
+/// Time between two runs of the monitor from which the process counts as paused. It runs every
+/// 50 ms; a process that shares its cores may be late by a scheduling period of 100 ms.
+const MIN_PAUSE: Span = Span::from_millis(200);
+
+/// Timeout of a probe. Its statements need no slot, so a busy instance responds within a round
+/// trip, which is 40 ms between regions.
+pub const PROBE_TIMEOUT: Span = Span::from_millis(350);
+
 /// Why the primary is suspected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Suspicion {
@@ -79,8 +91,10 @@
     /// The last instance that proved that it leads.
     leader: Option<InstanceId>,
     failing_since: Option<Time>,
-    /// When the last probe of the leader failed.
-    failed_at: Time,
+    /// Running time of this process at that time.
+    failing_from: Span,
+    /// Running time of this process when the last probe of the leader failed.
+    failed_at: Span,
     failures: u32,
     stalls: u32,
     stalled_at: Time,
@@ -88,6 +102,14 @@
     leader_since: Time,
     /// An instance that was just promoted and has not yet proved that it leads.
     promoted: Option<InstanceId>,
+    /// When the monitor ran last.
+    ran_at: Option<Time>,
+    /// When the last pause of this process ended.
+    resumed_at: Option<Time>,
+    /// Sum of the pauses of this process.
+    paused: Span,
+    /// Running time of probes that timed out during a pause, since the last proof.
+    interrupted: Span,
 }
 
 impl PrimaryMonitor {
@@ -109,10 +131,64 @@
         let candidates = std::mem::take(&mut self.candidates);
         *self = Self {
             candidates,
+            ran_at: self.ran_at,
+            resumed_at: self.resumed_at,
+            paused: self.paused,
             ..Self::default()
         };
     }
 
+    /// The process is running; to be called before any result is recorded. The time of a pause
+    /// does not count as time for which the primary failed.
+    pub fn record_run(&mut self, now: Time) {
+        let gap = self.ran_at.map_or(Span::default(), |at| now.since(at));
+        self.ran_at = Some(now);
+        if gap >= MIN_PAUSE {
+            self.resumed_at = Some(now);
+            self.paused = self.paused + gap;
+        }
+    }
+
+    /// Time for which this process has been running, without its pauses.
+    fn running_time(&self, now: Time) -> Span {
+        now.since(Time::default()).saturating_sub(self.paused)
+    }
+
+    /// Sum of the pauses of this process.
+    pub fn paused(&self) -> Span {
+        self.paused
+    }
+
+    /// A probe timed out, and this process was paused meanwhile: a response may have arrived during
+    /// the pause. It was running for `running` of the time of the probe. Returns whether the running
+    /// time of such probes amounts to a timeout, without a proof meanwhile; then this is a failure.
+    pub fn record_interrupted(&mut self, id: &InstanceId, running: Span) -> bool {
+        if !self.may_lead(id) {
+            return false;
+        }
+        self.interrupted = self.interrupted + running;
+        let failed = self.interrupted >= PROBE_TIMEOUT;
+        if failed {
+            self.interrupted = Span::default();
+        }
+        failed
+    }
+
+    /// Whether a failure of this instance counts.
+    fn may_lead(&self, id: &InstanceId) -> bool {
+        match &self.leader {
+            Some(leader) => leader == id,
+            None => self.candidates.get(id).is_some_and(|c| c.claims_primary),
+        }
+    }
+
+    fn begin_failing(&mut self, now: Time) {
+        if self.failing_since.is_none() {
+            self.failing_since = Some(now);
+            self.failing_from = self.running_time(now);
+        }
+    }
+
     /// An instance was just promoted: it is probed first.
     pub fn expect_primary(&mut self, id: &InstanceId) {
         self.promoted = Some(id.clone());
@@ -179,6 +255,7 @@
         self.leader = Some(id.clone());
         self.promoted.take_if(|e| e == id);
         self.failures = 0;
+        self.interrupted = Span::default();
         was_suspected
     }
 
@@ -187,18 +264,14 @@
         if failure == ProbeFailure::Full {
             return;
         }
-        let counts = match &self.leader {
-            Some(leader) => leader == id,
-            None => self.candidates.get(id).is_some_and(|c| c.claims_primary),
-        };
-        if counts {
+        if self.may_lead(id) {
             self.failures += if failure == ProbeFailure::Silent {
                 2
             } else {
                 1
             };
-            self.failing_since.get_or_insert(now);
-            self.failed_at = now;
+            self.begin_failing(now);
+            self.failed_at = self.running_time(now);
         }
         if failure == ProbeFailure::Follows {
             self.promoted.take_if(|e| e == id);
@@ -210,14 +283,20 @@
         if self.leader.as_ref() != Some(id) {
             return;
         }
-        self.failing_since.get_or_insert(now);
+        self.begin_failing(now);
         if let Some(candidate) = self.candidates.get_mut(id) {
             candidate.probed_at = None;
         }
     }
 
-    /// A write on the instance has been without a response for long.
+    /// A write on the instance has been without a response for [`WRITE_STALL`].
     pub fn record_stall(&mut self, id: &InstanceId, now: Time) {
+        if self
+            .resumed_at
+            .is_some_and(|at| now.since(at) < WRITE_STALL)
+        {
+            return;
+        }
         if self.leader.as_ref() != Some(id) || now.since(self.leader_since) < STALL_GRACE {
             return;
         }
@@ -247,10 +326,10 @@
             claimant.map(|(id, _)| id.clone())
         };
         let suspect = self.leader.clone().or_else(claimant)?;
-        let failing = self
-            .failing_since
-            .is_some_and(|at| now.since(at) >= MIN_FAILING_TIME);
-        let recent = now.since(self.failed_at) <= FAILURE_WINDOW;
+        let running_time = self.running_time(now);
+        let failing_for = running_time.saturating_sub(self.failing_from);
+        let failing = self.failing_since.is_some() && failing_for >= MIN_FAILING_TIME;
+        let recent = running_time.saturating_sub(self.failed_at) <= FAILURE_WINDOW;
         if failing && recent && self.failures >= MIN_FAILURES {
             return Some((suspect, Suspicion::Unreachable));
         }
--- a/crates/policy/tests/primary_monitor.rs
+++ b/crates/policy/tests/primary_monitor.rs
@@ -2,7 +2,7 @@
 
 use model::entry::Entry;
 use model::id::InstanceId;
-use model::unit::Time;
+use model::unit::{Span, Time};
 use policy::primary_monitor::{PrimaryMonitor, ProbeFailure, Suspicion};
 
 fn id(name: &str) -> InstanceId {
@@ -145,3 +145,79 @@
     assert!(monitor.suspicion(at(2_400)).is_some());
     assert_eq!(monitor.suspicion(at(2_600)), None);
 }
+
+/// A monitor that ran until `from` and then not until `to`.
+fn paused_monitor(from: u64, to: u64) -> PrimaryMonitor {
+    let mut monitor = monitor();
+    monitor.record_run(at(from));
+    monitor.record_run(at(to));
+    monitor
+}
+
+/// Guards against a living primary that is replaced because this process was paused: the response
+/// to a probe may have arrived meanwhile. Two such probes are no failure either, if the primary
+/// responds between them.
+#[test]
+fn a_timeout_during_a_pause_is_no_failure() {
+    let mut monitor = paused_monitor(600, 1_000);
+    let running = Span::from_millis(200);
+    assert!(!monitor.record_interrupted(&id("p"), running));
+    monitor.record_proof(&id("p"), at(1_050));
+    assert!(!monitor.record_interrupted(&id("p"), running));
+    assert!(!monitor.record_interrupted(&id("a"), running));
+}
+
+/// Guards against a process that is paused again and again and never suspects a failed primary:
+/// the time in which it was running counts.
+#[test]
+fn a_primary_that_fails_between_pauses_is_suspected() {
+    let mut monitor = paused_monitor(600, 1_000);
+    let running = Span::from_millis(120);
+    let failed = [(); 3].map(|()| monitor.record_interrupted(&id("p"), running));
+    assert_eq!(failed, [false, false, true]);
+}
+
+/// Guards against the time of a pause completing the time for which the primary has to fail.
+#[test]
+fn a_pause_does_not_prolong_a_failure() {
+    let mut monitor = monitor();
+    monitor.record_run(at(600));
+    monitor.record_failure(&id("p"), ProbeFailure::Silent, at(600));
+    monitor.record_run(at(1_000));
+    assert_eq!(monitor.suspicion(at(1_150)), None);
+    assert_eq!(
+        monitor.suspicion(at(1_200)),
+        Some((id("p"), Suspicion::Unreachable))
+    );
+}
+
+/// Guards against a response that does not end a suspicion because the process was paused before
+/// it was read.
+#[test]
+fn a_response_after_a_pause_ends_a_suspicion() {
+    let mut monitor = monitor();
+    monitor.record_run(at(600));
+    monitor.record_failure(&id("p"), ProbeFailure::Silent, at(600));
+    monitor.record_run(at(1_000));
+    monitor.record_proof(&id("p"), at(650));
+    assert_eq!(monitor.suspicion(at(1_300)), None);
+}
+
+/// Guards against stalled writes that only this process was too late to see acknowledged.
+#[test]
+fn writes_that_stall_during_a_pause_do_not_count() {
+    let mut monitor = paused_monitor(2_400, 3_000);
+    monitor.record_stall(&id("p"), at(3_000));
+    monitor.record_stall(&id("p"), at(3_010));
+    assert_eq!(monitor.suspicion(at(3_050)), None);
+}
+
+/// Guards against a process that is only slow and takes every timeout for a pause.
+#[test]
+fn late_runs_are_no_pause() {
+    let mut monitor = monitor();
+    for ran in (0..2_000).step_by(190) {
+        monitor.record_run(at(ran));
+    }
+    assert_eq!(monitor.paused(), Span::default());
+}
