--- a/crates/policy/tests/store_reader.rs
+++ b/crates/policy/tests/store_reader.rs
@@ -2,7 +2,8 @@
 
 use model::id::ProxyId;
 use model::unit::{Span, Time};
-use policy::store_reader::{self, StoreReaders, Upstream};
+use policy::direct_access::DirectAccess;
+use policy::store_reader::{self, Next, StoreReaders, Upstream};
 use test_case::test_case;
 
 fn fleet(size: usize) -> Vec<ProxyId> {
@@ -88,3 +89,27 @@
         Upstream::Store
     );
 }
+
+/// Guards against a proxy that keeps asking others which follow a reader that it does not know,
+/// and never calls the store: it served by an old configuration for 17 seconds. Each of the
+/// others responds after 200 ms that it has no updates.
+#[test]
+fn others_without_updates_lead_to_a_call_of_the_store() {
+    let local = fleet(11);
+    for me in &local {
+        let (mut readers, direct) = (StoreReaders::default(), DirectAccess::default());
+        let mut now = at(10_000);
+        let deadline = now + Span::from_millis(4_000);
+        loop {
+            match readers.next(me, &local, &direct, now) {
+                Next::Call => break,
+                Next::WaitUntil(until) => now = until,
+                Next::Follow(reader) => {
+                    now = now + Span::from_millis(200);
+                    readers.mark_without_updates(&reader, now);
+                }
+            }
+            assert!(now < deadline, "{me} does not call the store");
+        }
+    }
+}
