Log what is in progress when a proxy stops

The record names no id without an answer: nothing distinguished a process that was killed from one that exited with statements in progress. stopping and stopped now have the sessions and statements in progress, each phase has a line, and each statement that the exit cuts has one with its id; the gauge statements_running counts them. A killed process has no stopped. No logic changes.

--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -19,6 +19,7 @@
 use crate::pending_changes::Changes;
 use crate::quota::Quotas;
 use crate::relay;
+use crate::running::Running;
 use crate::stop::StopSignal;
 
 /// The context of one process; the directory's task updates it, the others read it.
@@ -39,6 +40,8 @@
     /// The customers' rate limits.
     pub quotas: Quotas,
     distances: Distances,
+    /// The callers' statements in progress.
+    pub running: Running,
     /// Limits the log lines about served statements.
     pub served_lines: logs::LineBudget,
     /// Metrics of the process.
@@ -68,6 +71,7 @@
             reports: health::ReportBoard::default(),
             changes: Changes::default(),
             distances,
+            running: Running::default(),
             served_lines: logs::LineBudget::default(),
             metrics,
             stop,
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod registration;
 pub mod relay;
 pub mod run;
+pub mod running;
 pub mod session;
 pub mod stop;
 pub mod stream;
--- a/crates/front/src/pages.rs
+++ b/crates/front/src/pages.rs
@@ -93,6 +93,7 @@
     }
     let gauges = [
         ("sessions", cx.sessions() as u64),
+        ("statements_running", cx.running.count() as u64),
         ("configuration_version", cx.routes().version),
         ("statements_waiting", waiting),
         ("connections", connections),
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -100,11 +100,19 @@
     compio::runtime::spawn(log_reloads()).detach();
 
     stop_signal().await;
-    tracing::info!(sessions = cx.sessions(), "stopping");
+    let (signalled, statements) = (clock::now(), cx.running.count());
+    tracing::info!(sessions = cx.sessions(), statements, "stopping");
     ready.store(false, Ordering::Relaxed);
     registration.leave(&cx, &store).await;
     drain(&cfg, &cx, stopper).await;
-    tracing::info!(sessions = cx.sessions(), "stopped");
+    let (took, statements) = (clock::now().since(signalled), cx.running.count());
+    cx.running.log_cut();
+    tracing::info!(
+        sessions = cx.sessions(),
+        statements,
+        took_ms = took.as_millis(),
+        "stopped"
+    );
     Ok(())
 }
 
--- a/crates/front/src/session.rs
+++ b/crates/front/src/session.rs
@@ -232,6 +232,7 @@
             let mut served = false;
             match self.next(reader).await? {
                 Event::Line(Ok(Request::Query { id, text })) => {
+                    let _running = self.cx.running.begin(&id);
                     let arrived = clock::now();
                     let job = Job { id, text, arrived };
                     let reply = self.respond(&job).await;
--- a/crates/front/src/stop.rs
+++ b/crates/front/src/stop.rs
@@ -78,8 +78,13 @@
         let started = clock::now();
         let half = Span::from_micros(grace.as_micros() / 2);
         clock::sleep_until(started + BALANCER_DELAY.min(half)).await;
+        tracing::info!(
+            sessions = sessions(),
+            "sessions close after their next reply"
+        );
         drop(self.closing);
         clock::sleep_until(started + half).await;
+        tracing::info!(sessions = sessions(), "all sessions close");
         drop(self.ending);
         let usable = grace.as_micros().saturating_sub(FINAL_RESERVE.as_micros());
         let end = started + Span::from_micros(usable);
