Show how statements stay without an answer when a proxy stops

Tests on a process of the proxy and the stand-in platform, with 40 callers that check that their session is open before each statement.

--- a/crates/front/tests/env/mod.rs
+++ b/crates/front/tests/env/mod.rs
@@ -3,9 +3,10 @@
 #![allow(dead_code)]
 
 pub(crate) mod process;
+pub(crate) mod stop;
 
 use std::fs::File;
-use std::io::{BufRead as _, BufReader, Read as _, Write as _};
+use std::io::{BufRead as _, BufReader, ErrorKind, Read as _, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::sync::Mutex;
@@ -165,8 +166,13 @@
 
 /// Fetches the metrics of a proxy.
 pub(crate) fn metrics(address: SocketAddr) -> Option<String> {
+    get(address, "/metrics")
+}
+
+/// The whole response to a GET request.
+pub(crate) fn get(address: SocketAddr, path: &str) -> Option<String> {
     let mut stream = TcpStream::connect(address).ok()?;
-    let request = format!("GET /metrics HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n\r\n");
+    let request = format!("GET {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n\r\n");
     stream.write_all(request.as_bytes()).ok()?;
     let mut text = String::new();
     stream.read_to_string(&mut text).ok()?;
@@ -182,6 +188,11 @@
     timed_out: bool,
 }
 
+/// A statement id that no other statement of this process has.
+pub(crate) fn unused_id() -> String {
+    format!("{:08x}", IDS.fetch_add(1, Ordering::Relaxed))
+}
+
 /// A reply to a query.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Reply {
@@ -275,19 +286,46 @@
     }
 
     fn query_once(&mut self, text: &str) -> Option<Reply> {
-        let id = format!("{:08x}", IDS.fetch_add(1, Ordering::Relaxed));
+        self.query_with(&unused_id(), text)
+    }
+
+    /// Sends a statement with an id of [`unused_id`]; `None` without a whole reply.
+    pub(crate) fn query_with(&mut self, id: &str, text: &str) -> Option<Reply> {
         write!(self.writer, "QUERY {id} {text}\r\n").ok()?;
+        self.reply(id)
+    }
+
+    /// Sends bytes as they are.
+    pub(crate) fn send(&mut self, text: &str) {
+        self.writer.write_all(text.as_bytes()).unwrap();
+    }
+
+    /// Reads the reply to a statement; `None` without a whole one.
+    pub(crate) fn reply(&mut self, id: &str) -> Option<Reply> {
         let mut lines = Vec::new();
         loop {
             let line = self.line()?;
             if let Some(rest) = line.strip_prefix("READY ") {
                 let state = rest.split(' ').next()?.to_owned();
+                let id = id.to_owned();
                 return Some(Reply { id, lines, state });
             }
             lines.push(line);
         }
     }
 
+    /// Whether the session is open and the proxy has sent nothing since the last reply; callers
+    /// end a session that sends something without a request.
+    pub(crate) fn is_open(&self) -> bool {
+        if !self.reader.buffer().is_empty() {
+            return false;
+        }
+        self.writer.set_nonblocking(true).unwrap();
+        let peeked = self.writer.peek(&mut [0]);
+        self.writer.set_nonblocking(false).unwrap();
+        matches!(peeked, Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
+
     /// Repeats a statement until it succeeds.
     pub(crate) fn query_until_done(&mut self, text: &str) -> Reply {
         wait(|| Some(self.query(text)).filter(Reply::done))
--- a/crates/front/tests/env/process.rs
+++ b/crates/front/tests/env/process.rs
@@ -1,15 +1,30 @@
 //! Proxies that run as separate processes.
 
 use std::fs::File;
+use std::io::Write as _;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 
+use rustix::fs::{CWD, FileType, Mode, mknodat};
 use rustix::process::{Pid, Signal, kill_process};
 use standin::managed::Managed;
 
 use super::settings;
 
+/// Settings for which a process waits.
+pub(crate) struct PendingSettings {
+    settings: serde_json::Value,
+    pipe: File,
+}
+
+impl PendingSettings {
+    pub(crate) fn send(mut self) {
+        let text = self.settings.to_string();
+        self.pipe.write_all(text.as_bytes()).unwrap();
+    }
+}
+
 /// A proxy process; killed when dropped.
 pub(crate) struct Proxy {
     /// The address on which it accepts callers.
@@ -45,12 +60,44 @@
         }
     }
 
+    /// Starts a process that waits for its settings until the result sends them.
+    pub(crate) fn start_paused(
+        managed: &Managed,
+        folder: &Path,
+        name: &str,
+    ) -> (Self, PendingSettings) {
+        let (settings, listen) = settings(managed, name);
+        let file = folder.join(format!("{name}.jsonc"));
+        mknodat(CWD, &file, FileType::Fifo, Mode::RUSR | Mode::WUSR, 0).unwrap();
+        let log = folder.join(format!("{name}.log"));
+        let child = spawn(&file, &log);
+        // Completes once the process has opened the file.
+        let pipe = File::options().write(true).open(&file).unwrap();
+        let proxy = Self {
+            listen,
+            file,
+            log,
+            child,
+        };
+        (proxy, PendingSettings { settings, pipe })
+    }
+
     pub(crate) fn signal(&self, signal: Signal) {
         let pid = Pid::from_child(&self.child);
         // Fails if the process has just exited, which is harmless.
         let _ = kill_process(pid, signal);
     }
 
+    /// Waits until the process has exited by itself, and returns how.
+    pub(crate) fn wait_for_exit(&mut self) -> ExitStatus {
+        super::wait(|| self.child.try_wait().unwrap())
+    }
+
+    /// What the process has logged.
+    pub(crate) fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap()
+    }
+
     pub(crate) fn restart(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
--- a/crates/front/tests/stop.rs
+++ b/crates/front/tests/stop.rs
@@ -2,13 +2,18 @@
 
 mod env;
 
+use std::process::ExitStatus;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use env::process::Proxy;
-use env::{Caller, DATABASES, configuration, wait};
+use env::stop::{self, Counts, Tally};
+use env::{Caller, DATABASES, Reply, configuration, wait};
 use rustix::process::Signal;
-use standin::managed::Managed;
+use standin::managed::wire::{Weather, Wire};
+use standin::managed::{Fault, Managed, StoreFault};
+use tempfile::TempDir;
+use test_case::test_case;
 
 /// Guards against a stopping proxy that registers in the store again a second after it deleted
 /// its registration, while a caller is still in a transaction: other proxies would count it and
@@ -31,3 +36,253 @@
         assert!(keys().is_empty(), "{:?}", keys());
     }
 }
+
+/// Callers of a test.
+const CALLERS: u64 = 40;
+
+/// The grace period in the settings of a test's proxy.
+const GRACE: Duration = Duration::from_secs(6);
+
+/// Half of it, when open transactions end.
+const HALF: Duration = Duration::from_secs(3);
+
+/// What came of a proxy that was stopped under load.
+struct Stopped {
+    status: ExitStatus,
+    /// Time from the first signal to the exit.
+    took: Duration,
+    counts: Counts,
+    log: String,
+}
+
+fn platform() -> Managed {
+    let managed = Managed::start(3).unwrap();
+    managed.configure(&configuration(1, &DATABASES));
+    managed
+}
+
+fn serving(managed: &Managed, folder: &TempDir) -> Proxy {
+    let proxy = Proxy::start(managed, folder.path(), "p1");
+    let write = || Caller::try_connect(proxy.listen, "audit")?.try_query("WRITE a 1");
+    wait(|| write().filter(Reply::done));
+    proxy
+}
+
+/// Lets callers send statements while a proxy gets a series of signals, each after a pause in
+/// milliseconds, until it has exited.
+fn stop_under_load(managed: &Managed, signals: &[(u64, Signal)]) -> Stopped {
+    let folder = tempfile::tempdir().unwrap();
+    let mut proxy = serving(managed, &folder);
+    let (listen, tally) = (proxy.listen, Tally::default());
+    thread::scope(|scope| {
+        for caller in 0..CALLERS {
+            let tally = &tally;
+            scope.spawn(move || stop::call(caller, listen, tally));
+        }
+        thread::sleep(Duration::from_millis(500));
+        let first = Instant::now();
+        for (pause, signal) in signals {
+            thread::sleep(Duration::from_millis(*pause));
+            proxy.signal(*signal);
+        }
+        let status = proxy.wait_for_exit();
+        let (took, counts) = (first.elapsed(), tally.finish());
+        println!(
+            "{} done, {} failed, {} unanswered, of which {} ran; {took:?}, {status}",
+            counts.done,
+            counts.failed,
+            counts.unanswered.len(),
+            counts.ran(managed),
+        );
+        for unanswered in &counts.unanswered {
+            println!("{:?} {unanswered}", unanswered.sent.duration_since(first));
+        }
+        let log = proxy.log();
+        Stopped {
+            status,
+            took,
+            counts,
+            log,
+        }
+    })
+}
+
+/// Guards against a signal that ends the process while statements are in progress, because
+/// another one came before it.
+#[test_case(&[(0, Signal::TERM), (1, Signal::TERM)]; "again at once")]
+#[test_case(&[(0, Signal::TERM), (50, Signal::TERM), (600, Signal::TERM), (2_000, Signal::TERM)]; "again and again")]
+#[test_case(&[(0, Signal::TERM), (600, Signal::INT)]; "another one")]
+#[test_case(&[(0, Signal::INT), (20, Signal::HUP), (2_000, Signal::INT), (500, Signal::HUP)]; "mixed")]
+fn a_later_signal_does_not_end_the_process(signals: &[(u64, Signal)]) {
+    let stopped = stop_under_load(&platform(), signals);
+    assert!(stopped.status.success(), "{}", stopped.status);
+    assert!(stopped.log.contains("stopped"), "{}", stopped.log);
+}
+
+/// Guards against a process that ends at one of several requests to reload, between two of which
+/// it does not handle the signal.
+#[test]
+fn requests_to_reload_do_not_end_the_process() {
+    let (managed, folder) = (platform(), tempfile::tempdir().unwrap());
+    let proxy = serving(&managed, &folder);
+    let mut session = Caller::connect(proxy.listen, "audit").unwrap();
+    for n in 0..5_000 {
+        proxy.signal(Signal::HUP);
+        if n % 100 == 0 {
+            session.query("READ a");
+        }
+    }
+}
+
+/// Guards against a request to reload that ends a process that is just starting.
+#[test]
+fn a_request_to_reload_does_not_end_a_process_that_starts() {
+    let (managed, folder) = (platform(), tempfile::tempdir().unwrap());
+    let (mut proxy, settings) = Proxy::start_paused(&managed, folder.path(), "p1");
+    proxy.signal(Signal::HUP);
+    thread::sleep(Duration::from_millis(20));
+    settings.send();
+    Caller::connect(proxy.listen, "audit").unwrap();
+    proxy.signal(Signal::TERM);
+    assert!(proxy.wait_for_exit().success());
+}
+
+/// Guards against a process that stops before it has a configuration and then reports itself as
+/// ready, so that callers are sent to it.
+#[test]
+fn a_process_that_stops_does_not_become_ready() {
+    let (managed, folder) = (Managed::start(3).unwrap(), tempfile::tempdir().unwrap());
+    let mut ready = None;
+    let mut proxy = Proxy::start_with(&managed, folder.path(), "p1", |settings| {
+        ready = settings["ready_listen"].as_str().map(str::to_owned);
+    });
+    let ready = ready.unwrap().parse().unwrap();
+    wait(|| env::get(ready, "/ready"));
+    proxy.signal(Signal::TERM);
+    managed.configure(&configuration(1, &DATABASES));
+    for _ in 0..100 {
+        let status = env::get(ready, "/ready").unwrap_or_default();
+        assert!(!status.starts_with("HTTP/1.1 200"), "{status}");
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert!(proxy.wait_for_exit().success());
+}
+
+/// Guards against a process that exits while statements that it has sent to an instance are in
+/// progress.
+#[test]
+fn no_statement_that_ran_is_cut_off_by_the_exit() {
+    let managed = platform();
+    let stopped = stop_under_load(&managed, &[(0, Signal::TERM)]);
+    assert_eq!(stopped.counts.ran(&managed), 0);
+    assert!(!stopped.log.contains("was cut off"), "{}", stopped.log);
+}
+
+/// Guards against a statement that is lost because its session closes while the statement is on
+/// its way to the proxy.
+#[test_case(&[(0, Signal::TERM)]; "terminate")]
+#[test_case(&[(0, Signal::HUP), (0, Signal::HUP), (1, Signal::INT), (0, Signal::HUP)]; "interrupt")]
+fn every_statement_on_an_open_session_is_answered(signals: &[(u64, Signal)]) {
+    let stopped = stop_under_load(&platform(), signals);
+    let Counts { unanswered, .. } = stopped.counts;
+    assert!(unanswered.is_empty(), "{} unanswered", unanswered.len());
+}
+
+/// Guards against an exit behind the end of the grace period, when the process is killed: the
+/// time began only after the calls that end the registration in the store.
+#[test_case(StoreFault::Slow(Duration::from_millis(300)); "slow")]
+#[test_case(StoreFault::Slow(Duration::from_millis(1_200)); "very slow")]
+#[test_case(StoreFault::LosesAnswers; "silent")]
+fn a_slow_store_does_not_delay_the_exit(fault: StoreFault) {
+    let managed = platform();
+    let stalled = managed.clone();
+    thread::spawn(move || {
+        thread::sleep(Duration::from_millis(900));
+        stalled.set_store_fault(fault);
+    });
+    let stopped = stop_under_load(&managed, &[(600, Signal::TERM)]);
+    let took = stopped.took - Duration::from_millis(600);
+    assert!(took < GRACE, "{took:?}");
+}
+
+/// Guards against a statement of which a part has arrived when the shutdown begins its next
+/// phase: the part was dropped, and the rest was no statement.
+#[test]
+fn a_statement_that_arrives_in_parts_is_answered() {
+    let (managed, folder) = (platform(), tempfile::tempdir().unwrap());
+    let proxy = serving(&managed, &folder);
+    let mut session = Caller::connect(proxy.listen, "audit").unwrap();
+    session.send("QUERY 0000abcd REA");
+    proxy.signal(Signal::TERM);
+    thread::sleep(Duration::from_millis(2_500));
+    session.send("D a\r\n");
+    let reply = session.reply("0000abcd").unwrap();
+    assert!(reply.done(), "{reply:?}");
+}
+
+/// Guards against a transaction that goes on until the process exits, because a statement of it
+/// was in progress when transactions were to end.
+#[test]
+fn a_busy_transaction_ends_at_half_of_the_grace_period() {
+    let (managed, folder) = (platform(), tempfile::tempdir().unwrap());
+    let wires = (0..3).map(|at| {
+        let wire = Wire::to(managed.instance_address(at)).unwrap();
+        managed.announce_at(at, wire.address());
+        wire
+    });
+    let wires: Vec<_> = wires.collect();
+    let proxy = serving(&managed, &folder);
+    let mut session = Caller::connect(proxy.listen, "audit").unwrap();
+    session.query("BEGIN");
+    session.query("READ a");
+    for wire in wires {
+        wire.set(Weather::Slow(Duration::from_millis(100)));
+    }
+    proxy.signal(Signal::TERM);
+    let begun = Instant::now();
+    while session.query("READ a").done() {}
+    let ended = begun.elapsed();
+    assert!(
+        ended >= HALF && ended < HALF + Duration::from_secs(1),
+        "{ended:?}"
+    );
+}
+
+/// Guards against statements whose instance does not respond before the process has to exit:
+/// they got no reply.
+#[test]
+fn a_statement_without_a_response_is_answered_before_the_exit() {
+    let (managed, folder) = (Managed::start(3).unwrap(), tempfile::tempdir().unwrap());
+    let mut patient = configuration(1, &DATABASES);
+    for route in patient["routes"].as_array_mut().unwrap() {
+        route["timeoutMs"] = 20_000.into();
+    }
+    managed.configure(&patient);
+    let mut proxy = serving(&managed, &folder);
+    let open = || Caller::connect(proxy.listen, "audit").unwrap();
+    let mut sessions = [open(), open(), open(), open()];
+    for session in &mut sessions[2..] {
+        session.query("BEGIN");
+        assert!(session.query("WRITE b 1").done());
+    }
+    for at in 0..3 {
+        managed.set_fault(at, Fault::Dark);
+    }
+    let statements = ["READ a", "WRITE a 2", "READ b", "COMMIT"];
+    let codes = ["ABORTED", "INDOUBT", "ABORTED", "INDOUBT"];
+    let waiting = sessions.into_iter().zip(statements);
+    let waiting: Vec<_> = waiting
+        .map(|(mut session, text)| thread::spawn(move || session.query(text)))
+        .collect();
+    thread::sleep(Duration::from_millis(100));
+    proxy.signal(Signal::TERM);
+    let begun = Instant::now();
+    let replies: Vec<_> = waiting.into_iter().map(|w| w.join().unwrap()).collect();
+    let replied: Vec<_> = replies
+        .iter()
+        .map(|r| r.code().unwrap_or_default())
+        .collect();
+    assert_eq!(replied, codes);
+    assert!(proxy.wait_for_exit().success());
+    assert!(begun.elapsed() < GRACE, "{:?}", begun.elapsed());
+}
