Handle SIGTERM, SIGINT and SIGHUP for the whole life of the process

Cause: each signal was taken by a future of compio-signal that puts the default action back once it completes. After the first SIGTERM or SIGINT the next one killed; after a SIGHUP there was none until the next registration, and at the start none until the process served.

Evidence: the process's status is the second signal, and its log has no stopped.

The crate signal sets the handlers up before the settings are read, with signal-hook, whose handlers stay and only write to a pipe. A later request to stop is logged. Ruled out: keeping one listener of compio-signal that is never polled again; its handler wakes tasks of the runtime from within the signal, which the pipe avoids.

--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -16,6 +16,7 @@
 }
 
 fn serve() -> miette::Result<()> {
+    let requests = signal::requests().into_diagnostic()?;
     let options = cli::parse()?;
     if options.check {
         println!("settings are valid");
@@ -23,6 +24,6 @@
     }
     let _logs = logs::start().into_diagnostic()?;
     let runtime = compio::runtime::Runtime::new().into_diagnostic()?;
-    runtime.block_on(run::run(options.config))?;
+    runtime.block_on(run::run(options.config, requests))?;
     Ok(())
 }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -7,9 +7,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use compio::net::TcpListener;
-use futures_util::FutureExt as _;
 use model::unit::Span;
 use policy::pooler::Proxy;
+use signal::{Request, Requests};
 use store::calls::Purpose;
 use store::client::Client;
 
@@ -23,10 +23,6 @@
 use crate::stop::{self, Phase, StopController, StopSignal};
 use crate::{clock, pages, relay, session};
 
-const SIGHUP: i32 = 1;
-const SIGINT: i32 = 2;
-const SIGTERM: i32 = 15;
-
 /// Why the process cannot start.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
 pub enum StartError {
@@ -44,8 +40,8 @@
     Metrics(#[from] metrics::MetricsError),
 }
 
-/// Serves until the process receives a stop signal.
-pub async fn run(cfg: Config) -> Result<(), StartError> {
+/// Serves until the process is asked to stop.
+pub async fn run(cfg: Config, requests: Requests) -> Result<(), StartError> {
     tracing::info!(proxy = %cfg.proxy, data_centre = %cfg.data_centre, listen = %cfg.listen, store = %cfg.store, "starting");
     let (stopper, stop) = stop::pair();
     let cx = context(&cfg, stop)?;
@@ -97,9 +93,9 @@
     compio::runtime::spawn(become_ready(cx.clone(), ready.clone())).detach();
     compio::runtime::spawn(accept(cx.clone(), listener)).detach();
     compio::runtime::spawn(cx.quotas.clone().run()).detach();
-    compio::runtime::spawn(log_reloads()).detach();
 
-    stop_signal().await;
+    stop_request(&requests).await;
+    compio::runtime::spawn(log_later_requests(requests)).detach();
     let (signalled, statements) = (clock::now(), cx.running.count());
     tracing::info!(sessions = cx.sessions(), statements, "stopping");
     ready.store(false, Ordering::Relaxed);
@@ -170,22 +166,24 @@
     }
 }
 
-async fn stop_signal() {
-    let term = compio::signal::unix::signal(SIGTERM).fuse();
-    let int = compio::signal::unix::signal(SIGINT).fuse();
-    futures_util::pin_mut!(term, int);
-    futures_util::select_biased! {
-        _ = term => (),
-        _ = int => (),
+/// Waits for a request to stop.
+async fn stop_request(requests: &Requests) {
+    while requests.next().await != Request::Stop {
+        log_reload();
     }
 }
 
-/// Logs requests to reload, which change nothing: all that can change while the process runs
-/// comes from the store, and the settings hold addresses, which a running process keeps.
-async fn log_reloads() {
-    while compio::signal::unix::signal(SIGHUP).await.is_ok() {
-        tracing::info!(
-            "reload requested: the settings stay in force, all else comes from the store"
-        );
+async fn log_later_requests(requests: Requests) {
+    loop {
+        match requests.next().await {
+            Request::Stop => tracing::info!("another request to stop: the process stops already"),
+            Request::Reload => log_reload(),
+        }
     }
 }
+
+/// Logs a request to reload, which changes nothing: all that can change while the process runs
+/// comes from the store, and the settings hold addresses, which a running process keeps.
+fn log_reload() {
+    tracing::info!("reload requested: the settings stay in force, all else comes from the store");
+}
--- a/crates/front/tests/env/mod.rs
+++ b/crates/front/tests/env/mod.rs
@@ -156,9 +156,11 @@
         .with_writer(log)
         .finish();
     thread::spawn(move || {
+        // Nothing asks this proxy to stop.
+        let (_, requests) = signal::channel();
         tracing::subscriber::with_default(subscriber, || {
             let runtime = compio::runtime::Runtime::new().unwrap();
-            runtime.block_on(front::run::run(config)).unwrap();
+            runtime.block_on(front::run::run(config, requests)).unwrap();
         });
     });
     (listen, metrics)
