Keep a read in progress when the wait for it is dropped

Callers: a statement of which a part had arrived when the shutdown began its next phase, or when a transaction had been idle for too long, was answered with MALFORMED or not at all.

Cause: a session waits for its next statement, the next phase and the idle limit at once, and drops the read when another one of them comes first. The read had taken the buffer with it, and may have received bytes already.

The reader keeps the read, so that no other place that drops a wait can lose bytes either: the idle limit, the relay's last read from an instance. Ruled out: keeping the wait in the session only; the relay drops one as well.

--- a/crates/front/src/relay/pooler.rs
+++ b/crates/front/src/relay/pooler.rs
@@ -176,9 +176,8 @@
 
 /// Forwards lines in both directions until the connection is returned.
 ///
-/// The directions run concurrently and neither read is cancelled while the other continues, since
-/// a cancelled read loses the bytes that it has received. The read that is cancelled at the end
-/// holds none, because a client proxy returns the connection only after the last response.
+/// The directions run concurrently. The read from the instance stays in progress at the end, and
+/// belongs to whoever uses the connection next.
 async fn pipe(
     conn: &mut Conn,
     reader: &mut Reader,
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -1,6 +1,7 @@
 //! Lines over a TCP connection.
 
 use std::io;
+use std::pin::Pin;
 use std::time::Duration;
 
 use compio::buf::BufResult;
@@ -29,15 +30,20 @@
     TooLong,
 }
 
-/// The reading half, with a buffer of the received bytes.
-///
-/// Invariant: bytes before `consumed` have been returned to the caller.
+/// The reading half, with a buffer of the received bytes. Waits can be dropped without losing
+/// received bytes.
 pub struct Reader {
     stream: TcpStream,
+    /// Empty while `fill` holds the bytes.
     buf: Vec<u8>,
+    /// Bytes before it have been returned to the caller.
     consumed: usize,
+    /// The read in progress. It stays when nobody waits for it, since it may have received bytes.
+    fill: Option<Fill>,
 }
 
+type Fill = Pin<Box<dyn Future<Output = BufResult<usize, Vec<u8>>>>>;
+
 /// The writing half.
 pub struct Writer(TcpStream);
 
@@ -49,6 +55,7 @@
         stream: reader,
         buf: Vec::new(),
         consumed: 0,
+        fill: None,
     };
     Ok((reader, Writer(writer)))
 }
@@ -106,6 +113,20 @@
     }
 
     async fn fill(&mut self) -> Result<(), StreamError> {
+        let fill = match self.fill.take() {
+            Some(fill) => fill,
+            None => self.begin_fill()?,
+        };
+        let BufResult(read, buf) = self.fill.insert(fill).await;
+        self.fill = None;
+        self.buf = buf;
+        match read? {
+            0 => Err(StreamError::Closed),
+            _ => Ok(()),
+        }
+    }
+
+    fn begin_fill(&mut self) -> Result<Fill, StreamError> {
         if self.buf.len() - self.consumed > line::MAX_MESSAGE {
             return Err(StreamError::TooLong);
         }
@@ -116,12 +137,8 @@
             buf = Vec::new();
         }
         buf.reserve_exact(READ_SIZE);
-        let BufResult(read, buf) = self.stream.append(buf).await;
-        self.buf = buf;
-        match read? {
-            0 => Err(StreamError::Closed),
-            _ => Ok(()),
-        }
+        let mut stream = self.stream.clone();
+        Ok(Box::pin(async move { stream.append(buf).await }))
     }
 }
 
