Do not report ready once a stop was requested

Callers: a proxy that got SIGTERM before it had a configuration answered 200 on /ready afterwards, so that the balancer sent callers to it.

Cause: readiness was withdrawn at the signal, but the phase of the shutdown stayed Serving for 2.2 s, which is what become_ready looks at. The shutdown now has the phase Leaving from the signal on.

--- a/crates/front/src/relay/pooler.rs
+++ b/crates/front/src/relay/pooler.rs
@@ -51,7 +51,7 @@
         let Some((group, request)) = from_wire(request) else {
             return Err(StreamError::Closed);
         };
-        if cx.stop.phase() != Phase::Serving {
+        if cx.stop.phase() >= Phase::Closing {
             writer.send(encode(&FromPooler::Elsewhere)).await?;
             continue;
         }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -43,7 +43,7 @@
 /// Serves until the process is asked to stop.
 pub async fn run(cfg: Config, requests: Requests) -> Result<(), StartError> {
     tracing::info!(proxy = %cfg.proxy, data_centre = %cfg.data_centre, listen = %cfg.listen, store = %cfg.store, "starting");
-    let (stopper, stop) = stop::pair();
+    let (mut stopper, stop) = stop::pair();
     let cx = context(&cfg, stop)?;
     let store = Client::new(vec![format!("http://{}", cfg.store)])?;
     let orders = Client::new(vec![format!("http://{}", cfg.orders)])?;
@@ -98,6 +98,7 @@
     compio::runtime::spawn(log_later_requests(requests)).detach();
     let (signalled, statements) = (clock::now(), cx.running.count());
     tracing::info!(sessions = cx.sessions(), statements, "stopping");
+    stopper.leave();
     ready.store(false, Ordering::Relaxed);
     registration.leave(&cx, &store).await;
     drain(&cfg, &cx, stopper).await;
--- a/crates/front/src/session.rs
+++ b/crates/front/src/session.rs
@@ -269,7 +269,7 @@
     /// idle one closes only when the time for the shutdown is over.
     fn may_close(&self, served: bool) -> bool {
         match self.cx.stop.phase() {
-            Phase::Serving => false,
+            Phase::Serving | Phase::Leaving => false,
             Phase::Closing => served,
             Phase::Ending => true,
         }
--- a/crates/front/src/stop.rs
+++ b/crates/front/src/stop.rs
@@ -17,64 +17,74 @@
 pub enum Phase {
     /// No shutdown has begun.
     Serving,
+    /// The load balancer is told to send no callers; those that it still sends are served.
+    Leaving,
     /// Sessions end after their next response.
     Closing,
     /// All sessions end, also those in a transaction.
     Ending,
 }
 
+/// The phases after [`Phase::Serving`], in order.
+const PHASES: [Phase; 3] = [Phase::Leaving, Phase::Closing, Phase::Ending];
+
 /// Gives sessions the phase of the shutdown.
 #[derive(Clone)]
-pub struct StopSignal {
-    closing: flume::Receiver<()>,
-    ending: flume::Receiver<()>,
-}
+pub struct StopSignal([flume::Receiver<()>; PHASES.len()]);
 
-/// Drives the shutdown; each phase begins when its sender is dropped.
-pub struct StopController {
-    closing: flume::Sender<()>,
-    ending: flume::Sender<()>,
-}
+/// Drives the shutdown; each phase of `PHASES` begins when its sender is dropped.
+pub struct StopController([Option<flume::Sender<()>>; PHASES.len()]);
 
 /// Creates a controller and its signal, in phase [`Phase::Serving`].
 pub fn pair() -> (StopController, StopSignal) {
-    let (closing, closing_rx) = flume::bounded(1);
-    let (ending, ending_rx) = flume::bounded(1);
-    let signal = StopSignal {
-        closing: closing_rx,
-        ending: ending_rx,
-    };
-    (StopController { closing, ending }, signal)
+    let channels = PHASES.map(|_| flume::bounded(1));
+    let signal = StopSignal(channels.each_ref().map(|(_, rx)| rx.clone()));
+    (StopController(channels.map(|(tx, _)| Some(tx))), signal)
 }
 
 impl StopSignal {
     /// The current phase.
     pub fn phase(&self) -> Phase {
-        if self.ending.is_disconnected() {
-            Phase::Ending
-        } else if self.closing.is_disconnected() {
-            Phase::Closing
-        } else {
-            Phase::Serving
+        let begun = PHASES.iter().zip(&self.0).rev();
+        let mut begun = begun.filter(|(_, rx)| rx.is_disconnected());
+        begun.next().map_or(Phase::Serving, |(phase, _)| *phase)
+    }
+
+    /// Waits until a phase has begun.
+    pub async fn reached(&self, phase: Phase) {
+        if let Some(at) = PHASES.iter().position(|p| *p == phase) {
+            // Nothing is ever sent: `recv` returns an error once the sender is dropped.
+            let _ = self.0[at].recv_async().await;
         }
     }
 
     /// Waits until the next phase begins; never returns in the last one.
     pub async fn changed(&self) {
-        let next = match self.phase() {
-            Phase::Serving => &self.closing,
-            Phase::Closing => &self.ending,
-            Phase::Ending => return futures_util::future::pending().await,
-        };
-        // Nothing is ever sent: `recv` returns an error once the sender is dropped.
-        let _ = next.recv_async().await;
+        let current = self.phase();
+        match PHASES.into_iter().find(|phase| *phase > current) {
+            Some(next) => self.reached(next).await,
+            None => futures_util::future::pending().await,
+        }
     }
 }
 
 impl StopController {
+    fn begin(&mut self, phase: Phase) {
+        for (at, earlier) in PHASES.into_iter().enumerate() {
+            if earlier <= phase {
+                self.0[at] = None;
+            }
+        }
+    }
+
+    /// Begins the shutdown.
+    pub fn leave(&mut self) {
+        self.begin(Phase::Leaving);
+    }
+
     /// Runs through the phases within the grace period; returns early once `sessions` is 0 in
     /// the last phase.
-    pub async fn run(self, grace: Span, sessions: impl Fn() -> usize) {
+    pub async fn run(mut self, grace: Span, sessions: impl Fn() -> usize) {
         let started = clock::now();
         let half = Span::from_micros(grace.as_micros() / 2);
         clock::sleep_until(started + BALANCER_DELAY.min(half)).await;
@@ -82,10 +92,10 @@
             sessions = sessions(),
             "sessions close after their next reply"
         );
-        drop(self.closing);
+        self.begin(Phase::Closing);
         clock::sleep_until(started + half).await;
         tracing::info!(sessions = sessions(), "all sessions close");
-        drop(self.ending);
+        self.begin(Phase::Ending);
         let usable = grace.as_micros().saturating_sub(FINAL_RESERVE.as_micros());
         let end = started + Span::from_micros(usable);
         while clock::now() < end && sessions() > 0 {
