Count the grace period from the signal, not from the end of store calls

Callers: with a slow store the process was still draining when the platform killed it, with statements in progress.

Cause: the drain's time began after the registration had ended in the store, which takes two calls.

The registration ends beside the drain, which has at least half of the grace period for it; the exit does not wait.

--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use compio::net::TcpListener;
-use model::unit::Span;
+use model::unit::{Span, Time};
 use policy::pooler::Proxy;
 use signal::{Request, Requests};
 use store::calls::Purpose;
@@ -100,8 +100,8 @@
     tracing::info!(sessions = cx.sessions(), statements, "stopping");
     stopper.leave();
     ready.store(false, Ordering::Relaxed);
-    registration.leave(&cx, &store).await;
-    drain(&cfg, &cx, stopper).await;
+    compio::runtime::spawn(leave(registration, cx.clone(), store)).detach();
+    drain(&cfg, &cx, signalled, stopper).await;
     let (took, statements) = (clock::now().since(signalled), cx.running.count());
     cx.running.log_cut();
     tracing::info!(
@@ -120,8 +120,15 @@
     Ok(Rc::new(cx))
 }
 
-async fn drain(cfg: &Config, cx: &Cx, stopper: StopController) {
-    stopper.run(Span::from(cfg.grace_s), || cx.sessions()).await;
+/// Ends the registration. The store may take any time for it, and the exit does not wait.
+async fn leave(registration: Rc<Registration>, cx: Rc<Cx>, store: Client) {
+    registration.leave(&cx, &store).await;
+    tracing::info!("the registration has ended");
+}
+
+async fn drain(cfg: &Config, cx: &Cx, signalled: Time, stopper: StopController) {
+    let grace = Span::from(cfg.grace_s);
+    stopper.run(signalled, grace, || cx.sessions()).await;
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
--- a/crates/front/src/stop.rs
+++ b/crates/front/src/stop.rs
@@ -1,7 +1,7 @@
 //! Graceful shutdown: sessions end between statements, and open transactions get time to
 //! complete.
 
-use model::unit::Span;
+use model::unit::{Span, Time};
 
 use crate::clock;
 
@@ -82,10 +82,9 @@
         self.begin(Phase::Leaving);
     }
 
-    /// Runs through the phases within the grace period; returns early once `sessions` is 0 in
-    /// the last phase.
-    pub async fn run(mut self, grace: Span, sessions: impl Fn() -> usize) {
-        let started = clock::now();
+    /// Runs through the phases within the grace period, which began at `started`; returns early
+    /// once `sessions` is 0 in the last phase.
+    pub async fn run(mut self, started: Time, grace: Span, sessions: impl Fn() -> usize) {
         let half = Span::from_micros(grace.as_micros() / 2);
         clock::sleep_until(started + BALANCER_DELAY.min(half)).await;
         tracing::info!(
