Let a session enter each phase of the shutdown, also after a statement

Callers: a transaction whose statement was in progress at half of the grace period went on until the exit cut one of its statements, if that was its COMMIT with an unknown outcome.

Cause: a session waited for the phase after the current one. A phase that began while it ran a statement was over for it, and the last one has no next. A session now remembers the phase that it has entered.

--- a/crates/front/src/session.rs
+++ b/crates/front/src/session.rs
@@ -135,6 +135,8 @@
     tx: tx::Tx,
     /// Whether the caller's key was revoked, which ends the session.
     forbidden: bool,
+    /// The phase of the shutdown that the session has entered.
+    phase: Phase,
 }
 
 /// Serves one caller until it disconnects.
@@ -157,6 +159,7 @@
         own_write: None,
         tx: tx::Tx::None,
         forbidden: false,
+        phase: Phase::Serving,
     };
     let ended = session.run(&mut reader, &mut writer).await;
     session.tx.abandon("the session ended").await;
@@ -247,12 +250,9 @@
                     writer.send(buf).await?;
                 }
                 Event::Idle => self.tx.abort("it was idle for too long").await,
-                Event::Phase => {
-                    if self.cx.stop.phase() == Phase::Ending {
-                        self.tx.abort("the proxy stops").await;
-                    }
-                }
+                Event::Phase => {}
             }
+            self.enter_phase().await;
             if self.forbidden {
                 return Ok(());
             }
@@ -262,13 +262,21 @@
         }
     }
 
+    /// Enters the current phase of the shutdown, which may have begun during a statement.
+    async fn enter_phase(&mut self) {
+        self.phase = self.cx.stop.phase();
+        if self.phase >= Phase::Ending {
+            self.tx.abort("the proxy stops").await;
+        }
+    }
+
     /// Whether the session may close between two statements.
     ///
     /// A statement that the caller sends while its session is being closed is lost. Right
     /// after a reply the caller has no statement in flight, so a session closes then; an
     /// idle one closes only when the time for the shutdown is over.
     fn may_close(&self, served: bool) -> bool {
-        match self.cx.stop.phase() {
+        match self.phase {
             Phase::Serving | Phase::Leaving => false,
             Phase::Closing => served,
             Phase::Ending => true,
@@ -278,7 +286,7 @@
     async fn next(&self, reader: &mut Reader) -> Result<Event, StreamError> {
         let line = async { reader.line().await.map(line::request) }.fuse();
         let idle = self.idle_limit().fuse();
-        let phase = self.cx.stop.changed().fuse();
+        let phase = self.cx.stop.after(self.phase).fuse();
         futures_util::pin_mut!(line, idle, phase);
         futures_util::select_biased! {
             line = line => Ok(Event::Line(line?)),
--- a/crates/front/src/stop.rs
+++ b/crates/front/src/stop.rs
@@ -58,10 +58,9 @@
         }
     }
 
-    /// Waits until the next phase begins; never returns in the last one.
-    pub async fn changed(&self) {
-        let current = self.phase();
-        match PHASES.into_iter().find(|phase| *phase > current) {
+    /// Waits until the phase after `phase` has begun; never returns after the last one.
+    pub async fn after(&self, phase: Phase) {
+        match PHASES.into_iter().find(|next| *next > phase) {
             Some(next) => self.reached(next).await,
             None => futures_util::future::pending().await,
         }
