Answer statements that are in progress when the process has to exit

Callers: a statement whose instance did not respond by 0.7 s before the end of the grace period got no reply; the connection was closed.

Cause: the exit dropped the sessions with their statements. From 0.7 s before the end on, a statement in progress now gets what is known to be true: the outcome is unknown if it is a write or a commit that was sent, else nothing of it is kept. The process exits once that was sent, 0.3 s before the end at the latest; that time was not used before.

The test's write is delayed by its instance instead of failing with it, since a write that was not sent yet is rightly ABORTED; in this form it fails on the code before as well.

What the record shows may be this fault only if an instance took seconds; its statements are of 18 to 40 ms.

--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -20,7 +20,7 @@
 use crate::distance::Distances;
 use crate::metrics::{self, Metrics};
 use crate::registration::Registration;
-use crate::stop::{self, Phase, StopController, StopSignal};
+use crate::stop::{self, Phase, Schedule, StopController, StopSignal};
 use crate::{clock, pages, relay, session};
 
 /// Why the process cannot start.
@@ -127,8 +127,8 @@
 }
 
 async fn drain(cfg: &Config, cx: &Cx, signalled: Time, stopper: StopController) {
-    let grace = Span::from(cfg.grace_s);
-    stopper.run(signalled, grace, || cx.sessions()).await;
+    let schedule = Schedule::new(signalled, Span::from(cfg.grace_s));
+    stopper.run(schedule, || cx.sessions()).await;
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
--- a/crates/front/src/session.rs
+++ b/crates/front/src/session.rs
@@ -6,11 +6,14 @@
 mod read;
 mod tx;
 
+use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use compio::net::TcpStream;
 use futures_util::FutureExt as _;
+use futures_util::future::{self, Either};
 use indexmap::IndexMap;
 use model::customer::{ApiKey, CustomerPriority};
 use model::id::{CustomerId, Database, InstanceId};
@@ -39,6 +42,9 @@
 /// use up their retries. It is below the 2 s for which callers wait for the reply.
 const CONFIG_TIMEOUT: Span = Span::from_millis(1_500);
 
+/// Why statements and transactions are aborted during the shutdown.
+const STOPPING: &str = "the proxy stops";
+
 /// Why a statement has no result, for the caller and for the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Failure {
@@ -109,6 +115,8 @@
     id: StatementId,
     text: Arc<str>,
     arrived: Time,
+    /// Whether it was sent to an instance and has a lasting effect if it runs there.
+    may_take_effect: Rc<Cell<bool>>,
 }
 
 /// Where an operation runs, and for whom; fixed when it starts.
@@ -236,8 +244,12 @@
             match self.next(reader).await? {
                 Event::Line(Ok(Request::Query { id, text })) => {
                     let _running = self.cx.running.begin(&id);
-                    let arrived = clock::now();
-                    let job = Job { id, text, arrived };
+                    let job = Job {
+                        id,
+                        text,
+                        arrived: clock::now(),
+                        may_take_effect: Rc::default(),
+                    };
                     let reply = self.respond(&job).await;
                     writer.send(reply).await?;
                     served = true;
@@ -266,7 +278,7 @@
     async fn enter_phase(&mut self) {
         self.phase = self.cx.stop.phase();
         if self.phase >= Phase::Ending {
-            self.tx.abort("the proxy stops").await;
+            self.tx.abort(STOPPING).await;
         }
     }
 
@@ -279,7 +291,7 @@
         match self.phase {
             Phase::Serving | Phase::Leaving => false,
             Phase::Closing => served,
-            Phase::Ending => true,
+            Phase::Ending | Phase::Aborting => true,
         }
     }
 
@@ -307,10 +319,7 @@
 
     /// Runs a statement and returns its whole reply.
     async fn respond(&mut self, job: &Job) -> Vec<u8> {
-        let result = match line::statement(&job.text) {
-            Ok(statement) => self.execute(job, statement).await,
-            Err(_) => Err(Failure::Malformed),
-        };
+        let result = self.run_until_aborted(job).await;
         self.forbidden = matches!(result, Err(Failure::Forbidden(_)));
         let took = clock::now().since(job.arrived);
         let mut buf = Vec::new();
@@ -365,6 +374,30 @@
         }
     }
 
+    /// Runs a statement. One that is still in progress when the process has to exit gets the
+    /// failure that is known to be true then.
+    async fn run_until_aborted(&mut self, job: &Job) -> Result<Outcome, Failure> {
+        let stop = self.cx.stop.clone();
+        let aborted = pin!(stop.reached(Phase::Aborting));
+        let run = Box::pin(self.run_job(job));
+        if let Either::Left((result, _)) = future::select(run, aborted).await {
+            return result;
+        }
+        // A response may be on its way on an open transaction's connection.
+        self.tx.mark_failed();
+        Err(match job.may_take_effect.get() {
+            true => Failure::LostInDoubt,
+            false => Failure::Aborted(STOPPING),
+        })
+    }
+
+    async fn run_job(&mut self, job: &Job) -> Result<Outcome, Failure> {
+        match line::statement(&job.text) {
+            Ok(statement) => self.execute(job, statement).await,
+            Err(_) => Err(Failure::Malformed),
+        }
+    }
+
     async fn execute(&mut self, job: &Job, statement: Statement) -> Result<Outcome, Failure> {
         if self.tx.has_failed() && !matches!(statement, Statement::Commit | Statement::Rollback) {
             return Err(Failure::Malformed);
--- a/crates/front/src/session/attempt.rs
+++ b/crates/front/src/session/attempt.rs
@@ -227,6 +227,7 @@
                     return Ok(outcome);
                 }
                 Err(AttemptFailure::NotRun(code)) => {
+                    job.may_take_effect.set(false);
                     admission.did_not_run();
                     tracing::info!(id = %job.id, %instance, ?code, failed = attempts.failed, busy = attempts.busy, "a write did not run");
                     last = Failure::Instance(code);
@@ -346,6 +347,7 @@
         }
         let since = clock::now();
         let writes = self.access == Access::Write;
+        self.job.may_take_effect.set(writes);
         let response = send(
             &mut checkout,
             self.job,
--- a/crates/front/src/session/tx.rs
+++ b/crates/front/src/session/tx.rs
@@ -149,6 +149,7 @@
 
     async fn commit_on(&mut self, job: &Job, mut open: OpenTx) -> Result<Outcome, Failure> {
         let limit = open.target.route.time_limit;
+        job.may_take_effect.set(open.wrote);
         for attempt in 0..BUSY_ATTEMPTS {
             let since = clock::now();
             let payload = Payload::Text(job.text.clone());
--- a/crates/front/src/stop.rs
+++ b/crates/front/src/stop.rs
@@ -9,8 +9,16 @@
 /// a second and needs two failed checks.
 const BALANCER_DELAY: Span = Span::from_millis(2_200);
 
-/// Reserved at the end of the grace period, so that the last responses are still sent.
-const FINAL_RESERVE: Span = Span::from_millis(700);
+/// Time before the end of the grace period at which statements in progress are aborted: their
+/// replies take some time on a busy VM.
+const ABORT_RESERVE: Span = Span::from_millis(700);
+
+/// Time before the end of the grace period at which the process exits at the latest: the last log
+/// lines and the end of the process take some time as well.
+const EXIT_RESERVE: Span = Span::from_millis(300);
+
+/// Interval between two checks whether sessions are open.
+const POLL_INTERVAL: Span = Span::from_millis(20);
 
 /// Phase of the shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -23,10 +31,17 @@
     Closing,
     /// All sessions end, also those in a transaction.
     Ending,
+    /// Statements in progress are answered without a result.
+    Aborting,
 }
 
 /// The phases after [`Phase::Serving`], in order.
-const PHASES: [Phase; 3] = [Phase::Leaving, Phase::Closing, Phase::Ending];
+const PHASES: [Phase; 4] = [
+    Phase::Leaving,
+    Phase::Closing,
+    Phase::Ending,
+    Phase::Aborting,
+];
 
 /// Gives sessions the phase of the shutdown.
 #[derive(Clone)]
@@ -67,6 +82,34 @@
     }
 }
 
+/// When the phases of a shutdown begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Schedule {
+    /// When [`Phase::Closing`] begins.
+    pub closing: Time,
+    /// When [`Phase::Ending`] begins.
+    pub ending: Time,
+    /// When [`Phase::Aborting`] begins.
+    pub aborting: Time,
+    /// When the process exits at the latest; before the end of the grace period.
+    pub exit: Time,
+}
+
+impl Schedule {
+    /// The schedule for a grace period that began at `started`.
+    pub fn new(started: Time, grace: Span) -> Self {
+        let part = |n| Span::from_micros(grace.as_micros() / n);
+        let before_end =
+            |reserve: Span| started + Span::from_micros(grace.as_micros() - reserve.as_micros());
+        Self {
+            closing: started + BALANCER_DELAY.min(part(2)),
+            ending: started + part(2),
+            aborting: before_end(ABORT_RESERVE.min(part(4))),
+            exit: before_end(EXIT_RESERVE.min(part(8))),
+        }
+    }
+}
+
 impl StopController {
     fn begin(&mut self, phase: Phase) {
         for (at, earlier) in PHASES.into_iter().enumerate() {
@@ -81,23 +124,34 @@
         self.begin(Phase::Leaving);
     }
 
-    /// Runs through the phases within the grace period, which began at `started`; returns early
-    /// once `sessions` is 0 in the last phase.
-    pub async fn run(mut self, started: Time, grace: Span, sessions: impl Fn() -> usize) {
-        let half = Span::from_micros(grace.as_micros() / 2);
-        clock::sleep_until(started + BALANCER_DELAY.min(half)).await;
+    /// Runs through the phases; returns early once `sessions` is 0 after all were to end.
+    pub async fn run(mut self, schedule: Schedule, sessions: impl Fn() -> usize) {
+        clock::sleep_until(schedule.closing).await;
         tracing::info!(
             sessions = sessions(),
             "sessions close after their next reply"
         );
         self.begin(Phase::Closing);
-        clock::sleep_until(started + half).await;
+        clock::sleep_until(schedule.ending).await;
         tracing::info!(sessions = sessions(), "all sessions close");
         self.begin(Phase::Ending);
-        let usable = grace.as_micros().saturating_sub(FINAL_RESERVE.as_micros());
-        let end = started + Span::from_micros(usable);
-        while clock::now() < end && sessions() > 0 {
-            clock::sleep_until(clock::now() + Span::from_millis(50)).await;
+        if wait_for_none(&sessions, schedule.aborting).await {
+            return;
+        }
+        tracing::info!(sessions = sessions(), "statements in progress are aborted");
+        self.begin(Phase::Aborting);
+        wait_for_none(&sessions, schedule.exit).await;
+    }
+}
+
+/// Waits until no session is open, at most until `end`; returns whether none is.
+async fn wait_for_none(sessions: impl Fn() -> usize, end: Time) -> bool {
+    while sessions() > 0 {
+        let now = clock::now();
+        if now >= end {
+            return false;
         }
+        clock::sleep_until(end.min(now + POLL_INTERVAL)).await;
     }
+    true
 }
--- a/crates/front/tests/stop.rs
+++ b/crates/front/tests/stop.rs
@@ -265,16 +265,19 @@
         session.query("BEGIN");
         assert!(session.query("WRITE b 1").done());
     }
-    for at in 0..3 {
-        managed.set_fault(at, Fault::Dark);
-    }
-    let statements = ["READ a", "WRITE a 2", "READ b", "COMMIT"];
-    let codes = ["ABORTED", "INDOUBT", "ABORTED", "INDOUBT"];
+    let statements = ["WRITE a 2", "READ a", "READ b", "COMMIT"];
+    let codes = ["INDOUBT", "ABORTED", "ABORTED", "INDOUBT"];
+    // The write is sent; an instance that fails gets nothing more.
+    managed.delay_next_statement("WRITE", Duration::from_secs(20));
     let waiting = sessions.into_iter().zip(statements);
     let waiting: Vec<_> = waiting
-        .map(|(mut session, text)| thread::spawn(move || session.query(text)))
+        .map(|(mut session, text)| {
+            let waiting = thread::spawn(move || session.query(text));
+            thread::sleep(Duration::from_millis(100));
+            (0..3).for_each(|at| managed.set_fault(at, Fault::Dark));
+            waiting
+        })
         .collect();
-    thread::sleep(Duration::from_millis(100));
     proxy.signal(Signal::TERM);
     let begun = Instant::now();
     let replies: Vec<_> = waiting.into_iter().map(|w| w.join().unwrap()).collect();
