Let no session start once all sessions are to end

Callers: statements that an instance ran got no reply, as the process exited with them in progress: 12 to 17 of about 2,900 with one SIGTERM and 40 callers that go on connecting, all sent in the last 250 ms.

Cause: readiness is withdrawn, but a balancer may lag, stick or know another way. Sessions that it sent were let in and served until the exit 0.7 s before the end of the grace period. From half of that period on START is now rejected with BUSY and closed, so that the caller tries another proxy at once, and the process exits as soon as the statements of before are answered. Connections without an accepted START no longer count as sessions.

Ruled out: serving until later and aborting the rest; a write that is aborted has an unknown outcome, while one rejected at START runs elsewhere.

--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -158,12 +158,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let (cx, guard) = (cx.clone(), cx.count_session());
-                compio::runtime::spawn(async move {
-                    session::serve(cx, stream).await;
-                    drop(guard);
-                })
-                .detach();
+                compio::runtime::spawn(session::serve(cx.clone(), stream)).detach();
             }
             Err(e) => {
                 // For instance out of file descriptors: sessions that end free some.
--- a/crates/front/src/session.rs
+++ b/crates/front/src/session.rs
@@ -27,7 +27,7 @@
 
 use crate::clock;
 use crate::conn::{Payload, Values};
-use crate::cx::Cx;
+use crate::cx::{Cx, SessionCount};
 use crate::group::CheckedOut;
 use crate::quota::Admission;
 use crate::stop::Phase;
@@ -81,12 +81,15 @@
     /// The caller's key is unknown, or was revoked.
     #[error(transparent)]
     Forbidden(#[from] UnknownKey),
+    /// The proxy stops; the statement did not run, and other proxies serve it.
+    #[error("the proxy stops; retry after 0 ms")]
+    Stopping,
 }
 
 impl Failure {
     const fn code(self) -> Code {
         match self {
-            Self::Rejected(_) | Self::OverQuota(_) => Code::Busy,
+            Self::Rejected(_) | Self::OverQuota(_) | Self::Stopping => Code::Busy,
             Self::Instance(code) => code,
             Self::LostNoEffect | Self::Aborted(_) => Code::Aborted,
             Self::LostInDoubt | Self::Unacknowledged => Code::InDoubt,
@@ -153,8 +156,11 @@
         return;
     };
     let started = start(&cx, &mut reader, &mut writer);
-    let Ok(Some((database, key))) =
-        compio::time::timeout(START_TIMEOUT.as_duration(), started).await
+    let Ok(Some(Started {
+        database,
+        key,
+        _count,
+    })) = compio::time::timeout(START_TIMEOUT.as_duration(), started).await
     else {
         return;
     };
@@ -177,12 +183,15 @@
     let _ = writer.finish().await;
 }
 
+/// A session that was let in.
+struct Started {
+    database: Database,
+    key: Option<ApiKey>,
+    _count: SessionCount,
+}
+
 /// Replies to the first message; `None` if the session does not start.
-async fn start(
-    cx: &Cx,
-    reader: &mut Reader,
-    writer: &mut Writer,
-) -> Option<(Database, Option<ApiKey>)> {
+async fn start(cx: &Rc<Cx>, reader: &mut Reader, writer: &mut Writer) -> Option<Started> {
     let line = reader.line().await.ok()?;
     let mut buf = Vec::new();
     let (database, key) = match line::request(line) {
@@ -197,7 +206,12 @@
     let routes = cx.routes();
     let route = database.as_ref().and_then(|d| routes.routes.get(d));
     let customer = route.map(|route| routes.customer(route, key.as_ref()));
+    let stopping = cx.stop.phase() >= Phase::Ending;
     match customer {
+        _ if stopping => {
+            tracing::info!("a session was rejected: the proxy stops");
+            line::put_error(&mut buf, Code::Busy, &Failure::Stopping.to_string());
+        }
         Some(Ok(_)) => line::put_ready(&mut buf, TxState::Idle, None),
         Some(Err(e)) => {
             tracing::info!(version = routes.version, cause = %e, "a session was rejected");
@@ -215,11 +229,14 @@
             line::put_error(&mut buf, Code::NoDatabase, "no route has this database");
         }
     }
+    let accepted = !stopping && customer.is_some_and(|customer| customer.is_ok());
+    let count = accepted.then(|| cx.count_session());
     writer.send(buf).await.ok()?;
-    let accepted = customer.is_some_and(|customer| customer.is_ok());
-    database
-        .filter(|_| accepted)
-        .map(|database| (database, key))
+    Some(Started {
+        database: database?,
+        key,
+        _count: count?,
+    })
 }
 
 /// Waits up to `CONFIG_TIMEOUT` for the first configuration.
--- a/crates/front/src/stop.rs
+++ b/crates/front/src/stop.rs
@@ -29,7 +29,7 @@
     Leaving,
     /// Sessions end after their next response.
     Closing,
-    /// All sessions end, also those in a transaction.
+    /// All sessions end, also those in a transaction, and none starts.
     Ending,
     /// Statements in progress are answered without a result.
     Aborting,
