Let callers end their sessions when the proxy stops

Callers: a statement sent right after a reply, or on an idle session at half of the grace period, met a session that was just closing and got no reply: about 100 of 2,900 with one SIGTERM and 40 callers, 38 to 44 once no session starts late. None of them ran.

Cause: the proxy closed sessions, and no close is sure to arrive before the caller sends again. It now sends an error that replies to nothing, at which the protocol has callers end the session, and reads on. A statement that was on its way takes that error for its reply and is true to it: it did not run, and the state that makes the reply whole follows. This goes on until the caller closes or the process exits. At the last phase sessions whose transaction was aborted end the same way.

Ruled out: the reply and the end of the stream in one segment, which leaves idle sessions and callers that have begun to send.

--- a/crates/front/src/session.rs
+++ b/crates/front/src/session.rs
@@ -285,8 +285,8 @@
             if self.forbidden {
                 return Ok(());
             }
-            if self.tx.is_none() && !reader.has_line() && self.may_close(served) {
-                return Ok(());
+            if !reader.has_line() && self.may_close(served) {
+                return self.dismiss(reader, writer).await;
             }
         }
     }
@@ -299,16 +299,37 @@
         }
     }
 
-    /// Whether the session may close between two statements.
-    ///
-    /// A statement that the caller sends while its session is being closed is lost. Right
-    /// after a reply the caller has no statement in flight, so a session closes then; an
-    /// idle one closes only when the time for the shutdown is over.
+    /// Whether the caller is to end the session now.
     fn may_close(&self, served: bool) -> bool {
         match self.phase {
             Phase::Serving | Phase::Leaving => false,
-            Phase::Closing => served,
-            Phase::Ending | Phase::Aborting => true,
+            Phase::Closing => served && self.tx.is_none(),
+            Phase::Ending => self.tx.is_none(),
+            Phase::Aborting => true,
+        }
+    }
+
+    /// Makes the caller end the session, and rejects what it sends until then.
+    ///
+    /// Callers end a session at an error that replies to nothing. For a statement that was on its
+    /// way, that error is the reply: it needs only the session's state to be whole.
+    async fn dismiss(
+        &mut self,
+        reader: &mut Reader,
+        writer: &mut Writer,
+    ) -> Result<(), StreamError> {
+        let failure = Failure::Stopping;
+        let mut buf = Vec::new();
+        line::put_error(&mut buf, failure.code(), &failure.to_string());
+        loop {
+            writer.send(std::mem::take(&mut buf)).await?;
+            match line::request(reader.line().await?) {
+                Ok(Request::Bye) => return Ok(()),
+                Ok(Request::Query { id, .. }) => self.record_failure(&id, failure, Span::default()),
+                Ok(Request::Start { .. }) | Err(_) => {}
+            }
+            line::put_ready(&mut buf, self.tx.state(), None);
+            line::put_error(&mut buf, failure.code(), &failure.to_string());
         }
     }
 
@@ -345,6 +366,7 @@
             Ok(outcome) => {
                 point = outcome.point;
                 self.log_served(job, outcome, took);
+                self.cx.metrics.statement_ended(None, took);
                 if outcome.lines.is_empty() {
                     line::put_done(&mut buf);
                 } else {
@@ -353,25 +375,29 @@
             }
             Err(failure) => {
                 line::put_error(&mut buf, failure.code(), &failure.to_string());
-                tracing::warn!(
-                    id = %job.id,
-                    database = %self.database,
-                    customer = self.customer().map(tracing::field::display),
-                    code = line::code_word(failure.code()),
-                    cause = %failure,
-                    took_ms = took.as_millis(),
-                    version = self.cx.routes().version,
-                    "a statement failed"
-                );
+                self.record_failure(&job.id, *failure, took);
             }
         }
-        self.cx
-            .metrics
-            .statement_ended(result.as_ref().err().map(|f| f.code()), took);
         line::put_ready(&mut buf, self.tx.state(), point);
         buf
     }
 
+    /// Logs and counts a statement without a result.
+    fn record_failure(&self, id: &StatementId, failure: Failure, took: Span) {
+        tracing::warn!(
+            %id,
+            database = %self.database,
+            customer = self.customer().map(tracing::field::display),
+            code = line::code_word(failure.code()),
+            cause = %failure,
+            took_ms = took.as_millis(),
+            version = self.cx.routes().version,
+            "a statement failed"
+        );
+        let metrics = &self.cx.metrics;
+        metrics.statement_ended(Some(failure.code()), took);
+    }
+
     /// Logs what is needed to trace a served statement, within the limit for such lines.
     fn log_served(&self, job: &Job, outcome: &Outcome, took: Span) {
         let Some(instance) = &outcome.instance else {
