Tell a caller that the proxy has aborted its transaction

Callers: the first statement after the proxy had aborted a transaction (at half of the grace period, or idle for too long) was answered with MALFORMED, which promises nothing, though nothing of the transaction is kept.

Cause: only the session's state said that the transaction had failed. The caller learns of it by ABORTED now, once, with the cause; later statements are MALFORMED as the protocol says.

--- a/crates/front/src/session.rs
+++ b/crates/front/src/session.rs
@@ -443,7 +443,8 @@
 
     async fn execute(&mut self, job: &Job, statement: Statement) -> Result<Outcome, Failure> {
         if self.tx.has_failed() && !matches!(statement, Statement::Commit | Statement::Rollback) {
-            return Err(Failure::Malformed);
+            let aborted = self.tx.take_abort_cause().map(Failure::Aborted);
+            return Err(aborted.unwrap_or(Failure::Malformed));
         }
         if self.tx.is_none() {
             self.target()?;
--- a/crates/front/src/session/tx.rs
+++ b/crates/front/src/session/tx.rs
@@ -29,8 +29,9 @@
     Pending(Access, Time, Box<Target>),
     /// It runs on a connection.
     Open(Box<OpenTx>),
-    /// Failed; its work is rolled back.
-    Failed,
+    /// Failed; its work is rolled back. The cause is present until the caller was told that the
+    /// proxy aborted it.
+    Failed(Option<&'static str>),
 }
 
 pub(super) struct OpenTx {
@@ -45,7 +46,7 @@
         match self {
             Self::None => TxState::Idle,
             Self::Pending(..) | Self::Open(_) => TxState::Open,
-            Self::Failed => TxState::Failed,
+            Self::Failed(_) => TxState::Failed,
         }
     }
 
@@ -54,7 +55,7 @@
     }
 
     pub(super) fn has_failed(&self) -> bool {
-        matches!(self, Self::Failed)
+        matches!(self, Self::Failed(_))
     }
 
     pub(super) fn holds_connection(&self) -> bool {
@@ -66,7 +67,15 @@
     /// BEGIN) are rare.
     pub(super) fn mark_failed(&mut self) {
         if !self.is_none() {
-            *self = Self::Failed;
+            *self = Self::Failed(None);
+        }
+    }
+
+    /// Takes the cause for which the proxy aborted the transaction, if the caller does not know it.
+    pub(super) fn take_abort_cause(&mut self) -> Option<&'static str> {
+        match self {
+            Self::Failed(cause) => cause.take(),
+            Self::None | Self::Pending(..) | Self::Open(_) => None,
         }
     }
 
@@ -77,7 +86,7 @@
             return;
         }
         tracing::info!(cause, "a transaction was aborted");
-        if let Self::Open(open) = std::mem::replace(self, Self::Failed) {
+        if let Self::Open(open) = std::mem::replace(self, Self::Failed(Some(cause))) {
             open.roll_back().await;
         }
     }
@@ -119,7 +128,7 @@
     pub(super) async fn roll_back(&mut self) -> Result<Outcome, Failure> {
         match std::mem::replace(&mut self.tx, Tx::None) {
             Tx::None => return Err(Failure::Malformed),
-            Tx::Pending(..) | Tx::Failed => {}
+            Tx::Pending(..) | Tx::Failed(_) => {}
             Tx::Open(open) => open.roll_back().await,
         }
         Ok(Outcome::default())
@@ -128,9 +137,10 @@
     pub(super) async fn commit(&mut self, job: &Job) -> Result<Outcome, Failure> {
         match &self.tx {
             Tx::None => return Err(Failure::Malformed),
-            Tx::Failed => {
+            Tx::Failed(cause) => {
+                let failure = Failure::Aborted(cause.unwrap_or("it had failed before"));
                 self.tx = Tx::None;
-                return Err(Failure::Aborted("it had failed before"));
+                return Err(failure);
             }
             Tx::Pending(access, arrived, target) => {
                 let (access, arrived, target) = (*access, *arrived, target.clone());
@@ -210,7 +220,7 @@
     ) -> Result<Outcome, Failure> {
         let result = self.try_in_tx(job, access, payload).await;
         if result.is_err()
-            && let Tx::Open(open) = std::mem::replace(&mut self.tx, Tx::Failed)
+            && let Tx::Open(open) = std::mem::replace(&mut self.tx, Tx::Failed(None))
         {
             open.roll_back().await;
         }
--- a/crates/front/tests/stop.rs
+++ b/crates/front/tests/stop.rs
@@ -248,6 +248,28 @@
     );
 }
 
+/// Guards against a statement that is called malformed because the proxy has aborted its
+/// transaction meanwhile: callers may send again what did not run.
+#[test]
+fn the_first_statement_after_an_abort_is_told_of_it() {
+    let (managed, folder) = (platform(), tempfile::tempdir().unwrap());
+    let proxy = serving(&managed, &folder);
+    let open = || Caller::connect(proxy.listen, "audit").unwrap();
+    let mut sessions = [open(), open()];
+    for session in &mut sessions {
+        session.query("BEGIN");
+        assert!(session.query("WRITE b 1").done());
+    }
+    let [mut writing, mut ending] = sessions;
+    proxy.signal(Signal::TERM);
+    thread::sleep(HALF + Duration::from_millis(500));
+    assert_eq!(writing.query("WRITE b 2").code(), Some("ABORTED"));
+    assert_eq!(writing.query("WRITE b 3").code(), Some("MALFORMED"));
+    assert!(writing.query("ROLLBACK").done());
+    assert_eq!(ending.query("COMMIT").code(), Some("ABORTED"));
+    assert!(managed.log().iter().all(|entry| !entry.starts_with("b=")));
+}
+
 /// Guards against statements whose instance does not respond before the process has to exit:
 /// they got no reply.
 #[test]
