Do not register in the store once the proxy stops

Found in the search for more of a stop that meets a slow store: a proxy that got SIGTERM while its lease was being granted announced itself afterwards. Others counted it, and sent it work, until the lease expired 6 s later.

Cause: the end of the registration revokes the lease that it knows, and the grant that was on its way brought the next one. After each call of the store the registration, and the coordinator role, now look at whether the proxy stops, and revoke a lease that came late.

No caller's statement is lost by it alone; the record does not show it.

--- a/crates/front/src/registration.rs
+++ b/crates/front/src/registration.rs
@@ -103,6 +103,10 @@
                 let renewed = self.renew(&cx, &client, ttl).await;
                 log_renewal(&mut failing_since, now, renewed.err());
             }
+            // The stop may have begun during the renewal.
+            if self.stopping.get() {
+                break;
+            }
             let registered = failing_since.is_none() && self.lease.get().is_some();
             if registered && let Err(e) = self.write_keys(&cx, &directory, &client).await {
                 tracing::info!(cause = %e, "a key of this proxy was not written");
@@ -114,6 +118,9 @@
     async fn renew(&self, cx: &Cx, client: &Client, ttl: Duration) -> Result<(), Error> {
         if let Some(held) = self.lease.get() {
             let renewed = lease::renew(client, held.id, ttl).await?;
+            if self.stopping.get() {
+                return Ok(());
+            }
             self.lease.set(renewed);
             if let Some(renewed) = renewed {
                 cx.quotas.set_valid_until(renewed.until);
@@ -123,6 +130,9 @@
         }
         cx.quotas.set_announced(None);
         let lease = lease::grant(client, ttl).await?;
+        if self.stopping.get() {
+            return kv::revoke(client, lease.id).await;
+        }
         cx.quotas.set_valid_until(lease.until);
         self.lease.set(Some(lease));
         self.announced.set(false);
@@ -142,6 +152,9 @@
         if !self.announced.get() {
             let replaced = directory.with(|s| s.announcement_revision(&self.id));
             let announced_at = self.announce(client, lease, replaced).await?;
+            if self.stopping.get() {
+                return Ok(());
+            }
             cx.quotas.set_announced(announced_at);
             self.announced.set(announced_at.is_some());
         }
--- a/crates/front/src/registration/coordinator_lease.rs
+++ b/crates/front/src/registration/coordinator_lease.rs
@@ -161,6 +161,10 @@
             return Ok(());
         }
         let lease = self.usable_lease(client, ttl).await?;
+        if self.stopping.get() {
+            self.end_lease(client, lease.id).await;
+            return Ok(());
+        }
         let nonce = self.nonce.as_bytes();
         // The watch may deliver the outcome a second later. Unless it is taken from the response,
         // the key would seem free until then, and this process would send another request.
--- a/crates/front/tests/stop.rs
+++ b/crates/front/tests/stop.rs
@@ -168,6 +168,27 @@
     assert!(proxy.wait_for_exit().success());
 }
 
+/// Guards against a process that registers in the store while it stops, because its lease was
+/// granted after the stop began: others would count it until the lease expires.
+#[test]
+fn a_process_that_stops_while_it_registers_leaves_nothing() {
+    let (managed, folder) = (platform(), tempfile::tempdir().unwrap());
+    managed.set_store_fault(StoreFault::Slow(Duration::from_millis(300)));
+    thread::scope(|scope| {
+        for n in 0..12 {
+            let (managed, folder) = (&managed, folder.path());
+            scope.spawn(move || {
+                let mut proxy = Proxy::start(managed, folder, &format!("p{n}"));
+                thread::sleep(Duration::from_millis(50 + 100 * n));
+                proxy.signal(Signal::TERM);
+                assert!(proxy.wait_for_exit().success());
+            });
+        }
+    });
+    let keys = managed.keys("pomelo/");
+    assert!(keys.is_empty(), "{keys:?}");
+}
+
 /// Guards against a process that exits while statements that it has sent to an instance are in
 /// progress.
 #[test]
