Show that a pooler that stops cuts no statement of other proxies

The pooler rejects new checkouts once sessions close, waits for those in progress until its exit, and what the exit cuts is answered by the proxy that the caller is connected to. No change was needed.

--- a/crates/front/tests/env/stop.rs
+++ b/crates/front/tests/env/stop.rs
@@ -42,6 +42,8 @@
     pub(crate) done: usize,
     /// Statements with an error as their reply.
     pub(crate) failed: usize,
+    /// Of these, the ones of unknown outcome.
+    pub(crate) in_doubt: usize,
     pub(crate) unanswered: Vec<Unanswered>,
 }
 
@@ -66,7 +68,10 @@
         let mut counts = self.counts.lock().unwrap();
         match &reply {
             Some(reply) if reply.done() => counts.done += 1,
-            Some(_) => counts.failed += 1,
+            Some(reply) => {
+                counts.failed += 1;
+                counts.in_doubt += usize::from(reply.code() == Some("INDOUBT"));
+            }
             None => {
                 let text = text.to_owned();
                 counts.unanswered.push(Unanswered { id, text, sent });
--- a/crates/front/tests/stop.rs
+++ b/crates/front/tests/stop.rs
@@ -8,7 +8,7 @@
 
 use env::process::Proxy;
 use env::stop::{self, Counts, Tally};
-use env::{Caller, DATABASES, Reply, configuration, wait};
+use env::{Caller, DATABASES, Reply, configuration, wait, with_connections};
 use rustix::process::Signal;
 use standin::managed::wire::{Weather, Wire};
 use standin::managed::{Fault, Managed, StoreFault};
@@ -291,6 +291,35 @@
     assert!(managed.log().iter().all(|entry| !entry.starts_with("b=")));
 }
 
+/// Guards against statements of other proxies that are lost when the pooler that holds the
+/// connections stops: the proxies are restarted one after the other.
+#[test]
+fn a_pooler_that_stops_cuts_no_statement_of_other_proxies() {
+    let (managed, folder) = (platform(), tempfile::tempdir().unwrap());
+    managed.configure(&with_connections(2, &DATABASES, 2));
+    let start = |name| Proxy::start(&managed, folder.path(), name);
+    let mut proxies = ["p1", "p2", "p3"].map(start);
+    wait(|| (managed.keys("pomelo/proxy/").len() == 3).then_some(()));
+    let (listen, tally) = (proxies.each_ref().map(|p| p.listen), Tally::default());
+    let counts = thread::scope(|scope| {
+        for caller in 0..12 {
+            let (tally, listen) = (&tally, listen[caller % 3]);
+            scope.spawn(move || stop::call(caller as u64, listen, tally));
+        }
+        for proxy in &mut proxies {
+            thread::sleep(Duration::from_secs(1));
+            proxy.signal(Signal::TERM);
+            assert!(proxy.wait_for_exit().success());
+            proxy.restart();
+        }
+        tally.finish()
+    });
+    println!("{counts:?}");
+    assert!(counts.unanswered.is_empty(), "{:?}", counts.unanswered);
+    assert_eq!(counts.in_doubt, 0);
+    assert!(counts.done > 0);
+}
+
 /// Guards against statements whose instance does not respond before the process has to exit:
 /// they got no reply.
 #[test]
