--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use compio::net::TcpListener;
-use model::unit::{Span, Time};
+use model::unit::Span;
 use policy::pooler::Proxy;
 use signal::{Request, Requests};
 use store::calls::Purpose;
@@ -42,8 +42,26 @@
 
 /// Serves until the process is asked to stop.
 pub async fn run(cfg: Config, requests: Requests) -> Result<(), StartError> {
+    let (stopper, stop) = stop::pair();
+    let grace = Span::from(cfg.grace_s);
+    let server = start(cfg, stop).await?;
+    stop_request(&requests).await;
+    compio::runtime::spawn(log_later_requests(requests)).detach();
+    server.shut_down(stopper, grace).await;
+    Ok(())
+}
+
+/// A proxy that serves.
+struct Server {
+    cx: Rc<Cx>,
+    registration: Rc<Registration>,
+    store: Client,
+    ready: Arc<AtomicBool>,
+}
+
+/// Opens the sockets and starts the tasks.
+async fn start(cfg: Config, stop: StopSignal) -> Result<Server, StartError> {
     tracing::info!(proxy = %cfg.proxy, data_centre = %cfg.data_centre, listen = %cfg.listen, store = %cfg.store, "starting");
-    let (mut stopper, stop) = stop::pair();
     let cx = context(&cfg, stop)?;
     let store = Client::new(vec![format!("http://{}", cfg.store)])?;
     let orders = Client::new(vec![format!("http://{}", cfg.orders)])?;
@@ -93,24 +111,31 @@
     compio::runtime::spawn(become_ready(cx.clone(), ready.clone())).detach();
     compio::runtime::spawn(accept(cx.clone(), listener)).detach();
     compio::runtime::spawn(cx.quotas.clone().run()).detach();
+    Ok(Server {
+        cx,
+        registration,
+        store,
+        ready,
+    })
+}
 
-    stop_request(&requests).await;
-    compio::runtime::spawn(log_later_requests(requests)).detach();
-    let (signalled, statements) = (clock::now(), cx.running.count());
-    tracing::info!(sessions = cx.sessions(), statements, "stopping");
-    stopper.leave();
-    ready.store(false, Ordering::Relaxed);
-    compio::runtime::spawn(leave(registration, cx.clone(), store)).detach();
-    drain(&cfg, &cx, signalled, stopper).await;
-    let (took, statements) = (clock::now().since(signalled), cx.running.count());
-    cx.running.log_cut();
-    tracing::info!(
-        sessions = cx.sessions(),
-        statements,
-        took_ms = took.as_millis(),
-        "stopped"
-    );
-    Ok(())
+impl Server {
+    /// Ends the sessions and the registration within the grace period, which begins now.
+    async fn shut_down(self, mut stopper: StopController, grace: Span) {
+        let (cx, started) = (self.cx, clock::now());
+        let counts = || (cx.sessions(), cx.running.count());
+        let (sessions, statements) = counts();
+        tracing::info!(sessions, statements, "stopping");
+        stopper.leave();
+        self.ready.store(false, Ordering::Relaxed);
+        compio::runtime::spawn(leave(self.registration, cx.clone(), self.store)).detach();
+        let schedule = Schedule::new(started, grace);
+        stopper.run(schedule, || cx.sessions()).await;
+        cx.running.log_cut();
+        let (sessions, statements) = counts();
+        let took_ms = clock::now().since(started).as_millis();
+        tracing::info!(sessions, statements, took_ms, "stopped");
+    }
 }
 
 fn context(cfg: &Config, stop: StopSignal) -> Result<Rc<Cx>, StartError> {
@@ -126,11 +151,6 @@
     tracing::info!("the registration has ended");
 }
 
-async fn drain(cfg: &Config, cx: &Cx, signalled: Time, stopper: StopController) {
-    let schedule = Schedule::new(signalled, Span::from(cfg.grace_s));
-    stopper.run(schedule, || cx.sessions()).await;
-}
-
 async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     let listener = TcpListener::bind(address).await;
     listener.map_err(|e| StartError::Listen(address, e))
