Handle signals of pomelo-proxy for the whole life of the process, too

Callers: a statement in progress got no reply when the process got a second SIGTERM or SIGINT, or any SIGHUP.

Cause: the same as in pomelo-front; SIGHUP had no handler at all. Both programs now wait for a stop and log reloads by the crate signal, so compio's signal feature is not needed any more. A stop while the process waits for its first configuration ends it, as nothing was read by then.

--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -9,7 +9,7 @@
 use compio::net::TcpListener;
 use model::unit::Span;
 use policy::pooler::Proxy;
-use signal::{Request, Requests};
+use signal::Requests;
 use store::calls::Purpose;
 use store::client::Client;
 
@@ -45,8 +45,8 @@
     let (stopper, stop) = stop::pair();
     let grace = Span::from(cfg.grace_s);
     let server = start(cfg, stop).await?;
-    stop_request(&requests).await;
-    compio::runtime::spawn(log_later_requests(requests)).detach();
+    requests.stop().await;
+    compio::runtime::spawn(requests.log()).detach();
     server.shut_down(stopper, grace).await;
     Ok(())
 }
@@ -188,25 +188,3 @@
         }
     }
 }
-
-/// Waits for a request to stop.
-async fn stop_request(requests: &Requests) {
-    while requests.next().await != Request::Stop {
-        log_reload();
-    }
-}
-
-async fn log_later_requests(requests: Requests) {
-    loop {
-        match requests.next().await {
-            Request::Stop => tracing::info!("another request to stop: the process stops already"),
-            Request::Reload => log_reload(),
-        }
-    }
-}
-
-/// Logs a request to reload, which changes nothing: all that can change while the process runs
-/// comes from the store, and the settings hold addresses, which a running process keeps.
-fn log_reload() {
-    tracing::info!("reload requested: the settings stay in force, all else comes from the store");
-}
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -1,16 +1,15 @@
 //! The proxy process.
 
+use std::pin::pin;
 use std::process;
 
-use futures_util::future;
+use futures_util::future::{self, Either};
 use miette::IntoDiagnostic as _;
 use proxy::{cli, run};
+use signal::Requests;
 use tracing_subscriber::layer::SubscriberExt as _;
 use tracing_subscriber::util::SubscriberInitExt as _;
 
-const SIGINT: i32 = 2;
-const SIGTERM: i32 = 15;
-
 fn main() -> process::ExitCode {
     match serve() {
         Ok(()) => process::ExitCode::SUCCESS,
@@ -22,6 +21,7 @@
 }
 
 fn serve() -> miette::Result<()> {
+    let requests = signal::requests().into_diagnostic()?;
     let options = cli::parse()?;
     if options.check {
         println!("settings are valid");
@@ -30,16 +30,26 @@
     log_to_stderr();
     let runtime = compio::runtime::Runtime::new().into_diagnostic()?;
     runtime.block_on(async {
-        let server = run::Server::bind(options.config).await?;
-        server.serve(signalled()).await;
+        let server = match stop_or(&requests, run::Server::bind(options.config)).await {
+            Some(server) => server?,
+            None => return Ok(()),
+        };
+        let stopped = async {
+            requests.stop().await;
+            compio::runtime::spawn(requests.log()).detach();
+        };
+        server.serve(stopped).await;
         Ok(())
     })
 }
 
-async fn signalled() {
-    let term = std::pin::pin!(compio::signal::unix::signal(SIGTERM));
-    let int = std::pin::pin!(compio::signal::unix::signal(SIGINT));
-    future::select(term, int).await;
+/// The result of `start`, which may wait long for a configuration; `None` if the process is asked
+/// to stop before.
+async fn stop_or<T>(requests: &Requests, start: impl Future<Output = T>) -> Option<T> {
+    match future::select(pin!(requests.stop()), pin!(start)).await {
+        Either::Left(((), _)) => None,
+        Either::Right((started, _)) => Some(started),
+    }
 }
 
 fn log_to_stderr() {
--- a/crates/signal/src/lib.rs
+++ b/crates/signal/src/lib.rs
@@ -65,4 +65,28 @@
             Err(flume::RecvError::Disconnected) => future::pending().await,
         }
     }
+
+    /// Waits for a request to stop. Requests to reload are logged and change nothing: processes
+    /// keep the settings with which they started.
+    pub async fn stop(&self) {
+        while self.next().await != Request::Stop {
+            log_reload();
+        }
+    }
+
+    /// Logs the requests that come while the process stops.
+    pub async fn log(self) {
+        loop {
+            match self.next().await {
+                Request::Stop => {
+                    tracing::info!("another request to stop: the process stops already")
+                }
+                Request::Reload => log_reload(),
+            }
+        }
+    }
+}
+
+fn log_reload() {
+    tracing::info!("reload requested: the settings stay in force");
 }
