Answer requests that are in progress when pomelo-proxy has to exit

Callers: a request still in progress at the end of the time for shutting down (limits.drain, 30 s) got no reply; the connection was closed.

Cause: as in pomelo-front, the exit dropped the callers' tasks. 0.7 s before the end requests in progress now end by an error: 40003 if a write or a commit was sent, else 57P01. Callers that are idle in a transaction are told of the shutdown as well. An answer of which a part was sent still ends with the connection: the part may end inside of a message.

--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -25,6 +25,7 @@
 
 use compio::net::TcpStream;
 use futures_util::future::{self, Either};
+use pg::frame::Frame;
 use pg::report::{self, Report};
 use pg::wire::{Stream, Wire};
 
@@ -33,6 +34,7 @@
 use crate::trace::Span;
 use batch::{Batch, Input};
 use link::{Closed, Link};
+use request::Mode;
 use session::Session;
 use transaction::Transaction;
 
@@ -102,7 +104,7 @@
                 Next::Input(Input::Terminate) => return Ok(()),
                 // Boxed, so that an idle caller does not hold the memory of a request.
                 Next::Input(Input::Request(messages)) => {
-                    Box::pin(self.request(messages)).await?;
+                    self.request_until_abort(messages).await?;
                     if self.link.draining && self.transaction.is_none() {
                         compio::time::sleep(GOODBYE_PAUSE).await;
                         return self.say_goodbye().await;
@@ -114,6 +116,41 @@
         }
     }
 
+    /// Runs a request. One that is still in progress when the process has to exit gets the error
+    /// that is known to be true then, and its connection ends.
+    async fn request_until_abort(&mut self, messages: Vec<Frame>) -> Result<(), Closed> {
+        let Some(mode) = messages.last().map(Mode::of) else {
+            return Ok(());
+        };
+        self.link.begin_request();
+        let (cx, in_transaction) = (self.cx.clone(), self.transaction.is_open());
+        let request = Box::pin(self.request(messages));
+        if let Either::Left((result, _)) = future::select(request, pin!(cx.abort.begun())).await {
+            return result;
+        }
+        let may_take_effect = self.link.may_take_effect;
+        tracing::warn!(caller = %self.session.caller, may_take_effect, "a request was aborted");
+        if self.link.has_replied {
+            // The part that was sent may end inside of a message.
+            return Err(Closed);
+        }
+        self.link.discard();
+        if in_transaction {
+            self.transaction = Transaction::Lost;
+        }
+        let report = match may_take_effect {
+            true => {
+                let text = "outcome unknown: this proxy is shutting down";
+                Report::error(report::OUTCOME_UNKNOWN, text)
+            }
+            false => Report::error(report::SHUTDOWN, "this proxy is shutting down"),
+        };
+        self.refuse(mode, &report).await?;
+        compio::time::sleep(GOODBYE_PAUSE).await;
+        self.say_goodbye().await?;
+        Err(Closed)
+    }
+
     /// Waits for the next whole request.
     async fn next(&mut self) -> Result<Next, Closed> {
         loop {
@@ -146,7 +183,9 @@
                 }
                 // Nothing runs that could be cancelled.
                 Either::Right((Some(Control::Cancel), _)) => {}
-                Either::Right((Some(Control::Drain), _)) if self.transaction.is_open() => {
+                Either::Right((Some(Control::Drain), _))
+                    if self.transaction.is_open() && !self.cx.abort.has_begun() =>
+                {
                     self.link.draining = true;
                 }
                 Either::Right((Some(Control::Drain), _)) => return Ok(Some(Next::Drain)),
--- a/crates/proxy/src/caller/link.rs
+++ b/crates/proxy/src/caller/link.rs
@@ -24,6 +24,11 @@
     pub(super) limits: Limits,
     /// Whether to end at the next transaction boundary.
     pub(super) draining: bool,
+    /// Whether the request in progress was sent in such a way that it has a lasting effect if it
+    /// runs.
+    pub(super) may_take_effect: bool,
+    /// Whether a part of the answer to the request in progress may have been written.
+    pub(super) has_replied: bool,
     /// Keeps the place in the registry.
     _entry: Entry,
     out: BytesMut,
@@ -36,11 +41,18 @@
             control: entry.control.clone(),
             limits,
             draining: false,
+            may_take_effect: false,
+            has_replied: false,
             _entry: entry,
             out: BytesMut::new(),
         }
     }
 
+    /// Forgets what was recorded of the last request.
+    pub(super) fn begin_request(&mut self) {
+        (self.may_take_effect, self.has_replied) = (false, false);
+    }
+
     /// Adds bytes to what is to be written.
     pub(super) fn push(&mut self, bytes: &[u8]) {
         self.out.extend_from_slice(bytes);
@@ -76,6 +88,7 @@
 
     async fn write(&mut self, bytes: Bytes) -> Result<(), Closed> {
         let limit = self.limits.stalled.as_duration();
+        self.has_replied = true;
         match compio::time::timeout(limit, self.wire.write(bytes)).await {
             Ok(Ok(())) => Ok(()),
             _ => Err(Closed),
--- a/crates/proxy/src/caller/send.rs
+++ b/crates/proxy/src/caller/send.rs
@@ -72,6 +72,7 @@
         let hold_limit = self.session.settings.answer_buffer.as_bytes();
         let readies = u32::from(work.setup) + u32::from(hold) + u32::from(req.mode != Mode::Flush);
         outcome.sending();
+        self.link.may_take_effect |= hold;
         let bytes = work.bytes.freeze();
         let sent = match (req.mode, readies) {
             (Mode::Flush, _) => conn.send_open(bytes, readies).await,
--- a/crates/proxy/src/cx.rs
+++ b/crates/proxy/src/cx.rs
@@ -22,6 +22,7 @@
 use policy::route::Target;
 use policy::slots::Share;
 
+use crate::abort::Abort;
 use crate::backend::{Login, Via};
 use crate::config::Config;
 use crate::metrics::Metrics;
@@ -51,6 +52,8 @@
     /// Accepts TLS towards callers.
     pub tls: Option<TlsAcceptor>,
     pub(crate) registry: registry::Handle,
+    /// Ends requests that are in progress when the process has to exit.
+    pub(crate) abort: Abort,
     pub(crate) statements: RefCell<classify::Cache>,
     /// The platform's store.
     pub store: store::client::Client,
@@ -105,6 +108,7 @@
             relay: services.relay,
             tls: services.tls,
             registry: registry::spawn(),
+            abort: Abort::default(),
             statements: RefCell::default(),
             callers: Rc::default(),
             store: services.store,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -4,6 +4,7 @@
 //! One runtime per thread; each task owns its sockets and its state, and tasks
 //! talk by messages.
 
+mod abort;
 pub mod admit;
 pub mod backend;
 mod caller;
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -148,8 +148,15 @@
         cx.share.leave();
         control.drain();
         let limit = cx.cfg.limits.drain.as_duration();
+        let reserve = ABORT_RESERVE.min(limit / 4);
         let finished = future::join(cx.registry.drain(), cx.relay.drain());
-        let drained = compio::time::timeout(limit, finished).await;
+        let drained = compio::time::timeout(limit - reserve, finished).await;
+        if drained.is_err() {
+            cx.abort.begin();
+            let aborted = compio::time::timeout(reserve, cx.registry.drain()).await;
+            let complete = aborted.is_ok();
+            tracing::warn!(proxy = %cx.me, complete, "requests in progress were aborted");
+        }
         control.leave().await;
         tracing::info!(proxy = %cx.me, complete = drained.is_ok(), "stopped");
     }
@@ -169,6 +176,10 @@
     }
 }
 
+/// Time before the end of the time for shutting down at which requests in progress are aborted, so
+/// that their errors are still sent; with a short time it is a quarter of it.
+const ABORT_RESERVE: std::time::Duration = std::time::Duration::from_millis(700);
+
 const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
 
 fn admit_caller(cx: &Rc<Cx>, tcp: TcpStream, peer: SocketAddr) {
--- a/crates/proxy/tests/stop.rs
+++ b/crates/proxy/tests/stop.rs
@@ -6,10 +6,12 @@
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use env::{Env, login_at};
+use env::{Env, Setup, code, login_at};
+use model::unit::Span;
 use postgres::{Client, NoTls};
+use proxy::config::Limits;
 use rustix::process::{Pid, Signal, kill_process};
 use test_case::test_case;
 
@@ -97,3 +99,38 @@
     running.join().unwrap().unwrap();
     assert!(process.child.wait().unwrap().success());
 }
+
+/// Guards against statements without a reply when they are still in progress at the end of the
+/// time for shutting down.
+#[test_case(INSERT, "40003"; "write")]
+#[test_case("SELECT count(*) FROM payment /*age='0ms'*/", "57P01"; "read")]
+fn a_statement_at_the_end_of_the_shutdown_is_answered(sql: &'static str, expected: &str) {
+    let mut env = Env::with(Setup {
+        settings: |builder| {
+            builder.limits(Limits {
+                drain: Span::from_millis(500),
+                ..Limits::default()
+            })
+        },
+        ..Setup::default()
+    });
+    let mut client = env.connect(0);
+    client.batch_execute(TABLE).unwrap();
+    for instance in env.instances() {
+        let control = env.control();
+        control
+            .service(&instance, Duration::from_secs(4), 1.0)
+            .unwrap();
+    }
+    let running = thread::spawn(move || client.batch_execute(sql));
+    thread::sleep(Duration::from_millis(200));
+    let begun = Instant::now();
+    env.proxies.remove(0).shutdown();
+    let e = running.join().unwrap().unwrap_err();
+    assert_eq!(code(&e), expected, "{e}");
+    assert!(
+        begun.elapsed() < Duration::from_secs(2),
+        "{:?}",
+        begun.elapsed()
+    );
+}
