Show that a pause beyond the grace period cuts no statement

Examined as one more way to a late exit: the process is paused by SIGSTOP from 50 ms after SIGTERM until 0.55 s after the end of a grace period of 1 s, with a write in progress. No change was needed.

--- a/crates/front/tests/stop.rs
+++ b/crates/front/tests/stop.rs
@@ -61,6 +61,17 @@
     managed
 }
 
+/// A platform with a time limit of statements that is longer than the grace period.
+fn patient_platform() -> Managed {
+    let managed = Managed::start(3).unwrap();
+    let mut value = configuration(1, &DATABASES);
+    for route in value["routes"].as_array_mut().unwrap() {
+        route["timeoutMs"] = 20_000.into();
+    }
+    managed.configure(&value);
+    managed
+}
+
 fn serving(managed: &Managed, folder: &TempDir) -> Proxy {
     let proxy = Proxy::start(managed, folder.path(), "p1");
     let write = || Caller::try_connect(proxy.listen, "audit")?.try_query("WRITE a 1");
@@ -320,16 +331,34 @@
     assert!(counts.done > 0);
 }
 
+/// Guards against a process that was paused until its grace period had ended, and then exits
+/// before it has answered the statements in progress.
+#[test]
+fn a_pause_beyond_the_grace_period_cuts_no_statement() {
+    let (managed, folder) = (patient_platform(), tempfile::tempdir().unwrap());
+    let mut proxy = Proxy::start_with(&managed, folder.path(), "p1", |settings| {
+        settings["grace_s"] = 1.into();
+    });
+    let mut session = wait(|| Caller::try_connect(proxy.listen, "audit"));
+    session.query_until_done("WRITE a 1");
+    managed.delay_next_statement("WRITE", Duration::from_secs(20));
+    let waiting = thread::spawn(move || session.try_query("WRITE a 2"));
+    thread::sleep(Duration::from_millis(100));
+    proxy.signal(Signal::TERM);
+    thread::sleep(Duration::from_millis(50));
+    proxy.signal(Signal::STOP);
+    thread::sleep(Duration::from_millis(1_500));
+    proxy.signal(Signal::CONT);
+    let reply = waiting.join().unwrap().unwrap();
+    assert_eq!(reply.code(), Some("INDOUBT"));
+    assert!(proxy.wait_for_exit().success());
+}
+
 /// Guards against statements whose instance does not respond before the process has to exit:
 /// they got no reply.
 #[test]
 fn a_statement_without_a_response_is_answered_before_the_exit() {
-    let (managed, folder) = (Managed::start(3).unwrap(), tempfile::tempdir().unwrap());
-    let mut patient = configuration(1, &DATABASES);
-    for route in patient["routes"].as_array_mut().unwrap() {
-        route["timeoutMs"] = 20_000.into();
-    }
-    managed.configure(&patient);
+    let (managed, folder) = (patient_platform(), tempfile::tempdir().unwrap());
     let mut proxy = serving(&managed, &folder);
     let open = || Caller::connect(proxy.listen, "audit").unwrap();
     let mut sessions = [open(), open(), open(), open()];
