Let the soak check that a stop leaves no statement without an answer

Two callers of each proxy connect without a wire, send statements and transactions on open sessions, and go on connecting. One without a whole reply is an error unless its process was killed meanwhile.

--- a/crates/front/tests/env/mod.rs
+++ b/crates/front/tests/env/mod.rs
@@ -19,7 +19,7 @@
 use standin::managed::Managed;
 
 /// Timeout for a condition that must become true; a test that reaches it has failed.
-const TIMEOUT: Duration = Duration::from_secs(30);
+pub(crate) const TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Response timeout of a caller of [`Caller::try_connect`]; longer than a test pauses a proxy.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(3);
@@ -248,8 +248,18 @@
 
     /// [`Caller::try_connect`] with a key.
     pub(crate) fn try_connect_as(proxy: SocketAddr, database: &str, key: &str) -> Option<Self> {
+        Self::try_connect_within(proxy, database, key, CALLER_TIMEOUT)
+    }
+
+    /// [`Caller::try_connect_as`] with a time for which each reply is waited for.
+    pub(crate) fn try_connect_within(
+        proxy: SocketAddr,
+        database: &str,
+        key: &str,
+        timeout: Duration,
+    ) -> Option<Self> {
         let stream = TcpStream::connect_timeout(&proxy, Duration::from_secs(1)).ok()?;
-        stream.set_read_timeout(Some(CALLER_TIMEOUT)).ok()?;
+        stream.set_read_timeout(Some(timeout)).ok()?;
         let mut caller = Self {
             reader: BufReader::new(stream.try_clone().ok()?),
             writer: stream,
--- a/crates/front/tests/env/process.rs
+++ b/crates/front/tests/env/process.rs
@@ -5,6 +5,8 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Mutex;
+use std::time::Instant;
 
 use rustix::fs::{CWD, FileType, Mode, mknodat};
 use rustix::process::{Pid, Signal, kill_process};
@@ -31,7 +33,9 @@
     pub(crate) listen: SocketAddr,
     file: PathBuf,
     log: PathBuf,
-    child: Child,
+    child: Mutex<Child>,
+    /// Beginning and end of each kill of a process that had not exited by itself.
+    kills: Mutex<Vec<(Instant, Instant)>>,
 }
 
 impl Proxy {
@@ -51,13 +55,7 @@
         let file = folder.join(format!("{name}.jsonc"));
         std::fs::write(&file, settings.to_string()).unwrap();
         let log = folder.join(format!("{name}.log"));
-        let child = spawn(&file, &log);
-        Self {
-            listen,
-            file,
-            log,
-            child,
-        }
+        Self::spawn(listen, file, log)
     }
 
     /// Starts a process that waits for its settings until the result sends them.
@@ -70,27 +68,45 @@
         let file = folder.join(format!("{name}.jsonc"));
         mknodat(CWD, &file, FileType::Fifo, Mode::RUSR | Mode::WUSR, 0).unwrap();
         let log = folder.join(format!("{name}.log"));
-        let child = spawn(&file, &log);
+        let proxy = Self::spawn(listen, file.clone(), log);
         // Completes once the process has opened the file.
         let pipe = File::options().write(true).open(&file).unwrap();
-        let proxy = Self {
+        (proxy, PendingSettings { settings, pipe })
+    }
+
+    fn spawn(listen: SocketAddr, file: PathBuf, log: PathBuf) -> Self {
+        let child = Mutex::new(spawn(&file, &log));
+        Self {
             listen,
             file,
             log,
             child,
-        };
-        (proxy, PendingSettings { settings, pipe })
+            kills: Mutex::default(),
+        }
     }
 
     pub(crate) fn signal(&self, signal: Signal) {
-        let pid = Pid::from_child(&self.child);
+        let pid = Pid::from_child(&self.child.lock().unwrap());
         // Fails if the process has just exited, which is harmless.
         let _ = kill_process(pid, signal);
     }
 
     /// Waits until the process has exited by itself, and returns how.
-    pub(crate) fn wait_for_exit(&mut self) -> ExitStatus {
-        super::wait(|| self.child.try_wait().unwrap())
+    pub(crate) fn wait_for_exit(&self) -> ExitStatus {
+        super::wait(|| self.exited())
+    }
+
+    /// How the process has exited; `None` if it runs.
+    pub(crate) fn exited(&self) -> Option<ExitStatus> {
+        self.child.lock().unwrap().try_wait().unwrap()
+    }
+
+    /// Whether a process of it was killed between two moments.
+    pub(crate) fn was_killed(&self, from: Instant, to: Instant) -> bool {
+        let kills = self.kills.lock().unwrap();
+        kills
+            .iter()
+            .any(|(begun, done)| *begun <= to && *done >= from)
     }
 
     /// What the process has logged.
@@ -98,17 +114,25 @@
         std::fs::read_to_string(&self.log).unwrap()
     }
 
-    pub(crate) fn restart(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        self.child = spawn(&self.file, &self.log);
+    /// Starts a new process, and kills the old one if it runs.
+    pub(crate) fn restart(&self) {
+        let mut child = self.child.lock().unwrap();
+        if child.try_wait().unwrap().is_none() {
+            let begun = Instant::now();
+            child.kill().unwrap();
+            child.wait().unwrap();
+            let kill = (begun, Instant::now());
+            self.kills.lock().unwrap().push(kill);
+        }
+        *child = spawn(&self.file, &self.log);
     }
 }
 
 impl Drop for Proxy {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        let child = self.child.get_mut().unwrap();
+        let _ = child.kill();
+        let _ = child.wait();
     }
 }
 
--- a/crates/front/tests/env/stop.rs
+++ b/crates/front/tests/env/stop.rs
@@ -11,7 +11,7 @@
 use rand::{Rng as _, SeedableRng as _};
 use standin::managed::Managed;
 
-use super::{Caller, unused_id};
+use super::{Caller, TIMEOUT, unused_id};
 
 /// Pause of a caller that was not let in.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(5);
@@ -22,6 +22,8 @@
     pub(crate) id: String,
     pub(crate) text: String,
     pub(crate) sent: Instant,
+    /// When the connection had ended, or the reply had timed out.
+    pub(crate) ended: Instant,
 }
 
 impl fmt::Display for Unanswered {
@@ -60,10 +62,10 @@
 
     /// Sends a statement; `false` if the session must not be used further.
     fn send(&self, session: &mut Caller, text: &str) -> bool {
+        let (id, sent) = (unused_id(), Instant::now());
         if !session.is_open() {
             return false;
         }
-        let (id, sent) = (unused_id(), Instant::now());
         let reply = session.query_with(&id, text);
         let mut counts = self.counts.lock().unwrap();
         match &reply {
@@ -74,7 +76,14 @@
             }
             None => {
                 let text = text.to_owned();
-                counts.unanswered.push(Unanswered { id, text, sent });
+                let ended = Instant::now();
+                let unanswered = Unanswered {
+                    id,
+                    text,
+                    sent,
+                    ended,
+                };
+                counts.unanswered.push(unanswered);
             }
         }
         reply.is_some_and(|reply| reply.done())
@@ -89,17 +98,19 @@
     }
 }
 
-/// Connects, sends statements and transactions, and connects again, until the tally ends.
-pub(crate) fn call(caller: u64, proxy: SocketAddr, tally: &Tally) {
+/// Connects, sends statements and transactions with pauses of up to `pause_ms`, and connects
+/// again, until the tally ends.
+pub(crate) fn call(caller: u64, proxy: SocketAddr, pause_ms: u64, tally: &Tally) {
     let mut rng = SmallRng::seed_from_u64(caller);
     let item = format!("s{caller}");
     while !tally.stopped() {
-        let Some(mut session) = Caller::try_connect(proxy, "audit") else {
+        let session = Caller::try_connect_within(proxy, "audit", "me", TIMEOUT);
+        let Some(mut session) = session else {
             thread::sleep(RECONNECT_PAUSE);
             continue;
         };
         while !tally.stopped() && call_once(&mut rng, &mut session, &item, tally) {
-            thread::sleep(Duration::from_millis(rng.random_range(0..4)));
+            thread::sleep(Duration::from_millis(rng.random_range(0..=pause_ms)));
         }
     }
 }
--- a/crates/front/tests/soak/faults.rs
+++ b/crates/front/tests/soak/faults.rs
@@ -29,13 +29,13 @@
 
 struct Injector<'a> {
     rng: SmallRng,
-    testbed: &'a mut Testbed,
+    testbed: &'a Testbed,
     oracle: &'a Oracle,
     active: Vec<(TimedFault, Instant)>,
 }
 
 /// Injects faults for `length`, several at a time, and ends them all.
-pub(crate) fn inject(seed: u64, testbed: &mut Testbed, length: Duration, oracle: &Oracle) {
+pub(crate) fn inject(seed: u64, testbed: &Testbed, length: Duration, oracle: &Oracle) {
     let mut injector = Injector {
         rng: SmallRng::seed_from_u64(seed),
         testbed,
@@ -105,7 +105,7 @@
     /// At times kills and restarts all proxies at once.
     fn restart_all(&mut self) {
         if self.rng.random_bool(0.3) {
-            for node in &mut self.testbed.nodes {
+            for node in &self.testbed.nodes {
                 node.proxy.restart();
             }
         }
--- a/crates/front/tests/soak/main.rs
+++ b/crates/front/tests/soak/main.rs
@@ -1,6 +1,7 @@
 //! Randomised soak test of proxies that run as separate processes.
 //!
-//! Signals kill, pause, stop and restart proxies. Connections to callers, instances and the store
+//! Signals kill, pause, stop and restart proxies; those to stop and to reload come in series, while
+//! callers go on connecting. Connections to callers, instances and the store
 //! run over loopback wires that delay, block, reset or silence them. Instances and the store of
 //! the simulated platform fail, leases expire, orders are executed late, and configurations
 //! change. Faults come in series and overlap. The outcomes that callers received are checked
@@ -16,6 +17,7 @@
 mod customers;
 mod faults;
 mod oracle;
+mod signals;
 mod testbed;
 
 use std::io::Write as _;
@@ -23,6 +25,7 @@
 use std::thread;
 use std::time::Duration;
 
+use env::stop::Tally;
 use env::{Caller, wait};
 use oracle::Oracle;
 use testbed::Testbed;
@@ -37,12 +40,16 @@
 /// Default length of a run, in seconds.
 const SECONDS: u64 = 6;
 
+/// Proxies for each sender of signals.
+const PROXIES_PER_SENDER: usize = 4;
+
 /// Default number of proxies.
 const PROXIES: u64 = 4;
 
 fn soak(seed: u64, length: Duration, proxies: usize) {
-    let mut testbed = Testbed::new(proxies);
+    let testbed = Testbed::new(proxies);
     let oracle = Oracle::default();
+    let tallies: Vec<_> = (0..proxies).map(|_| Tally::default()).collect();
     let addresses: Vec<_> = testbed.nodes.iter().map(|n| n.callers.address()).collect();
     let direct: Vec<_> = testbed.nodes.iter().map(|n| n.proxy.listen).collect();
     let failed = thread::scope(|scope| {
@@ -56,8 +63,16 @@
         running.extend(readers);
         running.push(scope.spawn(move || config::check_versions(direct, oracle)));
         running.push(scope.spawn(move || customers::press(seed, addresses, oracle)));
-        faults::inject(seed, &mut testbed, length, oracle);
+        signals::call(scope, &testbed, &tallies);
+        let testbed = &testbed;
+        let senders = 1 + proxies / PROXIES_PER_SENDER;
+        running.extend((0..senders).map(|n| {
+            let seed = seed * 1_000 + 500 + n as u64;
+            scope.spawn(move || signals::send(seed, testbed, oracle))
+        }));
+        faults::inject(seed, testbed, length, oracle);
         oracle.stop.store(true, Ordering::Relaxed);
+        tallies.iter().for_each(|tally| drop(tally.finish()));
         running.into_iter().filter_map(|c| c.join().err()).count()
     });
     if failed > 0 {
@@ -76,7 +91,10 @@
     }
     let verified = oracle.verify(&testbed.managed.log());
     let customers = customers::verify(&testbed.managed.arrivals());
-    match verified.and_then(|summary| customers.map(|()| summary)) {
+    let verified = verified.and_then(|summary| customers.map(|()| summary));
+    let answered = signals::verify(&testbed, &tallies);
+    let verified = verified.and_then(|summary| Ok(format!("{summary}, {} answered", answered?)));
+    match verified {
         Ok(summary) => {
             // Standard error may be closed.
             let _ = writeln!(std::io::stderr(), "seed {seed}: {summary}");
--- a/crates/front/tests/soak/testbed.rs
+++ b/crates/front/tests/soak/testbed.rs
@@ -2,6 +2,7 @@
 //! them.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
 use standin::managed::Managed;
 use standin::managed::wire::Wire;
@@ -13,6 +14,9 @@
 /// Instances of the group.
 pub(crate) const INSTANCES: usize = 3;
 
+/// The grace period of the proxies; short, so that many stops fit into a run.
+pub(crate) const GRACE: Duration = Duration::from_secs(2);
+
 /// A proxy with its incoming and outgoing wires.
 pub(crate) struct Node {
     pub(crate) proxy: Proxy,
@@ -49,6 +53,7 @@
                 let address = store.address().to_string();
                 settings["store"] = address.clone().into();
                 settings["orders"] = address.into();
+                settings["grace_s"] = GRACE.as_secs().into();
             });
             let callers = Wire::to(proxy.listen).unwrap();
             Node {
--- a/crates/front/tests/stop.rs
+++ b/crates/front/tests/stop.rs
@@ -40,6 +40,9 @@
 /// Callers of a test.
 const CALLERS: u64 = 40;
 
+/// Longest pause of a caller between two statements.
+const PAUSE_MS: u64 = 4;
+
 /// The grace period in the settings of a test's proxy.
 const GRACE: Duration = Duration::from_secs(6);
 
@@ -83,12 +86,12 @@
 /// milliseconds, until it has exited.
 fn stop_under_load(managed: &Managed, signals: &[(u64, Signal)]) -> Stopped {
     let folder = tempfile::tempdir().unwrap();
-    let mut proxy = serving(managed, &folder);
+    let proxy = serving(managed, &folder);
     let (listen, tally) = (proxy.listen, Tally::default());
     thread::scope(|scope| {
         for caller in 0..CALLERS {
             let tally = &tally;
-            scope.spawn(move || stop::call(caller, listen, tally));
+            scope.spawn(move || stop::call(caller, listen, PAUSE_MS, tally));
         }
         thread::sleep(Duration::from_millis(500));
         let first = Instant::now();
@@ -149,7 +152,7 @@
 #[test]
 fn a_request_to_reload_does_not_end_a_process_that_starts() {
     let (managed, folder) = (platform(), tempfile::tempdir().unwrap());
-    let (mut proxy, settings) = Proxy::start_paused(&managed, folder.path(), "p1");
+    let (proxy, settings) = Proxy::start_paused(&managed, folder.path(), "p1");
     proxy.signal(Signal::HUP);
     thread::sleep(Duration::from_millis(20));
     settings.send();
@@ -164,7 +167,7 @@
 fn a_process_that_stops_does_not_become_ready() {
     let (managed, folder) = (Managed::start(3).unwrap(), tempfile::tempdir().unwrap());
     let mut ready = None;
-    let mut proxy = Proxy::start_with(&managed, folder.path(), "p1", |settings| {
+    let proxy = Proxy::start_with(&managed, folder.path(), "p1", |settings| {
         ready = settings["ready_listen"].as_str().map(str::to_owned);
     });
     let ready = ready.unwrap().parse().unwrap();
@@ -189,7 +192,7 @@
         for n in 0..12 {
             let (managed, folder) = (&managed, folder.path());
             scope.spawn(move || {
-                let mut proxy = Proxy::start(managed, folder, &format!("p{n}"));
+                let proxy = Proxy::start(managed, folder, &format!("p{n}"));
                 thread::sleep(Duration::from_millis(50 + 100 * n));
                 proxy.signal(Signal::TERM);
                 assert!(proxy.wait_for_exit().success());
@@ -309,15 +312,15 @@
     let (managed, folder) = (platform(), tempfile::tempdir().unwrap());
     managed.configure(&with_connections(2, &DATABASES, 2));
     let start = |name| Proxy::start(&managed, folder.path(), name);
-    let mut proxies = ["p1", "p2", "p3"].map(start);
+    let proxies = ["p1", "p2", "p3"].map(start);
     wait(|| (managed.keys("pomelo/proxy/").len() == 3).then_some(()));
     let (listen, tally) = (proxies.each_ref().map(|p| p.listen), Tally::default());
     let counts = thread::scope(|scope| {
         for caller in 0..12 {
             let (tally, listen) = (&tally, listen[caller % 3]);
-            scope.spawn(move || stop::call(caller as u64, listen, tally));
+            scope.spawn(move || stop::call(caller as u64, listen, PAUSE_MS, tally));
         }
-        for proxy in &mut proxies {
+        for proxy in &proxies {
             thread::sleep(Duration::from_secs(1));
             proxy.signal(Signal::TERM);
             assert!(proxy.wait_for_exit().success());
@@ -336,7 +339,7 @@
 #[test]
 fn a_pause_beyond_the_grace_period_cuts_no_statement() {
     let (managed, folder) = (patient_platform(), tempfile::tempdir().unwrap());
-    let mut proxy = Proxy::start_with(&managed, folder.path(), "p1", |settings| {
+    let proxy = Proxy::start_with(&managed, folder.path(), "p1", |settings| {
         settings["grace_s"] = 1.into();
     });
     let mut session = wait(|| Caller::try_connect(proxy.listen, "audit"));
@@ -359,7 +362,7 @@
 #[test]
 fn a_statement_without_a_response_is_answered_before_the_exit() {
     let (managed, folder) = (patient_platform(), tempfile::tempdir().unwrap());
-    let mut proxy = serving(&managed, &folder);
+    let proxy = serving(&managed, &folder);
     let open = || Caller::connect(proxy.listen, "audit").unwrap();
     let mut sessions = [open(), open(), open(), open()];
     for session in &mut sessions[2..] {
