--- a/crates/front/tests/soak/signals.rs
+++ b/crates/front/tests/soak/signals.rs
@@ -15,10 +15,10 @@
 use crate::testbed::{GRACE, Testbed};
 
 /// Callers of each proxy, whose connections no wire disturbs.
-const CALLERS: usize = 2;
+const CALLERS: usize = 6;
 
 /// Longest pause of such a caller between two statements, in milliseconds.
-const PAUSE_MS: u64 = 25;
+const PAUSE_MS: u64 = 4;
 
 /// Pauses between two signals of a series, in milliseconds.
 const GAPS_MS: [u64; 6] = [0, 1, 20, 150, 500, 1_100];
