Do not call a single statement a transaction when the exit aborts it

A read that the exit aborts was told that its transaction was ended. Outside of a transaction the reply is now that no answer came and nothing of it is kept; the code, ABORTED, is the same.

--- a/crates/front/src/session.rs
+++ b/crates/front/src/session.rs
@@ -426,12 +426,14 @@
         if let Either::Left((result, _)) = future::select(run, aborted).await {
             return result;
         }
-        // A response may be on its way on an open transaction's connection.
+        let failure = match (job.may_take_effect.get(), self.tx.is_none()) {
+            (true, _) => Failure::LostInDoubt,
+            (false, true) => Failure::LostNoEffect,
+            (false, false) => Failure::Aborted(STOPPING),
+        };
+        // A response may be on its way on the transaction's connection.
         self.tx.mark_failed();
-        Err(match job.may_take_effect.get() {
-            true => Failure::LostInDoubt,
-            false => Failure::Aborted(STOPPING),
-        })
+        Err(failure)
     }
 
     async fn run_job(&mut self, job: &Job) -> Result<Outcome, Failure> {
