Leave time for replies also after a pause beyond the grace period

Callers: a process that was paused by SIGSTOP beyond the end of its grace period answered some statements in progress only by luck, and exited.

Cause: the exit came at a fixed time, 0.4 s after statements in progress are aborted. A process that runs again later than that has aborted them and exited in the same moment. It now waits for 0.3 s at least.

--- a/crates/front/src/stop.rs
+++ b/crates/front/src/stop.rs
@@ -17,6 +17,9 @@
 /// lines and the end of the process take some time as well.
 const EXIT_RESERVE: Span = Span::from_millis(300);
 
+/// Shortest time for the replies to aborted statements.
+const MIN_ABORT_TIME: Span = Span::from_millis(300);
+
 /// Interval between two checks whether sessions are open.
 const POLL_INTERVAL: Span = Span::from_millis(20);
 
@@ -91,7 +94,8 @@
     pub ending: Time,
     /// When [`Phase::Aborting`] begins.
     pub aborting: Time,
-    /// When the process exits at the latest; before the end of the grace period.
+    /// When the process exits at the latest, unless it was paused until then; before the end of
+    /// the grace period.
     pub exit: Time,
 }
 
@@ -140,7 +144,9 @@
         }
         tracing::info!(sessions = sessions(), "statements in progress are aborted");
         self.begin(Phase::Aborting);
-        wait_for_none(&sessions, schedule.exit).await;
+        // A process that was paused until now is late, and has replies to send all the same.
+        let exit = schedule.exit.max(clock::now() + MIN_ABORT_TIME);
+        wait_for_none(&sessions, exit).await;
     }
 }
 
