--- a/crates/signal/src/lib.rs
+++ b/crates/signal/src/lib.rs
@@ -79,7 +79,7 @@
         loop {
             match self.next().await {
                 Request::Stop => {
-                    tracing::info!("another request to stop: the process stops already")
+                    tracing::info!("another request to stop: the process stops already");
                 }
                 Request::Reload => log_reload(),
             }
