review: an empty replica is promoted while the primary is about to return

All instances of a service crash; the replicas are back first, with empty logs, and the coordinator promotes one of them before the primary returns with its log.

--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -1,6 +1,7 @@
 //! A small deployment: the store, one service, and front processes with settings as in
 //! `deploy/settings.jsonc`; and clients that speak the line protocol.
 
+use std::collections::BTreeMap;
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -61,9 +62,7 @@
         let group = Group::start(3)?;
         let store = Store::new(group.clone());
         store.put("op/config", config);
-        for (key, value) in group.entries(&ZONES) {
-            store.put(&key, &value);
-        }
+        keep_announced(&group, &store);
         let mut fleet = Self {
             store,
             group,
@@ -155,6 +154,31 @@
     }
 }
 
+/// Keeps the entries of the instances in the store, as their heartbeats do.
+fn keep_announced(group: &Group, store: &Store) {
+    let (group, store) = (group.clone(), store.clone());
+    let mut known: BTreeMap<String, String> = BTreeMap::new();
+    let mut announce = move || {
+        let present: BTreeMap<_, _> = group.entries(&ZONES).into_iter().collect();
+        for (key, value) in &present {
+            if known.get(key) != Some(value) {
+                store.put(key, value);
+            }
+        }
+        for key in known.keys().filter(|key| !present.contains_key(*key)) {
+            store.delete(key);
+        }
+        known = present;
+    };
+    announce();
+    thread::spawn(move || {
+        loop {
+            thread::sleep(Duration::from_millis(50));
+            announce();
+        }
+    });
+}
+
 static IDS: AtomicU64 = AtomicU64::new(1);
 
 /// A client's session.
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -178,6 +178,11 @@
         self.lock().write(key, &value, 0);
     }
 
+    /// Deletes a key, as the platform does with the entry of an instance that is silent.
+    pub fn delete(&self, key: &str) {
+        self.lock().delete(key);
+    }
+
     /// Opens the path of one machine.
     pub fn open(&self) -> io::Result<Path> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
