review: an instance with an unreadable entry is forgotten at once

One replica receives nothing, the primary crashes, and the entry of the other replica, which runs and holds every commit, comes from another writer for one heartbeat interval: the coordinator promotes the replica that received nothing.

The stand-in's primary obeys DEMOTE, and an empty log has a position.

--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -135,6 +135,15 @@
         acknowledged
     }
 
+    /// An instance writes its entry, as at a heartbeat.
+    pub fn announce(&self, instance: usize) {
+        let key = format!("servers/{}", crate::group::id(instance));
+        let entries = self.group.entries(&ZONES).into_iter();
+        for (key, value) in entries.filter(|(other, _)| *other == key) {
+            self.store.put(&key, &value);
+        }
+    }
+
     /// Writes what the instances ran since a moment into the record, one line each.
     pub fn note_runs(&mut self, since: Instant) {
         let runs: Vec<_> = self.group.runs().into_iter().filter(|run| run.at >= since).collect();
--- a/review/standin/group.rs
+++ b/review/standin/group.rs
@@ -66,6 +66,8 @@
 struct State {
     instances: Vec<Instance>,
     leader: usize,
+    /// Whether the leader was told to stop leading, and no other leads yet.
+    demoted: bool,
     term: u64,
     newest_token: u64,
     /// Promotions that were carried out: instance and items of its log.
@@ -78,7 +80,7 @@
     /// Gives the leader's log to every replica that receives.
     fn replicate(&mut self) {
         let leader = &self.instances[self.leader];
-        if leader.down.is_some() {
+        if !self.leads(self.leader) {
             return;
         }
         let (log, term, at) = (leader.log.clone(), self.term, self.leader);
@@ -91,7 +93,7 @@
     }
 
     fn leads(&self, at: usize) -> bool {
-        self.leader == at && self.instances[at].down.is_none()
+        self.leader == at && !self.demoted && self.instances[at].down.is_none()
     }
 
     /// Whether a replica has received the first `length` entries of this term.
@@ -135,6 +137,7 @@
         let state = State {
             instances: (0..instances).map(instance).collect(),
             leader: 0,
+            demoted: false,
             term: 1,
             newest_token: 0,
             promotions: Vec::new(),
@@ -242,7 +245,7 @@
             if instance.down.is_some_and(|since| since.elapsed() >= LAPSE) {
                 continue;
             }
-            let role = if at == state.leader { "primary" } else { "replica" };
+            let role = if at == state.leader && !state.demoted { "primary" } else { "replica" };
             let (zone, address, born) = (zones[at % zones.len()], self.addresses[at], instance.born);
             let value = format!(
                 "{{\"service\":\"{SERVICE}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\
@@ -273,6 +276,7 @@
                 return;
             }
             state.leader = at;
+            state.demoted = false;
             state.term += 1;
             let term = state.term;
             for instance in &mut state.instances {
@@ -367,7 +371,8 @@
         let state = self.group.lock();
         let applied = self.applied(&state);
         let term = |at: usize| state.instances[self.at].log[at].term;
-        let end = applied.checked_sub(1).map_or((0, 0), |last| (term(last), applied));
+        let empty = (state.instances[self.at].term, 0);
+        let end = applied.checked_sub(1).map_or(empty, |last| (term(last), applied));
         needed.is_some_and(|needed| needed <= end)
     }
 
@@ -441,8 +446,10 @@
         match word {
             "PAUSE" if !leads && term > instance.term => instance.paused = term,
             "RESUME" => instance.paused = 0,
+            "DEMOTE" if leads && term > instance.term => state.demoted = true,
             _ => {}
         }
+        let leads = state.leads(self.at);
         state.replicate();
         let instance = &state.instances[self.at];
         let role = if leads { "primary" } else { "replica" };
--- a/review/standin/lost.rs
+++ b/review/standin/lost.rs
@@ -1,4 +1,4 @@
-//! Instances crash, and the replicas are back before the primary is, which has its log.
+//! A primary crashes that has its log when it returns, and an instance is promoted meanwhile.
 
 use std::io;
 use std::path::Path;
@@ -36,11 +36,39 @@
     (7_000, Event::Returns(PRIMARY)),
 ];
 
+/// One replica receives nothing and the primary crashes, while the entry of the other replica,
+/// which runs all the time, is unreadable until its next heartbeat.
+const ENTRY: [(u64, Event); 6] = [
+    (0, Event::Deaf(SECOND, true)),
+    (1_000, Event::Crashes(PRIMARY)),
+    (1_100, Event::Overwritten(FIRST)),
+    (1_100 + HEARTBEAT_MS, Event::Beats(FIRST)),
+    (6_000, Event::Deaf(SECOND, false)),
+    (7_000, Event::Returns(PRIMARY)),
+];
+
+/// `heartbeatMs` of the sheets.
+const HEARTBEAT_MS: u64 = 1_200;
+
+/// What another writer puts in place of an entry: the address and the capacity are missing.
+const FOREIGN: &str = "{\"service\":\"ledger\",\"zone\":\"bp-csepel\",\"state\":\"ready\"}";
+
 #[derive(Clone, Copy)]
 enum Event {
     Crashes(usize),
     Returns(usize),
     Deaf(usize, bool),
+    /// Its entry comes from another writer.
+    Overwritten(usize),
+    /// It writes its entry.
+    Beats(usize),
+}
+
+/// Which of the cases is played.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Case {
+    Empty,
+    Entry,
 }
 
 /// Time until a change of primary is over.
@@ -71,6 +99,15 @@
             let log = fleet.group.log(at).len();
             format!("{} starts again under its id, with {log} entries in its log", id(at))
         }
+        Event::Overwritten(at) => {
+            fleet.store.put(&format!("servers/{}", id(at)), FOREIGN);
+            format!("another writer overwrites the entry of {} with {FOREIGN}", id(at))
+        }
+        Event::Beats(at) => {
+            fleet.announce(at);
+            let log = fleet.group.log(at).len();
+            format!("{} writes its entry; it has {log} entries in its log", id(at))
+        }
         Event::Deaf(at, deaf) => {
             fleet.group.set_deaf(at, deaf);
             format!("{} receives {}", id(at), if deaf { "nothing" } else { "again" })
@@ -79,7 +116,13 @@
     fleet.note(&text);
 }
 
-pub fn run(program: &Path, folder: &Path, record: &Path, trouble: bool) -> io::Result<Verdict> {
+pub fn run(
+    case: Case,
+    program: &Path,
+    folder: &Path,
+    record: &Path,
+    trouble: bool,
+) -> io::Result<Verdict> {
     let bounds = Bounds { config_apply_ms: 4_000 };
     let mut fleet = Fleet::start(program, folder, record, 6, bounds, &config())?;
     let begun = Instant::now();
@@ -94,8 +137,13 @@
     }
     thread::sleep(Duration::from_millis(200));
 
-    let deaf = std::env::var("VARIANT").is_ok_and(|value| value == "deaf");
-    let events = if deaf { ONE_IS_DEAF } else { ALL_CRASH };
+    let variant = std::env::var("VARIANT").is_ok_and(|value| value == "deaf");
+    let events = match case {
+        Case::Entry => ENTRY,
+        Case::Empty if variant => ONE_IS_DEAF,
+        Case::Empty => ALL_CRASH,
+    };
+    let deaf = matches!(events[0].1, Event::Deaf(..));
     let mut events = events.iter().filter(|_| trouble).peekable();
     let mut from = Instant::now();
     if deaf && let Some((_, event)) = events.next() {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -30,7 +30,8 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let (program, folder, record) = (Path::new(program), Path::new(folder), Path::new(record));
     let result = match case.as_str() {
-        "lost" => lost::run(program, folder, record, trouble),
+        "empty" => lost::run(lost::Case::Empty, program, folder, record, trouble),
+        "entry" => lost::run(lost::Case::Entry, program, folder, record, trouble),
         "revoke" => revoke::run(program, folder, record, trouble),
         "stale" => stale::run(program, folder, record, trouble),
         _ => Ok(Verdict::NotRun(format!("there is no case {case}"))),
