--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -23,6 +23,7 @@
 }
 
 pub struct Front {
+    pub name: String,
     pub listen: SocketAddr,
     pub store: Path,
     child: Child,
@@ -34,6 +35,9 @@
     pub fronts: Vec<Front>,
     started: Instant,
     record: File,
+    program: PathBuf,
+    folder: PathBuf,
+    bounds: Bounds,
 }
 
 impl Drop for Fleet {
@@ -45,8 +49,24 @@
     }
 }
 
+/// Ports below the kernel's range for outgoing connections, which could take one that is free
+/// before the front listens on it.
+const PORTS: std::ops::Range<u32> = 10_240..32_000;
+
+/// Returns an address with a free port that was not returned before. Processes begin at
+/// different ports.
 fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let count = PORTS.end - PORTS.start;
+    let first = std::process::id().wrapping_mul(61) % count;
+    for _ in 0..count {
+        let offset = (first + NEXT.fetch_add(1, Ordering::Relaxed) as u32) % count;
+        let port = u16::try_from(PORTS.start + offset).unwrap_or_default();
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr();
+        }
+    }
+    Err(io::Error::other("no port is free"))
 }
 
 impl Fleet {
@@ -58,6 +78,21 @@
         fronts: usize,
         bounds: Bounds,
         config: &str,
+    ) -> io::Result<Self> {
+        let zones = (0..fronts).map(|at| ZONES[at % ZONES.len()]);
+        let fronts = zones.enumerate().map(|(at, zone)| (format!("front-{zone}-{at}"), zone));
+        let fronts: Vec<_> = fronts.collect();
+        Self::start_named(program, folder, record, &fronts, bounds, config)
+    }
+
+    /// Like [`Fleet::start`], with the name and the zone of each front.
+    pub fn start_named(
+        program: &FilePath,
+        folder: &FilePath,
+        record: &FilePath,
+        fronts: &[(String, &str)],
+        bounds: Bounds,
+        config: &str,
     ) -> io::Result<Self> {
         let group = Group::start(3)?;
         let store = Store::new(group.clone());
@@ -69,51 +104,59 @@
             fronts: Vec::new(),
             started: Instant::now(),
             record: File::create(record)?,
+            program: program.to_owned(),
+            folder: folder.to_owned(),
+            bounds,
         };
-        let mut pids = File::create(folder.join("pids"))?;
-        for at in 0..fronts {
-            let front = fleet.start_front(program, folder, at, bounds)?;
-            writeln!(pids, "{}", front.child.id())?;
-            fleet.fronts.push(front);
+        for (name, zone) in fronts {
+            fleet.add_front(name, zone, true)?;
         }
         fleet.note("the fronts were started");
         Ok(fleet)
     }
 
-    fn start_front(
-        &self,
-        program: &FilePath,
-        folder: &FilePath,
-        at: usize,
-        bounds: Bounds,
-    ) -> io::Result<Front> {
+    /// Starts one more front; `first_start` while the whole system starts for the first time.
+    pub fn add_front(&mut self, name: &str, zone: &str, first_start: bool) -> io::Result<()> {
+        let (folder, bounds) = (&self.folder, self.bounds);
         let store = self.store.open()?;
         let (listen, ready) = (free_address()?, free_address()?);
         let (relay, metrics) = (free_address()?, free_address()?);
-        let zone = ZONES[at % ZONES.len()];
         let settings = format!(
-            "{{\"proxy\":\"front-{zone}-{at}\",\"data_centre\":\"{zone}\",\
+            "{{\"proxy\":\"{name}\",\"data_centre\":\"{zone}\",\
              \"data_centres\":{{\"bp-ujpest\":\"budapest\",\"bp-csepel\":\"budapest\",\
              \"db-nagyerdo\":\"debrecen\"}},\
              \"listen\":\"{listen}\",\"ready_listen\":\"{ready}\",\"relay_listen\":\"{relay}\",\
              \"metrics_listen\":\"{metrics}\",\"store\":\"{0}\",\"orders\":\"{0}\",\
              \"least_lease_ms\":1000,\"in_force_within_ms\":{1},\
              \"vm\":{{\"cores\":1,\"core_share\":0.25,\"link_mbps\":1000.0}},\
-             \"first_start\":true,\"grace_s\":6}}",
+             \"first_start\":{first_start},\"grace_s\":6}}",
             store.address, bounds.config_apply_ms
         );
-        let file = folder.join(format!("front-{at}.jsonc"));
+        let file = folder.join(format!("{name}.jsonc"));
         fs::write(&file, settings)?;
-        let log: PathBuf = folder.join(format!("front-{at}.log"));
+        let log: PathBuf = folder.join(format!("{name}.log"));
         let log = File::create(log)?;
-        let child = Command::new(program)
+        let child = Command::new(&self.program)
             .arg("--config")
             .arg(&file)
             .stdin(Stdio::null())
             .stdout(Stdio::from(log.try_clone()?))
             .stderr(Stdio::from(log))
             .spawn()?;
-        Ok(Front { listen, store, child })
+        let mut pids = File::options().create(true).append(true).open(folder.join("pids"))?;
+        writeln!(pids, "{}", child.id())?;
+        let name = name.to_owned();
+        self.fronts.push(Front { name, listen, store, child });
+        Ok(())
+    }
+
+    /// Sends a front a signal, by its name without SIG.
+    pub fn signal(&mut self, front: usize, signal: &str) -> io::Result<()> {
+        let pid = self.fronts[front].child.id();
+        let sent = Command::new("sh").arg("-c").arg(format!("kill -{signal} {pid}")).status()?;
+        let name = self.fronts[front].name.clone();
+        self.note(&format!("{name} gets SIG{signal}"));
+        if sent.success() { Ok(()) } else { Err(io::Error::other("no signal was sent")) }
     }
 
     /// Seconds since the start.
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,6 +7,7 @@
 mod group;
 mod json;
 mod lost;
+mod reader;
 mod revoke;
 mod stale;
 mod store;
@@ -32,6 +33,7 @@
     let result = match case.as_str() {
         "empty" => lost::run(lost::Case::Empty, program, folder, record, trouble),
         "entry" => lost::run(lost::Case::Entry, program, folder, record, trouble),
+        "reader" => reader::run(program, folder, record, trouble),
         "revoke" => revoke::run(program, folder, record, trouble),
         "stale" => stale::run(program, folder, record, trouble),
         _ => Ok(Verdict::NotRun(format!("there is no case {case}"))),
