review: a frozen follower of a store reader never calls the store again

A machine freezes for 2.4 s while another one is added that becomes the store reader of its zone; awake, it asks others that follow the new reader, and 30 s later it still serves by the old version.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -14,7 +14,7 @@
 }
 trap finish EXIT
 trap 'exit 2' INT TERM
-"$standin" stale "$front" "$folder" "$here/record.txt" &
+"$standin" reader "$front" "$folder" "$here/record.txt" &
 pid=$!
 wait "$pid"
 code=$?
