Do not query a silent store reader again on a new connection

What callers would see: a store reader that freezes after it confirmed a query. Its follower waits for the whole wait and a second more (3 s with a bound of 4 s), then connects anew and waits a second more for the confirmation, so that a change acknowledged just after the query is in force after more than 4 s.

Cause: `Client::follow` repeats each failed query that used an idle connection, since the reader may have restarted meanwhile. A reader that confirmed and is silent did not restart, and the first part of the update was timed from the confirmation, which may take a second.

Change: no repetition after a confirmed query without an update, and one deadline for the first part from the beginning of the query, over both connections. An unconfirmed query is repeated as before: an idle connection may be dead while new ones work.

Test: `a_silent_store_reader_is_queried_once` fails on the code before (the second query is answered on a second connection) and passes now.

--- a/crates/front/src/directory/upstream.rs
+++ b/crates/front/src/directory/upstream.rs
@@ -245,6 +245,7 @@
         FollowFailure::NotReading => readers.mark_without_updates(reader, now),
         FollowFailure::Unknown
         | FollowFailure::Behind
+        | FollowFailure::Silent
         | FollowFailure::Conn(_)
         | FollowFailure::Pack(_) => {
             readers.mark_failed(reader, now);
--- a/crates/front/src/relay/client/follow.rs
+++ b/crates/front/src/relay/client/follow.rs
@@ -5,14 +5,16 @@
 use indexmap::IndexSet;
 use model::id::{GroupId, ProxyId};
 use model::position::Revision;
-use model::unit::Span;
+use model::unit::{Span, Time};
 use store::client::TIME_LIMIT;
 use store::mirror::Update;
 
 use super::{Client, GRACE, connect, decode, read};
+use crate::clock;
 use crate::conn::{Conn, ConnError};
 use crate::feed::PackError;
 use crate::relay::{FromPooler, RECEIPT_TIMEOUT, ToPooler, encode};
+use crate::stream::StreamError;
 
 /// Longest wait until a store reader confirms a query, and between two parts of its update.
 ///
@@ -34,6 +36,9 @@
     /// Its update ends at an earlier revision than this proxy knows.
     #[error("its update is out of date")]
     Behind,
+    /// It confirmed the query and then sent nothing in time.
+    #[error("it sent no update in time")]
+    Silent,
     /// It did not respond.
     #[error(transparent)]
     Conn(#[from] ConnError),
@@ -52,12 +57,17 @@
         wait: Span,
     ) -> Result<Update, FollowFailure> {
         let request = ToPooler::Follow { after, wait };
+        let deadline = clock::now() + wait + PART_TIMEOUT;
         let idle = self.take_idle(reader);
         let reused = idle.is_some();
-        let mut result = self.try_follow(idle, reader, address, &request, wait).await;
+        let mut result = self
+            .try_follow(idle, reader, address, &request, deadline)
+            .await;
         if reused && has_failed(&result) {
             // The reader may have restarted since the connection was last used.
-            result = self.try_follow(None, reader, address, &request, wait).await;
+            result = self
+                .try_follow(None, reader, address, &request, deadline)
+                .await;
         }
         result
     }
@@ -109,7 +119,7 @@
         reader: &ProxyId,
         address: SocketAddr,
         request: &ToPooler,
-        wait: Span,
+        deadline: Time,
     ) -> Result<Update, FollowFailure> {
         let mut conn = match conn {
             Some(conn) => conn,
@@ -117,7 +127,7 @@
         };
         conn.send(encode(request)).await?;
         let response = match read(&mut conn, PART_TIMEOUT).await? {
-            FromPooler::Heard => read_long(&mut conn, wait + PART_TIMEOUT, PART_TIMEOUT).await?,
+            FromPooler::Heard => read_update(&mut conn, deadline).await?,
             other => other,
         };
         self.keep(reader, conn);
@@ -129,15 +139,19 @@
 }
 
 /// Whether the connection or the response was unusable.
+///
+/// A proxy that is silent after its confirmation would be on a new connection, too.
 const fn has_failed<T>(result: &Result<T, FollowFailure>) -> bool {
-    !matches!(result, Ok(_) | Err(FollowFailure::NotReading))
+    use FollowFailure::{NotReading, Silent};
+    !matches!(result, Ok(_) | Err(NotReading | Silent))
 }
 
-async fn read_long(
-    conn: &mut Conn,
-    first_timeout: Span,
-    next_timeout: Span,
-) -> Result<FromPooler, ConnError> {
-    let line = conn.long_line(first_timeout, next_timeout).await?;
-    decode(line).ok_or(ConnError::Timeout)
+/// Reads the response with an update, whose first part arrives before the deadline.
+async fn read_update(conn: &mut Conn, deadline: Time) -> Result<FromPooler, FollowFailure> {
+    let first_timeout = deadline.since(clock::now());
+    match conn.long_line(first_timeout, PART_TIMEOUT).await {
+        Ok(line) => decode(line).ok_or(FollowFailure::Conn(ConnError::Timeout)),
+        Err(ConnError::Stream(StreamError::Timeout)) => Err(FollowFailure::Silent),
+        Err(e) => Err(e.into()),
+    }
 }
--- a/crates/front/tests/follow.rs
+++ b/crates/front/tests/follow.rs
@@ -2,6 +2,8 @@
 
 use std::io::{BufRead as _, BufReader, Write as _};
 use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -85,3 +87,39 @@
     let received = follow(store_reader(5, true));
     assert!(received.is_none(), "an incomplete update was accepted");
 }
+
+/// Guards against a follower that queries a silent store reader once more on a new connection: it
+/// waits for it twice, and learns of changes late.
+#[test]
+fn a_silent_store_reader_is_queried_once() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let accepted = Arc::new(AtomicUsize::new(0));
+    let counted = accepted.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            counted.fetch_add(1, Ordering::Relaxed);
+            let mut stream = stream.unwrap();
+            let mut reader = BufReader::new(stream.try_clone().unwrap());
+            let packed = serde_json::to_string(&Packed::new(&update()).unwrap()).unwrap();
+            let response = format!("!\"Heard\"\r\n!{{\"News\":{packed}}}\r\n");
+            reader.read_line(&mut String::new()).unwrap();
+            stream.write_all(response.as_bytes()).unwrap();
+            reader.read_line(&mut String::new()).unwrap();
+            stream.write_all(b"!\"Heard\"\r\n").unwrap();
+            // The connection stays open until the follower closes it.
+            let _ = reader.read_line(&mut String::new());
+        }
+    });
+    let runtime = compio::runtime::Runtime::new().unwrap();
+    let results = runtime.block_on(async {
+        let client = Client::default();
+        let reader = "p1".parse().unwrap();
+        let wait = Span::from_millis(100);
+        let first = client.follow(&reader, address, Revision(5), wait).await;
+        let second = client.follow(&reader, address, Revision(9), wait).await;
+        (first, second)
+    });
+    assert!(results.0.is_ok() && results.1.is_err());
+    assert_eq!(accepted.load(Ordering::Relaxed), 1);
+}
