Query each store reader about changes of primary once before the store

What callers would see: writes that wait for a replica's acknowledgement on connections that never become eligible, while the store would answer.

Cause: `Directory::query_changes` queries the store readers until none is due. One that responds without an answer is due again after 400 ms, and a query takes up to 1.2 s where the reader's own call of the store times out, so two such readers are queried in turn for good.

Change: a round has each reader that is due at its beginning, once; then the store is queried, or, while it does not respond, the next round begins after the pause as before. In that state all four candidates get their turn, not only those that come first.

Test: `slow_readers_without_an_answer_lead_to_the_store` holds the round of the decision (`StoreReaders::available`), which the code before did not have; the loop itself has no test that failed before.

--- a/crates/front/src/directory/upstream.rs
+++ b/crates/front/src/directory/upstream.rs
@@ -197,29 +197,26 @@
         direct.failed(others_call, delay, &mut rng, now);
     }
 
-    /// The store reader to query about changes of primary; `None` if there is none.
-    fn change_reader(&self) -> Option<(ProxyId, SocketAddr)> {
+    /// The store readers to query about changes of primary, and their addresses.
+    fn change_readers(&self) -> Vec<(ProxyId, SocketAddr)> {
         if (self.is_coordinator)(self) {
-            return None;
-        }
-        let (ids, now) = (self.local_ids(), clock::now());
-        let readers = self.change_readers.borrow();
-        let upstream = if self.direct.borrow().is_lost() {
-            readers.alternative(&self.me.id, &ids, now)
-        } else {
-            readers.upstream(&self.me.id, &ids, now)
-        };
-        match upstream {
-            Upstream::StoreReader(reader) => Some((reader.clone(), self.address(&reader)?)),
-            Upstream::Store => None,
+            return Vec::new();
         }
+        let (readers, is_lost) = (self.change_readers.borrow(), self.direct.borrow().is_lost());
+        let ids = readers.available(&self.me.id, &self.local_ids(), is_lost, clock::now());
+        let addresses = ids
+            .into_iter()
+            .filter_map(|id| Some((id.clone(), self.address(&id)?)));
+        addresses.collect()
     }
 
     /// Queries the store readers which groups have a change of primary under way; `None` if
     /// this proxy must query the store directly.
     pub async fn query_changes(&self, within: Span) -> Option<ChangingGroups> {
         loop {
-            while let Some((reader, address)) = self.change_reader() {
+            // Each is queried once: the first one would be due again after slow responses of the
+            // others, and the store would never be queried.
+            for (reader, address) in self.change_readers() {
                 match self.cx.relay.changes(&reader, address, within).await {
                     Ok(changing) => return Some(Rc::new(changing)),
                     Err(e) => {
--- a/crates/policy/src/store_reader.rs
+++ b/crates/policy/src/store_reader.rs
@@ -155,12 +155,34 @@
         }
     }
 
+    /// The proxies that `me` queries in turn about the store, before the store itself; `is_lost`
+    /// says that the store does not respond to `me`.
+    pub fn available(
+        &self,
+        me: &ProxyId,
+        local: &[ProxyId],
+        is_lost: bool,
+        now: Time,
+    ) -> Vec<ProxyId> {
+        let available = |id: &&ProxyId| self.is_available(id, now);
+        if is_lost {
+            let others = ranked(local, MAX_ALTERNATIVES).filter(|id| *id != me);
+            others.filter(available).cloned().collect()
+        } else {
+            let before = ranked(local, MAX_READERS).take_while(|id| *id != me);
+            before.filter(available).cloned().collect()
+        }
+    }
+
     fn choose<'a>(&self, mut candidates: impl Iterator<Item = &'a ProxyId>, now: Time) -> Upstream {
-        let available = |id: &&ProxyId| self.skipped.get(*id).is_none_or(|s| s.until <= now);
-        let reader = candidates.find(available);
+        let reader = candidates.find(|id| self.is_available(id, now));
         reader.map_or(Upstream::Store, |id| Upstream::StoreReader(id.clone()))
     }
 
+    fn is_available(&self, id: &ProxyId, now: Time) -> bool {
+        self.skipped.get(id).is_none_or(|s| s.until <= now)
+    }
+
     /// Records that an update arrived, or that the store is called.
     pub fn end_round(&mut self) {
         self.without_since = None;
--- a/crates/policy/tests/store_reader.rs
+++ b/crates/policy/tests/store_reader.rs
@@ -113,3 +113,22 @@
         }
     }
 }
+
+/// Guards against a query about changes of primary that never reaches the store: each reader
+/// responded so late that the other one was due again, and both were queried in turn for good.
+#[test]
+fn slow_readers_without_an_answer_lead_to_the_store() {
+    let local = fleet(11);
+    for (me, is_lost) in local.iter().flat_map(|me| [(me, false), (me, true)]) {
+        let mut readers = StoreReaders::default();
+        let mut now = at(10_000);
+        let round = readers.available(me, &local, is_lost, now);
+        assert!(!round.contains(me) && round.len() <= if is_lost { 4 } else { 2 });
+        for reader in &round {
+            now = now + Span::from_millis(1_100);
+            readers.mark_without_updates(reader, now);
+        }
+        let first = StoreReaders::default().upstream(me, &local, now);
+        assert_eq!(round.is_empty(), first == Upstream::Store && !is_lost);
+    }
+}
