List the store when a watch cannot report what was missed

Cause: a watch reports every change since a revision. More than 16 MiB of them exceed the limit of a response (`Error::TooLarge`), and the loop repeated the same watch; only a 410 made it list the store. A response that cannot be decoded and a status such as 400 were repeated in the same way.

Change: after a watch that the store responded to, but whose repetition would bring nothing else, the proxy lists, as after a 410; the store does not count as lost. A refusal for want of capacity (429, 503) and time-outs repeat the watch as before: listings would load a store that is back.

--- a/crates/front/src/directory.rs
+++ b/crates/front/src/directory.rs
@@ -42,6 +42,9 @@
 /// current revision.
 const INTENT_TRIES: u32 = 3;
 
+/// HTTP status of a store that rejects calls for want of capacity.
+const TOO_MANY_REQUESTS: u16 = 429;
+
 /// Why an intent is not known to be in the store.
 #[derive(Debug, thiserror::Error)]
 pub enum IntentError {
@@ -214,14 +217,15 @@
                 }
                 Err(e) => {
                     self.cx.feed.set_access(StoreAccess::Lost);
-                    if matches!(e, Error::WatchEnded) {
-                        known = known.min(Known::OtherProxies);
+                    let needs_listing = known == Known::All && is_unusable(&e);
+                    if needs_listing {
+                        known = Known::OtherProxies;
                     }
                     if lost_at.is_none() {
                         lost_at = Some(clock::now());
                         tracing::warn!(cause = %e, "the store is unreachable");
                     }
-                    self.store_failed(&e).await;
+                    self.store_failed(&e, needs_listing).await;
                 }
             }
         }
@@ -331,6 +335,20 @@
     }
 }
 
+/// Whether a watch brought a response of no use, and would again if it was repeated: the changes
+/// since the known revision are no longer kept, for example, or too large for one response.
+fn is_unusable(e: &Error) -> bool {
+    match e {
+        Error::WatchEnded | Error::TooLarge(_) | Error::Decode(_) => true,
+        Error::Status(status) => (400..500).contains(status) && *status != TOO_MANY_REQUESTS,
+        Error::NoEndpoint
+        | Error::Unreachable(_)
+        | Error::Connection(_)
+        | Error::Timeout(_)
+        | Error::Address(_) => false,
+    }
+}
+
 /// Replaces the API keys in an update by their digests, before it is kept or passed on.
 fn remove_keys(update: &mut Update) {
     let records: Vec<&mut Record> = match update {
--- a/crates/front/src/directory/upstream.rs
+++ b/crates/front/src/directory/upstream.rs
@@ -177,12 +177,12 @@
         });
     }
 
-    /// Records that a call to the store failed.
-    pub(super) async fn store_failed(&self, cause: &Error) {
+    /// Records that a call to the store failed; `needs_listing` says that the store responded to
+    /// a watch, and has to be listed.
+    pub(super) async fn store_failed(&self, cause: &Error, needs_listing: bool) {
         let (now, mut rng) = (clock::now(), rand::rng());
         let delay = self.pacing.borrow_mut().failed(&mut rng);
-        if matches!(cause, Error::WatchEnded) {
-            // The store responds; it has only dropped its history.
+        if needs_listing || matches!(cause, Error::WatchEnded) {
             compio::time::sleep(delay.as_duration()).await;
             return;
         }
--- a/crates/front/tests/store_readers.rs
+++ b/crates/front/tests/store_readers.rs
@@ -1,4 +1,5 @@
-//! Proxies of one data centre, as processes, that learn of changes through a store reader.
+//! Proxies of one data centre, as processes, that learn of changes in the store, most of them
+//! through a store reader.
 
 mod env;
 
@@ -14,6 +15,7 @@
 use policy::store_reader;
 use rustix::process::Signal;
 use standin::managed::Managed;
+use standin::managed::wire::{Weather, Wire};
 use tempfile::TempDir;
 use test_case::test_case;
 
@@ -188,3 +190,29 @@
     });
     centre.wait_for(&centre.proxies);
 }
+
+/// Size in bytes of the value of a key, and how many changes of it one watch cannot report.
+const LARGE_CHANGES: (usize, usize) = (800_000, 25);
+
+/// Guards against a proxy that missed more changes than a watch can report: it repeated the watch,
+/// and served by an old configuration until the store dropped the changes.
+#[test]
+fn a_proxy_that_missed_many_large_changes_learns_of_the_last() {
+    let managed = Managed::start(1).unwrap();
+    let folder = tempfile::tempdir().unwrap();
+    managed.configure(&configuration(1, &[("db1", "bounded")]));
+    let store = Wire::to(managed.address()).unwrap();
+    let proxy = Proxy::start_with(&managed, folder.path(), "p1", |settings| {
+        settings["store"] = store.address().to_string().into();
+    });
+    wait(|| Caller::try_connect(proxy.listen, "db1"));
+    store.set(Weather::Cut);
+    let (size, count) = LARGE_CHANGES;
+    for n in 0..count {
+        managed.put("other", &vec![n as u8; size]);
+    }
+    managed.configure(&configuration(2, &[("db2", "bounded")]));
+    store.set(Weather::Clear);
+    wait(|| Caller::try_connect(proxy.listen, "db2"));
+    assert!(Caller::try_connect(proxy.listen, "db1").is_none());
+}
