Keep an instance whose entry was overwritten

One replica receives nothing, the primary crashes, and the entry of the other replica, which runs and holds all, cannot be read for one heartbeat.

Cause: `State::put_entry` forgot an instance at once when its entry could not be read, so the coordinator neither queried it nor knew that there was one to wait for, and promoted the first replica. An entry that names another group moved the instance there, with the same effect.

Change: an overwritten entry counts as a missing one. The instance takes no statements, as before, but is kept and queried; the next readable entry puts it back. An entry that names another group than the known one is treated in the same way, since an instance does not change its group.

--- a/crates/front/src/directory/state.rs
+++ b/crates/front/src/directory/state.rs
@@ -49,6 +49,8 @@
     /// Whether its group was marked as changed after the instance was missing for
     /// [`REMOVE_AFTER`].
     removal_reported: bool,
+    /// Whether its entry cannot be read; it is missing since then, and not used.
+    is_unreadable: bool,
 }
 
 /// A live proxy.
@@ -235,7 +237,7 @@
         if record.key == routes::KEY {
             self.put_routes(&record);
         } else if record.key.starts_with(entry::PREFIX) {
-            self.put_entry(&record);
+            self.put_entry(&record, now);
         } else if record.key == COORDINATOR {
             self.update_coordinator(record);
         } else if let Some(proxy) = record.key.strip_prefix(PROXIES) {
@@ -389,21 +391,41 @@
         }
     }
 
-    fn put_entry(&mut self, record: &Record) {
+    fn put_entry(&mut self, record: &Record, now: Time) {
         match entry::parse(&record.key, &record.value) {
+            Ok(entry) if self.names_other_group(&entry) => {
+                tracing::warn!(key = record.key, group = %entry.group, "the entry of an instance names another group");
+                self.mark_unreadable(&entry.id, now);
+            }
             Ok(entry) => self.put_instance(entry),
             Err(e) => {
                 tracing::warn!(key = record.key, cause = %e, "the entry of an instance cannot be read");
                 let id = record.key.strip_prefix(entry::PREFIX);
-                if let Some(id) = id.and_then(|id| id.parse::<InstanceId>().ok())
-                    && let Some(known) = self.instances.shift_remove(&id)
-                {
-                    self.changed_groups.insert(known.entry.group);
+                if let Some(id) = id.and_then(|id| id.parse().ok()) {
+                    self.mark_unreadable(&id, now);
                 }
             }
         }
     }
 
+    /// Whether an instance is known in another group. It does not change its group, so that the
+    /// entry is not its own.
+    fn names_other_group(&self, entry: &Entry) -> bool {
+        let known = self.instances.get(&entry.id);
+        known.is_some_and(|known| known.entry.group != entry.group)
+    }
+
+    /// Takes an instance out of use whose entry was overwritten. Like a missing one it may run and
+    /// hold acknowledged writes.
+    fn mark_unreadable(&mut self, id: &InstanceId, now: Time) {
+        self.mark_missing(id, now);
+        if let Some(known) = self.instances.get_mut(id) {
+            known.is_unreadable = true;
+            known.removal_reported = true;
+            self.changed_groups.insert(known.entry.group.clone());
+        }
+    }
+
     fn put_instance(&mut self, entry: Entry) {
         let known = self.instances.get(&entry.id);
         if known.is_some_and(|k| k.entry == entry && k.missing_since.is_none()) {
@@ -417,6 +439,7 @@
             entry,
             missing_since: None,
             removal_reported: false,
+            is_unreadable: false,
         };
         self.instances.insert(known.entry.id.clone(), known);
     }
@@ -553,7 +576,7 @@
             let is_usable = k
                 .missing_since
                 .is_none_or(|at| now.since(at) < REMOVE_AFTER);
-            is_usable && k.entry.group == *group
+            is_usable && !k.is_unreadable && k.entry.group == *group
         });
         Some(usable.map(|k| k.entry.clone()).collect())
     }
--- a/crates/front/tests/directory.rs
+++ b/crates/front/tests/directory.rs
@@ -9,9 +9,17 @@
 use serde_json::json;
 use store::kv::{Listing, Record};
 use store::watch::{Batch, Change};
+use test_case::test_case;
 
 const START: Time = Time::from_micros(1_000_000);
 
+fn entry_of(group: &str) -> Vec<u8> {
+    let record = entry("i-a", 1, 10);
+    let mut value: serde_json::Value = serde_json::from_slice(&record.value).unwrap();
+    value["service"] = group.into();
+    value.to_string().into_bytes()
+}
+
 fn entry(id: &str, port: u16, born: u64) -> Record {
     let value = json!({
         "service": "ledger", "address": format!("10.0.0.1:{port}"), "zone": "a", "version": "v1",
@@ -77,6 +85,34 @@
     );
 }
 
+/// Guards against a coordinator that promotes a replica without an acknowledged write, since it has
+/// forgotten the running one that holds it: another writer had overwritten that one's entry.
+#[test_case(b"{\"service\":\"ledger\"}"; "unreadable")]
+#[test_case(&entry_of("other"); "naming another group")]
+fn an_instance_with_an_overwritten_entry_is_kept_and_not_used(value: &[u8]) {
+    let group = "ledger".parse().unwrap();
+    let mut state = state(vec![entry("i-a", 1, 10), entry("i-b", 2, 11)]);
+    assert_eq!(state.take_entries(&group).map(|e| e.len()), Some(2));
+    let overwritten = Record {
+        value: value.to_vec(),
+        ..entry("i-a", 1, 10)
+    };
+    state.apply(change(Change::Put(overwritten)), START);
+    assert_eq!(
+        instances(&state),
+        [("i-a".into(), false), ("i-b".into(), true)]
+    );
+    let used = state.take_entries(&group).unwrap();
+    assert_eq!(used.len(), 1);
+    assert_eq!(used[0].id.to_string(), "i-b");
+    state.apply(change(Change::Put(entry("i-a", 1, 10))), START);
+    assert_eq!(
+        instances(&state),
+        [("i-a".into(), true), ("i-b".into(), true)]
+    );
+    assert_eq!(state.take_entries(&group).map(|e| e.len()), Some(2));
+}
+
 /// Guards against keeping a replaced instance when the clocks of two starts disagree: both entries
 /// are listed, since the old one has not expired yet, and its start time is the later one. It
 /// is removed as soon as its entry expires.
